--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -18,6 +18,6 @@
 fi
 for module in "$@"; do
 	[ -n "$(find "$module" -name '*.go' -print -quit)" ] || continue
-	(cd "$module" && "$directory/golangci-lint" run --config ../.golangci.yml ./...) || status=1
+	(cd "$module" && "$directory/golangci-lint" run --allow-parallel-runners --config ../.golangci.yml ./...) || status=1
 done
 exit $status
