Add first versions of the decision packages that the router needs

The router is written at the same time and needs the signatures of selector, limiter, admitter and quarantiner. The logic is simple so far and has no tests yet.

--- /dev/null
+++ b/core/coordination/quarantiner/verdict.go
@@ -0,0 +1,48 @@
+package quarantiner
+
+import "time"
+
+// Decision is what becomes of a request before it reaches any upstream.
+type Decision int
+
+// The decisions of a check. Probe lets the request run on one upstream of one group, without retries or hedges.
+const (
+	Clear  Decision = iota // clear
+	Probe                  // probe
+	Reject                 // reject
+)
+
+// EndKind says how an attempt ended. Other says nothing about the upstream: cancellation, time-out, refusal.
+type EndKind int
+
+// The ends of an attempt.
+const (
+	Replied EndKind = iota // replied
+	Reset                  // reset
+	Other                  // other
+)
+
+// Reasons of a rejection.
+const (
+	ReasonSuspect   = "request may crash upstreams and waits for a probe"
+	ReasonConfirmed = "request crashes upstreams"
+)
+
+// Verdict is the answer to a check. Reason and RetryAfter are set on a rejection. Group is the group for a probe, -1 when
+// any will do.
+type Verdict struct {
+	Decision   Decision
+	Reason     string
+	RetryAfter time.Duration
+	Group      int
+}
+
+// Suspicion is what VMs tell each other about a signature. One whose Expires is not in the future clears the signature.
+type Suspicion struct {
+	Signature uint64
+	Service   string
+	Confirmed bool
+	Crashes   int
+	Expires   time.Time
+	NextProbe time.Time
+}
