--- a/core/coordination/selector/average.go
+++ b/core/coordination/selector/average.go
@@ -1,13 +1,19 @@
 package selector
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// deviationGain is the weight of one reply in the mean deviation.
+	// latencyGain and deviationGain are the weights of one reply in the mean latency and its mean deviation.
+	latencyGain   = 0.2
 	deviationGain = 0.1
 	// latencyHalfLife halves the difference between an upstream's latency and that of its service while it gets no
 	// replies. Without it, an upstream that was slow once would never be chosen again.
 	latencyHalfLife = 2 * time.Second
+	// errorGain is the weight of one result in the share of errors.
+	errorGain = 0.2
 	// errorHalfLife halves the share of errors while there are no results.
 	errorHalfLife = time.Second
 )
@@ -26,7 +32,15 @@
 	} else {
 		difference := x - a.mean
 		a.mean += latencyGain * difference
-		a.deviation += deviationGain * (max(difference, -difference) - a.deviation)
+		a.deviation += deviationGain * (math.Abs(difference) - a.deviation)
 	}
 	a.at = now
 }
+
+// halved returns the weight that remains at an age.
+func halved(age, halfLife time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(age) / float64(halfLife))
+}
--- /dev/null
+++ b/core/coordination/selector/compare_test.go
@@ -0,0 +1,117 @@
+package selector
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"comfreyroute/core/protocol/encoder"
+)
+
+// event is the end of a sub-request at an upstream (query >= 0) or the arrival of a query (-1).
+type event struct {
+	at          time.Duration
+	vm, i       int
+	query       int
+	since, sent time.Duration
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(a, b int) bool { return e[a].at < e[b].at }
+func (e events) Swap(a, b int)      { e[a], e[b] = e[b], e[a] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	x := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return x
+}
+
+// simulate runs an open loop of queries from several VMs over groups of replicas with slots and queues, and returns the
+// latencies of the queries, each that of its slowest sub-request. One replica in ten is slow by a factor that changes
+// with time, so that a policy must notice it.
+func simulate(p Policy, seed uint64, queries int, load float64) []time.Duration {
+	const vms, groups, replicas, slots = 7, 10, 3, 5
+	const mean = 4 * time.Millisecond
+	r := rand.New(rand.NewPCG(seed, 1))
+	pick := rand.New(rand.NewPCG(seed, 2))
+	sets := make([]*Set, vms)
+	for v := range sets {
+		sets[v] = newSet(groups, replicas, 3)
+		sets[v].own = []string{"d0", "d1", "d2"}[v%3]
+		sets[v].SetFixedLimits(true)
+		sets[v].SetFleetMax(1)
+	}
+	type upstream struct{ free [slots]time.Duration }
+	state := make([]upstream, groups*replicas)
+	gap := float64(mean) / (load * replicas * slots)
+	var q events
+	left := make([]int, queries)
+	out := make([]time.Duration, queries)
+	next := time.Duration(0)
+	for n := range queries {
+		next += time.Duration(r.ExpFloat64() * gap)
+		heap.Push(&q, event{at: next, vm: n % vms, i: n, query: -1})
+	}
+	for q.Len() > 0 {
+		e := heap.Pop(&q).(event)
+		now, s := start.Add(e.at), sets[e.vm]
+		if e.query >= 0 {
+			busy := 0
+			for _, f := range state[e.i].free {
+				if f > e.at {
+					busy++
+				}
+			}
+			s.Observe(now, e.i, &encoder.SubReply{Load: encoder.Load{Running: busy, Slots: slots}})
+			s.Finished(now, e.i, Result{Kind: OK, Latency: e.at - e.sent})
+			left[e.query]--
+			if left[e.query] == 0 {
+				out[e.query] = e.at - e.since
+			}
+			continue
+		}
+		for g := range groups {
+			i, ok := s.Pick(now, pick, Query{Group: g, Policy: p})
+			if !ok {
+				panic("no upstream below its limit")
+			}
+			s.Started(now, i)
+			service := time.Duration((0.5 + 0.5*r.ExpFloat64()) * float64(mean))
+			if (i+int(e.at/(2*time.Second)))%10 == 0 {
+				service *= 3
+			}
+			slot := 0
+			for k, f := range state[i].free {
+				if f < state[i].free[slot] {
+					slot = k
+				}
+			}
+			state[i].free[slot] = max(state[i].free[slot], e.at) + service
+			left[e.i]++
+			heap.Push(&q, event{at: state[i].free[slot] + time.Millisecond, vm: e.vm, i: i, query: e.i, since: e.at, sent: e.at})
+		}
+	}
+	return out
+}
+
+// TestComparePolicies guards against a default policy that is no better in the tail than the baseline that ignores load.
+func TestComparePolicies(t *testing.T) {
+	const seed, queries = 11, 20_000
+	p99 := make(map[Policy]time.Duration)
+	for _, load := range []float64{0.3, 0.6} {
+		for _, p := range []Policy{Score, P2C, Least, Random} {
+			l := simulate(p, seed, queries, load)
+			slices.Sort(l)
+			at := func(share float64) time.Duration { return l[int(share*float64(len(l)-1))].Round(10 * time.Microsecond) }
+			t.Logf("seed %d, load %.1f, %-6s p50 %8v p99 %8v p99.9 %8v (%d queries)", seed, load, p, at(0.5), at(0.99), at(0.999), len(l))
+			p99[p] = at(0.99)
+		}
+		if p99[Score] >= p99[Random] {
+			t.Errorf("load %.1f: p99 of score %v is not below that of random %v", load, p99[Score], p99[Random])
+		}
+	}
+}
--- /dev/null
+++ b/core/coordination/selector/selector_test.go
@@ -0,0 +1,356 @@
+package selector
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"comfreyroute/core/protocol/encoder"
+	"comfreyroute/core/state/tabler"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// rows returns groups of replicas; replica k of each group is in failure domain k modulo domains.
+func rows(groups, replicas, domains int) []tabler.UpstreamRow {
+	var out []tabler.UpstreamRow
+	for g := range groups {
+		for k := range replicas {
+			out = append(out, tabler.UpstreamRow{
+				Service: "booth", Group: g, Upstream: fmt.Sprintf("u%d-%d", g, k), FailureDomain: fmt.Sprintf("d%d", (g+k)%domains),
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(g), byte(k)}), 80),
+				Weight:  100, Connections: 36, Slots: 5, ConnectCost: 5 * time.Millisecond,
+			})
+		}
+	}
+	return out
+}
+
+func newSet(groups, replicas, domains int) *Set {
+	s := &Set{}
+	s.Update(start, rows(groups, replicas, domains), "d0")
+	return s
+}
+
+// answer lets each upstream answer once, so that it has a usual latency.
+func answer(s *Set, ms, latency int) {
+	for i := range s.Len() {
+		s.Started(at(ms), i)
+		s.Finished(at(ms+latency), i, Result{Latency: time.Duration(latency) * time.Millisecond})
+	}
+}
+
+// picks returns how often each of the upstreams is chosen in 200 picks.
+func picks(s *Set, now time.Time, q Query) []int {
+	r := rand.New(rand.NewPCG(1, 1))
+	out := make([]int, s.Len()+1)
+	for range 200 {
+		i, ok := s.Pick(now, r, q)
+		if !ok {
+			i = s.Len()
+		}
+		out[i]++
+	}
+	return out
+}
+
+// TestExclusions guards against new work for an upstream that must get none, and against a refusal while one may get it.
+func TestExclusions(t *testing.T) {
+	held := []encoder.HeldVersion{{Version: 7}}
+	cases := []struct {
+		name  string
+		setup func(s *Set)
+		query Query
+		want  []bool // which of three upstreams and "none" is chosen
+	}{
+		{"all healthy", func(*Set) {}, Query{}, []bool{true, true, true, false}},
+		{"draining", func(s *Set) { s.Observe(start, 1, &encoder.SubReply{Draining: true}) }, Query{}, []bool{true, false, true, false}},
+		{"draining status", func(s *Set) { s.Observe(start, 1, &encoder.SubReply{Status: encoder.StatusDraining}) }, Query{}, []bool{true, false, true, false}},
+		{"leaving", func(s *Set) { s.SetLeaving(start, 0, 0, true) }, Query{}, []bool{false, true, true, false}},
+		{"old incarnation leaving", func(s *Set) {
+			s.Observe(start, 0, &encoder.SubReply{Incarnation: 5})
+			s.SetLeaving(start, 0, 4, true)
+		}, Query{}, []bool{true, true, true, false}},
+		{"new incarnation of a draining upstream, told by a peer", func(s *Set) {
+			s.Observe(start, 0, &encoder.SubReply{Incarnation: 5, Draining: true})
+			s.SetLeaving(start, 0, 6, false)
+		}, Query{Exclude: []int{1, 2}}, []bool{true, false, false, false}},
+		{"late report of the draining incarnation", func(s *Set) {
+			s.Observe(start, 0, &encoder.SubReply{Incarnation: 6})
+			s.Observe(start, 0, &encoder.SubReply{Incarnation: 5, Draining: true})
+		}, Query{Exclude: []int{1, 2}}, []bool{true, false, false, false}},
+		{"weight 0", func(s *Set) { s.At(2).Row.Weight = 0 }, Query{}, []bool{true, true, false, false}},
+		{"excluded", func(*Set) {}, Query{Exclude: []int{0, 1}}, []bool{false, false, true, false}},
+		{"version held by one, unknown of one", func(s *Set) {
+			s.Observe(start, 0, &encoder.SubReply{Held: held})
+			s.Observe(start, 1, &encoder.SubReply{Held: []encoder.HeldVersion{{Version: 6}}})
+		}, Query{Version: 7}, []bool{true, false, true, false}},
+		{"at the limit", func(s *Set) {
+			for range 3 {
+				s.Started(start, 0)
+				s.Started(start, 1)
+			}
+		}, Query{}, []bool{false, false, true, false}},
+		{"none allowed", func(s *Set) { s.SetLeaving(start, 0, 0, true) }, Query{Exclude: []int{1, 2}}, []bool{false, false, false, true}},
+		{"no such group", func(*Set) {}, Query{Group: 9}, []bool{false, false, false, true}},
+		{"one refused", func(s *Set) { s.Finished(start, 1, Result{Kind: Refused}) }, Query{}, []bool{true, false, true, false}},
+		{"unattributed failure", func(s *Set) { s.Finished(start, 1, Result{Kind: Unattributed}) }, Query{}, []bool{true, true, true, false}},
+	}
+	for _, c := range cases {
+		for _, p := range []Policy{Score, P2C, Least, Random} {
+			if p == Random && c.name == "one refused" {
+				continue // the baseline ignores failures
+			}
+			t.Run(c.name+"/"+p.String(), func(t *testing.T) {
+				s := newSet(1, 3, 3)
+				c.setup(s)
+				c.query.Policy = p
+				var got []bool
+				for _, n := range picks(s, at(1), c.query) {
+					got = append(got, n > 0)
+				}
+				if diff := cmp.Diff(c.want, got); diff != "" {
+					t.Errorf("chosen (-want +got):\n%s", diff)
+				}
+			})
+		}
+	}
+}
+
+// TestAllFailed guards against a refusal to send when every replica failed lately: one of them may be back.
+func TestAllFailed(t *testing.T) {
+	s := newSet(1, 3, 3)
+	for i := range 3 {
+		s.Finished(start, i, Result{Kind: Refused})
+	}
+	if i, ok := s.Pick(at(1), rand.New(rand.NewPCG(1, 1)), Query{Exclude: []int{0}}); !ok || i == 0 {
+		t.Errorf("got upstream %d, %v; want a failed one that is not excluded", i, ok)
+	}
+}
+
+// TestTrials guards against a failed upstream that gets many sub-requests at once or at a constant rate, and against one
+// that never gets work again.
+func TestTrials(t *testing.T) {
+	s, r := newSet(1, 2, 2), rand.New(rand.NewPCG(1, 1))
+	answer(s, 0, 4)
+	s.Finished(at(10), 1, Result{Kind: Refused})
+	var trials []int
+	for ms := 10; ms < 10_000; ms++ {
+		i, _ := s.Pick(at(ms), r, Query{})
+		s.Started(at(ms), i)
+		if i == 1 {
+			trials = append(trials, ms)
+			s.Finished(at(ms), 1, Result{Kind: Refused})
+			continue
+		}
+		s.Finished(at(ms), 0, Result{Kind: OK, Latency: 4 * time.Millisecond})
+	}
+	for k := 1; k < len(trials); k++ {
+		if trials[k]-trials[k-1] < min(2*(trials[max(1, k-1)]-trials[max(0, k-2)]), 3000)/2 {
+			t.Errorf("trials at %v ms do not grow apart", trials)
+		}
+	}
+	if len(trials) < 4 || len(trials) > 12 {
+		t.Errorf("got %d trials in 10 s at %v", len(trials), trials)
+	}
+	s.Observe(at(10_000), 1, &encoder.SubReply{}) // a ping on a new connection succeeds
+	if i, _ := s.Pick(at(10_001), r, Query{}); i != 1 {
+		t.Error("an upstream that accepts connections again gets no trial")
+	}
+	s.Started(at(10_001), 1)
+	if i, _ := s.Pick(at(10_002), r, Query{}); i != 0 {
+		t.Error("a second trial runs while the first has no answer")
+	}
+	s.Finished(at(10_005), 1, Result{Kind: OK, Latency: 4 * time.Millisecond})
+	early, late := picks(s, at(10_006), Query{})[1], picks(s, at(30_000), Query{})[1]
+	if early == 0 || early > 60 || late < 70 {
+		t.Errorf("of 200 picks, %d right after the return and %d after the ramp; want few, then about half", early, late)
+	}
+}
+
+// TestRestartRamps guards against a full load on an upstream with cold caches.
+func TestRestartRamps(t *testing.T) {
+	s := newSet(1, 2, 1)
+	s.Observe(start, 1, &encoder.SubReply{Incarnation: 1})
+	if restarted, _ := s.Observe(at(5), 1, &encoder.SubReply{Incarnation: 2}); !restarted {
+		t.Fatal("a new incarnation was not seen")
+	}
+	if n := picks(s, at(6), Query{})[1]; n == 0 || n > 60 {
+		t.Errorf("a starting upstream got %d of 200 picks; want few", n)
+	}
+}
+
+// TestSilentUpstream guards against waiting for time-outs when one upstream stops answering.
+func TestSilentUpstream(t *testing.T) {
+	cases := []struct {
+		name   string
+		events func(s *Set)
+		want   bool // still chosen
+	}{
+		{"two late", func(s *Set) { s.Started(at(100), 1); s.Started(at(100), 1) }, false},
+		{"one late may be its connection", func(s *Set) { s.Started(at(100), 1) }, true},
+		{"late but answering others", func(s *Set) {
+			s.Started(at(100), 1)
+			s.Started(at(100), 1)
+			s.Started(at(137), 1)
+			s.Finished(at(139), 1, Result{Kind: OK, Latency: 2 * time.Millisecond})
+		}, true},
+		{"two cancelled late", func(s *Set) {
+			for range 2 {
+				s.Started(at(70), 1)
+				s.Finished(at(110), 1, Result{Kind: Cancelled, Latency: 40 * time.Millisecond})
+			}
+		}, false},
+		{"two cancelled early", func(s *Set) {
+			for range 2 {
+				s.Started(at(100), 1)
+				s.Finished(at(101), 1, Result{Kind: Cancelled, Latency: time.Millisecond})
+			}
+		}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSet(1, 2, 2)
+			answer(s, 0, 4)
+			c.events(s)
+			if got := !s.avoided(at(140), s.At(1)); got != c.want {
+				t.Errorf("usable %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestDarkDomain guards against queries that keep waiting for a failure domain that answers nothing: after the patience,
+// long before the deadline of 72 ms, upstreams of the domain that were never tried are avoided too, and only one trial at
+// a time reaches the domain.
+func TestDarkDomain(t *testing.T) {
+	s, r := newSet(10, 3, 3), rand.New(rand.NewPCG(2, 2))
+	answer(s, 0, 4)
+	type open struct {
+		i   int
+		end int
+	}
+	var running []open
+	late, trials, other := 0, 0, 0
+	for ms := 100; ms < 1100; ms++ {
+		running = deleteEnded(running, func(o open) bool {
+			if o.end > ms {
+				return false
+			}
+			kind, latency := OK, 4
+			if s.At(o.i).Row.FailureDomain == "d1" {
+				kind, latency = TimedOut, 72
+			}
+			s.Finished(at(ms), o.i, Result{Kind: kind, Latency: time.Duration(latency) * time.Millisecond})
+			return true
+		})
+		if ms%5 != 0 {
+			continue
+		}
+		for g := range 10 {
+			i, ok := s.Pick(at(ms), r, Query{Group: g})
+			if !ok {
+				t.Fatalf("no upstream for group %d after %d ms", g, ms)
+			}
+			s.Started(at(ms), i)
+			end := ms + 4
+			switch {
+			case s.At(i).Row.FailureDomain != "d1":
+				other++
+			case ms < 100+36:
+				late, end = late+1, ms+72
+			default:
+				trials, end = trials+1, ms+72
+			}
+			running = append(running, open{i, end})
+		}
+	}
+	t.Logf("seed 2: %d sub-requests reached the dark domain in the first 36 ms, %d in the next 964 ms, %d others", late, trials, other)
+	if trials > 10 {
+		t.Errorf("%d sub-requests reached a domain known to be dark; want single trials with growing pauses", trials)
+	}
+}
+
+func deleteEnded[T any](in []T, ended func(T) bool) []T {
+	out := in[:0]
+	for _, x := range in {
+		if !ended(x) {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// TestPickProperties guards, over random histories, against work for an upstream that must get none, against a limit that
+// is exceeded, and against a refusal while an upstream that did not fail has room.
+func TestPickProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSet(2, 3, 3)
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		now := start
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "pause")) * time.Millisecond)
+			i := rapid.IntRange(0, 5).Draw(t, "upstream")
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				s.Observe(now, i, &encoder.SubReply{Incarnation: rapid.Uint64Range(0, 3).Draw(t, "incarnation"), Draining: rapid.Bool().Draw(t, "draining")})
+			case 1:
+				s.SetLeaving(now, i, rapid.Uint64Range(0, 3).Draw(t, "incarnation"), rapid.Bool().Draw(t, "leaving"))
+			case 2:
+				kind := ResultKind(rapid.IntRange(int(OK), int(Unattributed)).Draw(t, "kind"))
+				s.Finished(now, i, Result{Kind: kind, Latency: time.Duration(rapid.IntRange(0, 80).Draw(t, "latency")) * time.Millisecond})
+			case 3:
+				s.Update(now, rows(2, 3, 3), "d0")
+			default:
+				q := Query{Group: rapid.IntRange(-1, 1).Draw(t, "group"), Policy: Policy(rapid.IntRange(0, 3).Draw(t, "policy")), Exclude: []int{i}}
+				got, ok := s.Pick(now, r, q)
+				room := false
+				for k := range s.Len() {
+					u := s.At(k)
+					room = room || k != i && (q.Group < 0 || u.Row.Group == q.Group) && u.Allowed() && u.InFlight < u.Limit() && !s.avoided(now, u)
+				}
+				if !ok {
+					if room {
+						t.Fatal("refused while a working upstream has room")
+					}
+					continue
+				}
+				if u := s.At(got); !u.Allowed() || u.InFlight >= u.Limit() || got == i || q.Group >= 0 && u.Row.Group != q.Group {
+					t.Fatalf("chose upstream %d: %+v", got, u)
+				}
+				s.Started(now, got)
+			}
+			for k := range s.Len() {
+				if u := s.At(k); u.InFlight != len(u.starts) || u.InFlight < 0 {
+					t.Fatalf("upstream %d has %d in flight and %d starts", k, u.InFlight, len(u.starts))
+				}
+			}
+		}
+	})
+}
+
+// BenchmarkPick measures a choice in a group of 3 and among the 40 upstreams of an ungrouped service.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{3, 40} {
+		for _, p := range []Policy{Score, P2C, Least, Random} {
+			b.Run(fmt.Sprintf("%d/%s", n, p), func(b *testing.B) {
+				s, r := newSet(1, n, 3), rand.New(rand.NewPCG(1, 1))
+				answer(s, 0, 4)
+				b.ReportAllocs()
+				for k := 0; b.Loop(); k++ {
+					now := at(k)
+					i, _ := s.Pick(now, r, Query{Policy: p})
+					s.Started(now, i)
+					s.Finished(now, i, Result{Kind: OK, Latency: 4 * time.Millisecond})
+				}
+			})
+		}
+	}
+}
--- a/core/coordination/selector/set.go
+++ b/core/coordination/selector/set.go
@@ -18,29 +18,35 @@
 	own       string // failure domain of this VM
 	fleetMax  int    // 0 takes the default
 	fixed     bool
+	serial    uint64
 	latency   average // of all replies of the service
 }
 
 // Update takes the rows of a new table. Upstreams that stay under the same address keep their state. Positions change.
-func (s *Set) Update(now time.Time, rows []tabler.UpstreamRow, ownFailureDomain string) {
-	old, oldIndex := s.upstreams, s.index
+func (s *Set) Update(_ time.Time, rows []tabler.UpstreamRow, ownFailureDomain string) {
+	old, oldIndex, oldDomains := s.upstreams, s.index, s.domains
 	s.own = ownFailureDomain
 	s.upstreams = make([]Upstream, len(rows))
 	s.index = make(map[string]int, len(rows))
 	s.groups, s.all = nil, make([]int, len(rows))
-	if s.domains == nil {
-		s.domains = make(map[string]*domain)
-	}
+	s.domains = make(map[string]*domain)
 	for i := range rows {
 		u := &s.upstreams[i]
 		if j, ok := oldIndex[rows[i].Upstream]; ok && old[j].Row.Address == rows[i].Address {
 			*u = old[j]
+		} else {
+			s.serial++
+			u.serial = s.serial
 		}
 		u.Row = rows[i]
-		if s.domains[u.Row.FailureDomain] == nil {
-			s.domains[u.Row.FailureDomain] = &domain{}
+		name := u.Row.FailureDomain
+		if s.domains[name] == nil {
+			s.domains[name] = oldDomains[name]
+		}
+		if s.domains[name] == nil {
+			s.domains[name] = &domain{}
 		}
-		u.domain = s.domains[u.Row.FailureDomain]
+		u.domain = s.domains[name]
 		s.index[u.Row.Upstream], s.all[i] = i, i
 		for len(s.groups) <= u.Row.Group {
 			s.groups = append(s.groups, nil)
@@ -107,55 +113,71 @@
 // Started records that a sub-request is being sent.
 func (s *Set) Started(now time.Time, i int) {
 	u := &s.upstreams[i]
+	if u.domain.dark(now, s.patience(nil)) {
+		u.domain.postpone(now)
+	}
 	if s.avoided(now, u) {
-		u.postpone(now)
-		s.postponeDomain(now, u.domain)
+		u.fail(now)
 	}
 	u.begin(now)
-	u.domain.started(now)
+	u.domain.started(now, u.serial)
 }
 
 // Finished records the end of a sub-request.
 func (s *Set) Finished(now time.Time, i int, r Result) {
 	u := &s.upstreams[i]
-	inFlight := u.InFlight
-	patience := s.patience(now, u)
-	u.end(now, r.Latency)
+	inFlight, patience := u.InFlight, s.patience(u)
+	start := u.end(now, r.Latency)
+	unanswered := u.lastReply.Before(start)
 	switch r.Kind {
 	case OK:
 		u.replied(now)
 		u.domain.replied()
-		u.errors = u.recentErrors(now) * (1 - errorGain)
-		u.errorsAt = now
+		u.succeeded(now)
 		u.latency.add(now, r.Latency)
 		s.latency.add(now, r.Latency)
 		u.limit.Succeeded(inFlight, u.Load.Queued)
 	case Shed:
 		u.replied(now)
 		u.domain.replied()
-		u.errors = u.recentErrors(now) + errorGain*(1-u.recentErrors(now))
-		u.errorsAt = now
+		u.erred(now)
+		u.shedUntil = later(u.shedUntil, now.Add(minShedPause))
 		u.limit.Overloaded(now)
-	case Refused:
-		u.failed(now)
-	case Reset:
-		u.failed(now)
+	case Refused, Reset:
+		u.erred(now)
+		if unanswered {
+			u.fail(now)
+			u.refused = r.Kind == Refused
+		}
 	case TimedOut:
+		u.erred(now)
 		u.limit.Overloaded(now)
-		if u.lastReply.Before(now.Add(-r.Latency)) {
-			u.missed++
-			u.failed(now)
-		}
+		s.missed(now, u, unanswered)
 	case Cancelled:
-		if r.Latency > patience && u.lastReply.Before(now.Add(-r.Latency)) {
-			u.missed++
+		if r.Latency <= patience {
+			u.domain.withdrawn(start, u.serial)
+			return
 		}
+		s.missed(now, u, unanswered)
 	case Unattributed:
+		u.domain.withdrawn(start, u.serial)
 	}
 }
 
-// Observe takes the state that an upstream reported. It tells whether the upstream has a new incarnation and whether it
-// started or stopped draining.
+// missed counts a sub-request that ended late. It counts only while the upstream has answered nothing since its start:
+// otherwise the sub-request was slow, but the upstream works.
+func (s *Set) missed(now time.Time, u *Upstream, unanswered bool) {
+	if !unanswered {
+		return
+	}
+	u.missed++
+	if u.missed >= silentMissed || u.failed {
+		u.fail(now)
+	}
+}
+
+// Observe takes the state that an upstream reported on any reply. It tells whether the upstream has a new incarnation and
+// whether it started or stopped draining. It does not end a failure, because an upstream may answer pings and no requests.
 func (s *Set) Observe(now time.Time, i int, r *encoder.SubReply) (restarted bool, drainChanged bool) {
 	u := &s.upstreams[i]
 	if r.Incarnation < u.Incarnation {
@@ -163,11 +185,7 @@
 	}
 	if r.Incarnation > u.Incarnation {
 		restarted = u.Incarnation != 0
-		if restarted {
-			u.rampFrom = now
-			u.Leaving = false
-		}
-		u.Incarnation = r.Incarnation
+		s.incarnate(now, u, r.Incarnation)
 	}
 	draining := r.Draining || r.Status == encoder.StatusDraining
 	drainChanged = draining != u.Draining
@@ -177,20 +195,50 @@
 	if len(r.Held) > 0 {
 		u.Held = r.Held
 	}
-	u.replied(now)
-	u.domain.replied()
+	if r.Status == encoder.StatusShed {
+		hint := time.Duration(r.RetryAfterMS) * time.Millisecond
+		u.shedUntil = now.Add(min(max(hint, minShedPause), maxShedPause))
+	}
+	if u.refused {
+		// The upstream accepts connections again, so that its next trial need not wait.
+		u.refused, u.trialAt, u.pause = false, now, 0
+	}
 	return restarted, drainChanged
 }
 
-// SetLeaving records that an upstream gets no new work, or that it does again, from a source other than itself. A known
-// incarnation older than the one seen is ignored: that incarnation is already gone.
-func (s *Set) SetLeaving(_ time.Time, i int, incarnation uint64, leaving bool) {
+// incarnate records a new incarnation. What was said about the previous one ends.
+func (s *Set) incarnate(now time.Time, u *Upstream, incarnation uint64) {
+	if u.Incarnation != 0 {
+		u.rampFrom = now
+		u.Draining = false
+		u.latency = average{}
+	}
+	if u.leavingIncarnation < incarnation {
+		u.Leaving = false
+	}
+	u.Incarnation = incarnation
+}
+
+// SetLeaving records that an upstream gets no new work, or that it does again, from a source other than itself. What the
+// source says about an incarnation that is already replaced is ignored.
+func (s *Set) SetLeaving(now time.Time, i int, incarnation uint64, leaving bool) {
 	u := &s.upstreams[i]
 	if incarnation != 0 && incarnation < u.Incarnation {
 		return
 	}
+	if !leaving && incarnation > u.Incarnation {
+		s.incarnate(now, u, incarnation)
+	}
 	u.Leaving = leaving
+	u.leavingIncarnation = incarnation
 }
 
 // SetConnections records how many usable connections are open.
 func (s *Set) SetConnections(_ time.Time, i int, open int) { s.upstreams[i].Connections = open }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/core/coordination/selector/upstream.go
+++ b/core/coordination/selector/upstream.go
@@ -10,17 +10,18 @@
 )
 
 const (
-	// latencyGain is the weight of one reply in the latency average.
-	latencyGain = 0.2
-	// errorGain is the weight of one result in the error average.
-	errorGain = 0.2
 	// rampTime is how long a starting upstream takes to get its full part: its caches are cold.
 	rampTime = 10 * time.Second
 	// rampFloor is the part that a starting upstream gets at first.
 	rampFloor = 0.1
+	// rampAfter is how long an upstream must have failed before its return counts as a start.
+	rampAfter = time.Second
 	// firstPause and maxPause bound the time between two trials of a failed upstream. The pause doubles with each failure.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 3 * time.Second
+	// minShedPause and maxShedPause bound how long an upstream that shed load is passed over.
+	minShedPause = 5 * time.Millisecond
+	maxShedPause = time.Second
 )
 
 // Upstream is the state of one upstream as seen by this VM.
@@ -34,21 +35,25 @@
 	Load        encoder.Load
 	Connections int // usable connections that are open
 
-	limit        limiter.InFlight
-	domain       *domain
-	loadAt       time.Time
-	othersAtLoad int         // running and queued at loadAt without this VM's own
-	starts       []time.Time // of the sub-requests in flight
-	latency      average
-	errors       float64 // moving average of failed results, 0 to 1
-	errorsAt     time.Time
-	lastReply    time.Time
-	missed       int // sub-requests that ended late and unanswered since lastReply
-	failures     int // consecutive failures
-	trialAt      time.Time
-	pause        time.Duration
-	unreachable  bool // was avoided and has not replied since
-	rampFrom     time.Time
+	serial             uint64 // does not change with the position
+	limit              limiter.InFlight
+	domain             *domain
+	leavingIncarnation uint64 // that Leaving is about; 0 when unknown
+	loadAt             time.Time
+	othersAtLoad       int         // running and queued at loadAt without this VM's own
+	starts             []time.Time // of the sub-requests in flight
+	latency            average
+	errors             float64 // moving average of failed results, 0 to 1
+	errorsAt           time.Time
+	lastReply          time.Time
+	shedUntil          time.Time
+	missed             int // sub-requests that ended late and unanswered since lastReply
+	failed             bool
+	refused            bool // the last failure was a refused connection
+	failedSince        time.Time
+	trialAt            time.Time // of the next trial of a failed upstream
+	pause              time.Duration
+	rampFrom           time.Time
 }
 
 // Allowed tells whether the upstream may get new work.
@@ -64,33 +69,52 @@
 	if version == 0 || len(u.Held) == 0 {
 		return true
 	}
-	return slices.ContainsFunc(u.Held, func(h encoder.HeldVersion) bool { return h.Version == version })
+	for i := range u.Held {
+		if u.Held[i].Version == version {
+			return true
+		}
+	}
+	return false
 }
 
+// replied records an answer to a sub-request, which ends a failure. After a long failure the upstream starts again: the
+// ramp limits its part then, and counting the old errors as well would keep it at nothing.
 func (u *Upstream) replied(now time.Time) {
-	if u.unreachable {
-		u.rampFrom = now
+	if u.failed && now.Sub(u.failedSince) >= rampAfter {
+		u.rampFrom, u.errors = now, 0
 	}
-	u.unreachable = false
 	u.lastReply = now
-	u.missed, u.failures, u.pause = 0, 0, 0
-	u.trialAt = time.Time{}
-}
-
-func (u *Upstream) failed(now time.Time) {
-	u.failures++
-	u.errors = u.recentErrors(now) + errorGain*(1-u.recentErrors(now))
-	u.errorsAt = now
-	u.postpone(now)
+	u.failed, u.refused, u.missed, u.pause = false, false, 0, 0
 }
 
-// postpone sets the time of the next trial.
-func (u *Upstream) postpone(now time.Time) {
-	u.unreachable = true
+// fail records a failure and sets the time of the next trial.
+func (u *Upstream) fail(now time.Time) {
+	if !u.failed {
+		u.failed, u.failedSince = true, now
+	}
 	u.pause = min(max(firstPause, 2*u.pause), maxPause)
 	u.trialAt = now.Add(u.pause)
 }
 
+// erred counts a failed result in the share of errors.
+func (u *Upstream) erred(now time.Time) {
+	e := u.recentErrors(now)
+	u.errors, u.errorsAt = e+errorGain*(1-e), now
+}
+
+// succeeded counts a good result in the share of errors.
+func (u *Upstream) succeeded(now time.Time) {
+	u.errors, u.errorsAt = u.recentErrors(now)*(1-errorGain), now
+}
+
+// recentErrors returns the share of errors, lowered by its age.
+func (u *Upstream) recentErrors(now time.Time) float64 {
+	if u.errors == 0 {
+		return 0
+	}
+	return u.errors * halved(now.Sub(u.errorsAt), errorHalfLife)
+}
+
 // ramp returns the part of its share that a starting upstream gets, 0 to 1.
 func (u *Upstream) ramp(now time.Time) float64 {
 	if u.rampFrom.IsZero() {
@@ -109,19 +133,22 @@
 	u.starts = append(u.starts, now)
 }
 
-// end removes the sub-request whose start is nearest to now - latency.
-func (u *Upstream) end(now time.Time, latency time.Duration) {
+// end removes the sub-request whose start is nearest to now - latency and returns its start.
+func (u *Upstream) end(now time.Time, latency time.Duration) time.Time {
+	start := now.Add(-latency)
 	if u.InFlight == 0 {
-		return
+		return start
 	}
 	u.InFlight--
-	start, best := now.Add(-latency), 0
+	best := 0
 	for i := range u.starts {
 		if u.starts[i].Sub(start).Abs() < u.starts[best].Sub(start).Abs() {
 			best = i
 		}
 	}
+	start = u.starts[best]
 	u.starts = slices.Delete(u.starts, best, best+1)
+	return start
 }
 
 // overdue counts the sub-requests without an answer for longer than patience.
@@ -134,3 +161,12 @@
 	}
 	return n
 }
+
+// waiting returns the age of the oldest sub-request in flight.
+func (u *Upstream) waiting(now time.Time) time.Duration {
+	age := time.Duration(0)
+	for _, s := range u.starts {
+		age = max(age, now.Sub(s))
+	}
+	return age
+}
