--- /dev/null
+++ b/core/coordination/selector/average.go
@@ -0,0 +1,46 @@
+package selector
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// latencyGain and deviationGain are the weights of one reply in the mean latency and its mean deviation.
+	latencyGain   = 0.2
+	deviationGain = 0.1
+	// latencyHalfLife halves the difference between an upstream's latency and that of its service while it gets no
+	// replies. Without it, an upstream that was slow once would never be chosen again.
+	latencyHalfLife = 2 * time.Second
+	// errorGain is the weight of one result in the share of errors.
+	errorGain = 0.2
+	// errorHalfLife halves the share of errors while there are no results.
+	errorHalfLife = time.Second
+)
+
+// average is a moving average of latencies with its mean deviation.
+type average struct {
+	mean      float64 // ns; 0 without a sample
+	deviation float64 // ns
+	at        time.Time
+}
+
+func (a *average) add(now time.Time, d time.Duration) {
+	x := max(1, float64(d))
+	if a.mean == 0 {
+		a.mean, a.deviation = x, x/2
+	} else {
+		difference := x - a.mean
+		a.mean += latencyGain * difference
+		a.deviation += deviationGain * (math.Abs(difference) - a.deviation)
+	}
+	a.at = now
+}
+
+// halved returns the weight that remains at an age.
+func halved(age, halfLife time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(age) / float64(halfLife))
+}
