Add the query path without hedging

Search, lookup and call run over a minimal selector that picks the fewest sub-requests in flight, so that the daemon can be wired. A search chooses the index version that covers most groups, checks each reply as a whole, retries within the shared budget, restarts once, and lists covered and missing shards. Calls go to a second upstream only when the first certainly did not run them.

An index is keyed by version and layout, so that replies of two layouts under one version number cannot be merged. Sending one scout before the fan-out was ruled out for the first search: it adds a round trip, while sub-requests that ask for no particular version give the answer in one when all upstreams hold the same version.

--- /dev/null
+++ b/core/coordination/router/machine.go
@@ -0,0 +1,228 @@
+package router
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"comfreyroute/core/coordination/selector"
+	"comfreyroute/core/protocol/encoder"
+	"comfreyroute/core/state/tabler"
+)
+
+const (
+	// choreInterval is how often attempts without a reported end are looked for.
+	choreInterval = time.Second
+	// fixedSeed seeds the generator of a machine that got none.
+	fixedSeed = 1
+)
+
+// Machine is the query state machine of one VM. The zero value is usable and knows no service until TableAdopted. It is not
+// safe for concurrent use.
+type Machine struct {
+	config   Config
+	random   *rand.Rand
+	table    *tabler.Snapshot
+	services []*service // in order of first adoption, so that iteration is deterministic
+	byName   map[string]*service
+	requests map[RequestID]*request
+	attempts attempts
+	timers   timers
+	chore    time.Time
+	wake     time.Time // time of the last Wake that did not fire yet
+	actions  []Action
+	ready    []readyQueue
+	marks    marks
+	stats    Stats
+}
+
+// Step applies one event and returns the actions to carry out, in order. Events come with times that do not decrease.
+func (m *Machine) Step(now time.Time, ev Event) []Action {
+	m.actions = nil
+	if m.random == nil {
+		m.random = rand.New(rand.NewPCG(fixedSeed, fixedSeed))
+	}
+	if m.requests == nil {
+		m.requests = make(map[RequestID]*request)
+	}
+	m.apply(now, ev)
+	m.fireTimers(now)
+	m.runQueues(now)
+	m.armWake(now)
+	out := m.actions
+	m.actions = nil
+	return out
+}
+
+// grow makes room for n more actions at once.
+func (m *Machine) grow(n int) { m.actions = slices.Grow(m.actions, n+1) }
+
+func (m *Machine) emit(a Action) { m.actions = append(m.actions, a) }
+
+func (m *Machine) apply(now time.Time, ev Event) {
+	switch e := ev.(type) {
+	case TableAdopted:
+		m.adopt(now, e.Table)
+	case RequestArrived:
+		m.arrive(now, e)
+	case CallerGone:
+		if r := m.requests[e.Request]; r != nil {
+			m.abandon(now, r)
+		}
+	case ReplyArrived:
+		m.replied(now, e)
+	case AttemptFailed:
+		m.attemptFailed(now, e)
+	case UpstreamSeen:
+		if s := m.find(e.Service); s != nil && e.Reply != nil {
+			if i, ok := s.set.Index(e.Reply.Upstream); ok {
+				m.observe(now, s, i, e.Reply)
+			}
+		}
+	case UpstreamUnreachable:
+	case ConnectionsChanged:
+		if s, i := m.upstream(e.Service, e.Upstream); i >= 0 {
+			s.set.SetConnections(now, i, e.Open)
+			m.drain(now, s, s.groupOf(i))
+		}
+	case UpstreamLeaving:
+		if s, i := m.upstream(e.Service, e.Upstream); i >= 0 {
+			s.set.SetLeaving(now, i, e.Incarnation, e.Leaving)
+			m.refresh(now, s, i)
+		}
+	case SuspicionHeard:
+	case TimerFired:
+		m.wake = time.Time{}
+	}
+}
+
+// upstream returns the index of an upstream, -1 when the table does not have it.
+func (m *Machine) upstream(service, name string) (*service, int) {
+	s := m.find(service)
+	if s == nil {
+		return nil, -1
+	}
+	i, ok := s.set.Index(name)
+	if !ok {
+		return s, -1
+	}
+	return s, i
+}
+
+// replied handles a reply. A reply that nothing waits for still updates the state of its upstream.
+func (m *Machine) replied(now time.Time, e ReplyArrived) {
+	a := m.attempts.find(e.Attempt)
+	if a == nil || e.Reply == nil {
+		if a == nil {
+			m.stats.LateReplies++
+		}
+		return
+	}
+	belongs := e.Reply.Upstream == a.name
+	kind := resultOf(e.Reply.Status)
+	if !belongs {
+		kind = selector.Unattributed
+	}
+	out := m.end(now, a, kind)
+	if belongs && out.upstream >= 0 {
+		m.observe(now, out.service, out.upstream, e.Reply)
+	}
+	switch r := out.request; {
+	case r == nil:
+		m.stats.LateReplies++
+	case !belongs:
+		m.failed(now, &out, failure{reason: reasonMismatched, possiblyRun: true})
+	default:
+		m.checkReply(now, &out, e.Reply)
+	}
+	m.drain(now, out.service, out.group)
+}
+
+func resultOf(s encoder.SubStatus) selector.ResultKind {
+	switch s {
+	case encoder.StatusOK, encoder.StatusVersionNotHeld, encoder.StatusDraining:
+		return selector.OK
+	case encoder.StatusShed:
+		return selector.Shed
+	case encoder.StatusCancelled:
+		return selector.Cancelled
+	case encoder.StatusExpired:
+		return selector.TimedOut
+	default:
+		return selector.Unattributed
+	}
+}
+
+func (m *Machine) attemptFailed(now time.Time, e AttemptFailed) {
+	a := m.attempts.find(e.Attempt)
+	if a == nil {
+		return
+	}
+	kind := selector.Unattributed
+	switch e.Failure {
+	case FailureRefused:
+		kind = selector.Refused
+	case FailureReset:
+		kind = selector.Reset
+	case FailureTimeout:
+		kind = selector.TimedOut
+	case FailureCancelled:
+		kind = selector.Cancelled
+	}
+	out := m.end(now, a, kind)
+	if out.request != nil {
+		m.failed(now, &out, failure{reason: reasonOf(e.Failure), possiblyRun: e.Written, unsent: !e.Written})
+	}
+	m.drain(now, out.service, out.group)
+}
+
+func reasonOf(f Failure) string {
+	switch f {
+	case FailureRefused, FailureNoConnection:
+		return reasonUnreachable
+	case FailureReset:
+		return reasonReset
+	case FailureUnresponsive:
+		return reasonUnresponsive
+	case FailureTimeout:
+		return reasonTimeout
+	case FailureCancelled:
+		return reasonCancelled
+	default:
+		return reasonMismatched
+	}
+}
+
+func (m *Machine) fireTimers(now time.Time) {
+	for len(m.timers) > 0 && !m.timers[0].due.After(now) {
+		m.expire(now, m.timers[0])
+	}
+	if !m.chore.IsZero() && !m.chore.After(now) {
+		m.reap(now)
+		m.chore = time.Time{}
+	}
+	if m.chore.IsZero() && len(m.attempts.places) > len(m.attempts.free) {
+		m.chore = now.Add(choreInterval)
+	}
+}
+
+// armWake asks for a timer when the next due time is earlier than the one asked for. A later due time needs no new Wake:
+// the earlier one fires once without effect.
+func (m *Machine) armWake(now time.Time) {
+	next := m.chore
+	if len(m.timers) > 0 && (next.IsZero() || m.timers[0].due.Before(next)) {
+		next = m.timers[0].due
+	}
+	if next.IsZero() {
+		return
+	}
+	if m.wake.IsZero() || !m.wake.After(now) || next.Before(m.wake) {
+		m.wake = next
+		m.emit(Wake{At: next})
+	}
+}
+
+func sortPools(p []Pool) {
+	slices.SortFunc(p, func(a, b Pool) int { return strings.Compare(a.Upstream, b.Upstream) })
+}
--- /dev/null
+++ b/core/coordination/router/service.go
@@ -0,0 +1,205 @@
+package router
+
+import (
+	"time"
+
+	"comfreyroute/core/coordination/budgeter"
+	"comfreyroute/core/coordination/limiter"
+	"comfreyroute/core/coordination/selector"
+	"comfreyroute/core/protocol/encoder"
+	"comfreyroute/core/state/tabler"
+)
+
+const (
+	// minBudgetTokens is the least cap of the budget, so that a small service can retry the sub-requests of one search.
+	minBudgetTokens = 10
+	// budgetSearches is how many searches' gain the cap holds in a large service.
+	budgetSearches = 2
+)
+
+// service is the routing state of one service.
+type service struct {
+	name      string
+	row       *tabler.ServiceRow
+	removed   bool
+	set       selector.Set
+	members   [][]int // indexes in set of the replicas of each group; one group for a point service
+	waiting   [][]waiter
+	catalog   catalog
+	budget    budgeter.Budget
+	latencies budgeter.Latencies
+	pools     map[string]Pool
+}
+
+// waiter is a sub-request that waits because every replica of its group is at its in-flight limit.
+type waiter struct {
+	request *request
+	sub     int
+}
+
+func (s *service) point() bool { return s.row.Kind == tabler.KindPoint }
+
+func (s *service) groupOf(i int) int {
+	if s.point() || i < 0 {
+		return 0
+	}
+	return s.set.At(i).Row.Group
+}
+
+// adopt takes a new table: rows, limits and pools of each service.
+func (m *Machine) adopt(now time.Time, t *tabler.Snapshot) {
+	m.table = t
+	for _, s := range m.services {
+		if t.Find(s.name) == nil && !s.removed {
+			s.removed = true
+			m.updateService(now, s, &tabler.Value{Service: *s.row})
+		}
+	}
+	if t == nil {
+		return
+	}
+	for _, v := range t.Values {
+		if v.Removed {
+			continue
+		}
+		s := m.find(v.Service.Service)
+		if s == nil {
+			s = &service{name: v.Service.Service, pools: make(map[string]Pool)}
+			m.services = append(m.services, s)
+			m.byName[s.name] = s
+		}
+		s.removed = false
+		m.updateService(now, s, v)
+	}
+}
+
+func (m *Machine) find(name string) *service {
+	if m.byName == nil {
+		m.byName = make(map[string]*service)
+	}
+	return m.byName[name]
+}
+
+func (m *Machine) updateService(now time.Time, s *service, v *tabler.Value) {
+	row := v.Service
+	if row.Deadline <= 0 {
+		row.Deadline = tabler.DefaultDeadline
+	}
+	s.row = &row
+	names := make([]string, s.set.Len())
+	for i := range names {
+		names[i] = s.set.At(i).Row.Upstream
+	}
+	s.set.Update(now, v.Upstreams, m.config.FailureDomain)
+	m.reindex(s, names)
+	groups := 1
+	if !s.point() {
+		groups = v.Groups()
+	}
+	s.members = make([][]int, groups)
+	for i := range s.set.Len() {
+		if u := s.set.At(i); u.Row.Upstream != "" {
+			g := s.groupOf(i)
+			s.members[g] = append(s.members[g], i)
+		}
+	}
+	for len(s.waiting) < groups {
+		s.waiting = append(s.waiting, nil)
+	}
+	s.budget.Configure(row.HedgeBudget, max(minBudgetTokens, int(budgetSearches*row.HedgeBudget*float64(groups))))
+	s.catalog = catalog{}
+	for g, members := range s.members {
+		s.catalog.refresh(&s.set, g, members)
+	}
+	m.updatePools(s, v)
+	for g := range s.waiting {
+		m.drain(now, s, g)
+	}
+}
+
+// reindex translates the upstream indexes that attempts and sub-requests hold after the set changed.
+func (m *Machine) reindex(s *service, old []string) {
+	moved := make([]int, len(old))
+	same := true
+	for i, name := range old {
+		j, ok := s.set.Index(name)
+		if !ok {
+			j = -1
+		}
+		moved[i] = j
+		same = same && i == j
+	}
+	if same {
+		return
+	}
+	for k := range m.attempts.places {
+		if a := &m.attempts.places[k]; a.id != 0 && a.service == s && a.upstream >= 0 {
+			a.upstream = moved[a.upstream]
+		}
+	}
+	for _, r := range m.requests {
+		if r.service != s {
+			continue
+		}
+		for g := range r.subs {
+			b := &r.subs[g]
+			for k := range int(b.attempts) {
+				if b.tried[k] >= 0 {
+					b.tried[k] = moved[b.tried[k]]
+				}
+			}
+		}
+	}
+}
+
+// updatePools emits the pools that changed. A leaving or removed upstream keeps no idle connection.
+func (m *Machine) updatePools(s *service, v *tabler.Value) {
+	seen := make(map[string]bool, len(v.Upstreams))
+	for i := range v.Upstreams {
+		u := &v.Upstreams[i]
+		seen[u.Upstream] = true
+		p := Pool{Service: s.name, Upstream: u.Upstream, Address: u.Address, ConnectCost: u.ConnectCost}
+		if u.Weight > 0 {
+			p.Connections = limiter.ConnectionShare(u.Connections, m.table.FleetMax())
+		}
+		if old, ok := s.pools[u.Upstream]; !ok || old != p {
+			s.pools[u.Upstream] = p
+			m.emit(p)
+		}
+	}
+	var gone []Pool
+	for name, p := range s.pools {
+		if !seen[name] {
+			gone = append(gone, p)
+			delete(s.pools, name)
+		}
+	}
+	sortPools(gone)
+	for _, p := range gone {
+		p.Connections = 0
+		m.emit(p)
+	}
+}
+
+// observe takes the state that an upstream reported on a reply.
+func (m *Machine) observe(now time.Time, s *service, i int, r *encoder.SubReply) {
+	u := s.set.At(i)
+	changed := !sameHeld(u.Held, r.Held)
+	_, drainChanged := s.set.Observe(now, i, r)
+	if drainChanged {
+		u = s.set.At(i)
+		m.emit(SpreadDrain{Service: s.name, Upstream: u.Row.Upstream, Incarnation: r.Incarnation, Leaving: r.Draining})
+	}
+	if changed || drainChanged {
+		m.refresh(now, s, i)
+	}
+}
+
+// refresh updates what depends on the held versions and the drain state of an upstream.
+func (m *Machine) refresh(now time.Time, s *service, i int) {
+	g := s.groupOf(i)
+	if g < len(s.members) {
+		s.catalog.refresh(&s.set, g, s.members[g])
+		m.drain(now, s, g)
+	}
+}
