--- /dev/null
+++ b/core/transport/keeper/keeper_test.go
@@ -0,0 +1,200 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"comfreyroute/core/protocol/encoder"
+)
+
+func client(t *testing.T, h http.HandlerFunc) *Client {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	c := &Client{Address: netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")), Timeout: 10 * time.Second}
+	t.Cleanup(c.Close)
+	return c
+}
+
+func reply(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}
+}
+
+// TestWriteStatus guards against a write that is taken as not done although it may have taken effect, or the reverse.
+func TestWriteStatus(t *testing.T) {
+	cut := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	current := &encoder.KeyValue{Key: "k", Value: []byte("v"), Revision: 7}
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    Write
+	}{
+		{"done", reply(200, `{"revision":8}`), Write{Status: OK, Revision: 8}},
+		{"conflict", reply(409, `{"revision":9,"current":{"key":"k","value":"dg==","revision":7}}`), Write{Status: Conflict, Revision: 9, Current: current}},
+		{"conflict with a missing key", reply(409, `{"revision":9}`), Write{Status: Conflict, Revision: 9}},
+		{"conflict that cannot be read", reply(409, `{`), Write{Status: Rejected}},
+		{"answer lost", cut, Write{Status: Uncertain}},
+		{"answer malformed", reply(200, `{"revision":`), Write{Status: Uncertain}},
+		{"answer with data after it", reply(200, `{"revision":1}{}`), Write{Status: Uncertain, Revision: 1}},
+		{"server error", reply(500, ``), Write{Status: Uncertain}},
+		{"redirect", reply(302, ``), Write{Status: Uncertain}},
+		{"throttled", reply(429, `{}`), Write{Status: Throttled}},
+		{"too large", reply(413, `{}`), Write{Status: Rejected}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := client(t, c.handler).Put(context.Background(), "k", []byte("v"), 7, 0)
+			if (got.Err != nil) != (c.want.Status != OK && c.want.Status != Conflict) {
+				t.Errorf("status %v has error %v", got.Status, got.Err)
+			}
+			got.Err = nil
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestLostAnswer guards against a client that repeats a write whose answer was lost: the second run would be a conflict with
+// its own first one.
+func TestLostAnswer(t *testing.T) {
+	writes := 0
+	c := client(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			reply(200, `{"key":"claims/a","value":"eA==","revision":1}`)(w, r)
+			return
+		}
+		writes++
+		panic(http.ErrAbortHandler)
+	})
+	ctx := context.Background()
+	c.Get(ctx, "claims/a") // leaves an idle connection, on which the http package would be more willing to repeat
+	if got := c.Put(ctx, "claims/a", []byte("x"), 0, 0).Status; got != Uncertain {
+		t.Errorf("status %v, want uncertain", got)
+	}
+	if got := c.Get(ctx, "claims/a"); got.Status != OK || string(got.Item.Value) != "x" {
+		t.Errorf("read back %+v", got)
+	}
+	if writes != 1 {
+		t.Errorf("%d writes, want 1", writes)
+	}
+}
+
+// TestNotSent guards against calling a write uncertain that no byte of was sent, which would block a claim for nothing.
+func TestNotSent(t *testing.T) {
+	s := httptest.NewServer(nil)
+	c := &Client{Address: netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))}
+	s.Close()
+	ctx := context.Background()
+	got := []Status{c.Put(ctx, "k", nil, 0, 0).Status, c.Delete(ctx, "k", 1).Status, c.Get(ctx, "k").Status, c.Grant(ctx, time.Second).Status,
+		c.Put(ctx, "k", make([]byte, encoder.MaxValueBytes+1), 0, 0).Status}
+	if diff := cmp.Diff([]Status{Unavailable, Unavailable, Unavailable, Unavailable, Rejected}, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+// TestReadStatus guards against a lost or malformed answer to a read that is taken as a missing key.
+func TestReadStatus(t *testing.T) {
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    Read
+	}{
+		{"found", reply(200, `{"key":"k","value":"dg==","revision":3}`), Read{Status: OK, Item: encoder.KeyValue{Key: "k", Value: []byte("v"), Revision: 3}}},
+		{"missing", reply(404, `{"key":"k","revision":0}`), Read{Status: OK, Item: encoder.KeyValue{Key: "k"}}},
+		{"other key", reply(200, `{"key":"j","revision":3}`), Read{Status: Unavailable, Item: encoder.KeyValue{Key: "j", Revision: 3}}},
+		{"path that is not served", reply(404, `404 page not found`), Read{Status: Unavailable}},
+		{"lost", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, Read{Status: Unavailable}},
+		{"oversized", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(strings.Repeat(" ", encoder.MaxPlatformBytes+1)))
+		}, Read{Status: Unavailable}},
+		{"throttled", reply(429, ``), Read{Status: Throttled}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := client(t, c.handler).Get(context.Background(), "k")
+			got.Err = nil
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestRangePages guards against lost or repeated keys at the edges of pages, and against a store that ignores after.
+func TestRangePages(t *testing.T) {
+	keys := []string{"a", "b", "c", "d", "e"}
+	ordered := func(w http.ResponseWriter, r *http.Request) {
+		limit, _ := strconv.Atoi(r.URL.Query().Get("limit"))
+		page := encoder.RangeReply{Revision: 9}
+		for _, k := range keys {
+			if k > r.URL.Query().Get("after") && len(page.Items) < limit {
+				page.Items = append(page.Items, encoder.KeyValue{Key: k})
+			}
+		}
+		_ = json.NewEncoder(w).Encode(page)
+	}
+	for page := 1; page <= 6; page++ {
+		got := client(t, ordered).Range(context.Background(), "", page)
+		var names []string
+		for _, i := range got.Items {
+			names = append(names, i.Key)
+		}
+		if diff := cmp.Diff(keys, names); diff != "" || got.Status != OK || got.Revision != 9 {
+			t.Errorf("page %d: %v (-want +got):\n%s", page, got.Status, diff)
+		}
+	}
+	repeating := reply(200, `{"revision":1,"items":[{"key":"a","revision":1}]}`)
+	if got := client(t, repeating).Range(context.Background(), "", 1); got.Status != Unavailable || got.Items != nil {
+		t.Errorf("a store that repeats its first page: %+v", got)
+	}
+}
+
+// FuzzReplies guards against a reply of the platform that makes the client panic or report success for malformed JSON.
+func FuzzReplies(f *testing.F) {
+	for _, s := range []string{`{"revision":1}`, `{"key":"k","revision":1}`, `{"id":1,"ttl_ms":5}`, `{"items":[{"key":"k"}]}`, `[`, ``} {
+		f.Add(200, []byte(s))
+		f.Add(409, []byte(s))
+	}
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		if status < 200 || status > 599 {
+			return
+		}
+		c := &Client{Address: netip.MustParseAddrPort("127.0.0.1:1")}
+		c.once.Do(func() {
+			c.http = &http.Client{Transport: transport(func(r *http.Request) (*http.Response, error) {
+				w := httptest.NewRecorder()
+				w.Code = status
+				_, _ = w.Body.Write(body)
+				a := w.Result()
+				a.StatusCode, a.Request = status, r
+				return a, nil
+			})}
+		})
+		ctx := context.Background()
+		c.Get(ctx, "k")
+		c.Range(ctx, "k", 0)
+		c.Watch(ctx, "k", 1, 0)
+		c.Grant(ctx, time.Second)
+		c.List(ctx)
+		if got := c.Put(ctx, "k", nil, 0, 0); got.Status == OK && !json.Valid(body) {
+			t.Fatalf("malformed reply was accepted: %q", body)
+		}
+	})
+}
+
+type transport func(*http.Request) (*http.Response, error)
+
+func (f transport) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
