--- a/core/state/tabler/row.go
+++ b/core/state/tabler/row.go
@@ -85,10 +85,12 @@
 	Summary string
 }
 
-// Value is the table value of one service. Revision is the store's revision of the key and is not part of the stored value.
+// Value is the table value of one service, or the fleet row under the service name FleetService. Revision is the store's
+// revision of the key and is not part of the stored value.
 type Value struct {
 	Revision  uint64
 	Removed   bool
+	Fleet     Fleet // set only under FleetService
 	Service   ServiceRow
 	Upstreams []UpstreamRow
 	Edits     []Edit // newest last
