--- a/core/state/settler/settings.go
+++ b/core/state/settler/settings.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// Settings are the settings of the entry daemon. Only the addresses and the failure domain have no default.
+// Settings are the settings of the entry daemon. Only the addresses and the failure domain have no default; the default of
+// the id is the peer address.
 type Settings struct {
 	VM       VM
 	Platform Platform
@@ -33,12 +34,14 @@
 
 // Limits is the section [limits]. Sizes are in bytes.
 type Limits struct {
-	Requests  int // requests in flight in this VM
-	Tickets   int // tickets that are issued and not expired
-	Claims    int // outcomes kept in memory
-	Trace     int // records kept by the decision trace
-	BodyBytes int
-	Memory    int64 // soft memory limit of the process
+	Requests   int           // requests in flight in this VM
+	Tickets    int           // tickets that are issued and not expired
+	TicketLife time.Duration // an issued ticket expires after this time
+	Claims     int           // outcomes kept in memory
+	Retention  time.Duration // a key of a call that is older is rejected, so that its claim can be deleted
+	Trace      int           // records kept by the decision trace
+	BodyBytes  int
+	Memory     int64 // soft memory limit of the process
 }
 
 // Shutdown is the section [shutdown].
