Decide which table values are in effect and who watches the platform

A VM checks every value it reads or hears, its revisions only increase, and a change must be in effect everywhere within 3 s although only two VMs of each failure domain watch.

Ruled out: the time of receipt as the time of a platform contact, because a paused VM finds old answers in its socket buffers; one back-off for all VMs, because watchers must notice the return of the platform within about 1 s and the others need not. The pacer takes its token bucket from x/time/rate.

--- /dev/null
+++ b/core/coordination/adopter/machine.go
@@ -0,0 +1,216 @@
+package adopter
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"comfreyroute/core/coordination/pacer"
+	"comfreyroute/core/state/tabler"
+)
+
+// Times of the machine.
+const (
+	TickInterval   = 100 * time.Millisecond
+	WatchWait      = time.Second            // a platform that answers each wait is known to be in contact
+	StaleAfter     = time.Second            // a VM that hears of no platform contact for this time makes its own
+	DefaultTimeout = 500 * time.Millisecond // of a platform call, beyond its wait
+	FetchTimeout   = 300 * time.Millisecond
+	WatchCap       = time.Second // back-off of a watcher; longer ones delay a change that is accepted just after an outage
+)
+
+// Bounds of the messages to peers.
+const (
+	PushAll = 16 // peers told about a revision that was read from the platform
+	PushOn  = 3  // peers told about a revision that was fetched from a peer
+)
+
+// Machine decides which table is in effect on one VM. The exported fields are set before the first Step; the zero value
+// works as a VM without a name in an unnamed failure domain.
+type Machine struct {
+	Self    Member
+	Timeout time.Duration // of a platform call; 0 takes DefaultTimeout
+	Random  *rand.Rand
+
+	table   *tabler.Snapshot
+	data    map[string]Stored // stored form of the values in effect, for peers
+	refused map[string]uint64 // highest revision that was refused
+	seen    uint64            // store revision up to which all changes were read
+	read    bool              // the platform's table was read once
+	synced  bool              // the changes after seen are all that this VM lacks
+	probe   bool              // a value that peers did not give is wanted from the platform
+	offline bool              // the platform did not answer before the table was complete
+	peers   []Member
+	last    CallID
+	contact time.Time // latest moment at which the platform is known to have answered somebody
+	stale   time.Duration
+	call    platformCall
+	watcher pacer.Pacer
+	prober  pacer.Pacer
+	watches bool
+	fetcher fetcher
+}
+
+// platformCall is the platform call in progress. ID 0 means none.
+type platformCall struct {
+	id       CallID
+	sent     time.Time
+	wait     time.Duration
+	deadline time.Time
+}
+
+// Table returns the table in effect, nil before the first value.
+func (m *Machine) Table() *tabler.Snapshot { return m.table }
+
+// Complete reports whether the machine has had a whole table: from the platform, or from a peer while the platform does not
+// answer. A VM is not ready before.
+func (m *Machine) Complete() bool { return m.read || m.offline && m.fetcher.whole }
+
+// Contact returns the latest moment at which the platform is known to have answered this VM or one that it heard from; zero
+// means none.
+func (m *Machine) Contact() time.Time { return m.contact }
+
+// Watching reports whether this VM is one of the watchers of its failure domain, in its own view.
+func (m *Machine) Watching() bool { return m.watches }
+
+// Revisions returns the revisions in effect, in order of the services.
+func (m *Machine) Revisions() []Revision {
+	list := make([]Revision, 0, len(m.data))
+	for _, s := range m.data {
+		list = append(list, Revision{s.Service, s.Revision})
+	}
+	slices.SortFunc(list, func(a, b Revision) int { return cmp.Compare(a.Service, b.Service) })
+	return list
+}
+
+// Values returns the stored form of the values of some services, or of all when services is empty. It reports false when
+// the table is not complete, because the asker would take an incomplete table for a whole one.
+func (m *Machine) Values(services []string) ([]Stored, bool) {
+	var items []Stored
+	for _, r := range m.Revisions() {
+		if len(services) == 0 || slices.Contains(services, r.Service) {
+			items = append(items, m.data[r.Service])
+		}
+	}
+	return items, m.Complete() || len(services) > 0
+}
+
+// Step handles one event.
+func (m *Machine) Step(now time.Time, ev Event) []Action {
+	var out []Action
+	switch e := ev.(type) {
+	case Ticked:
+	case MembersChanged:
+		m.setMembers(e.Members)
+	case TableRead:
+		out = m.adopt(e.Items, PushAll)
+		if e.Call == m.call.id {
+			m.read, m.synced = true, true
+		}
+		m.answered(now, e.Call, e.Revision, len(e.Items) > 0)
+	case WatchAnswered:
+		out = m.adopt(e.Items, PushAll)
+		if e.Compacted {
+			// The next call reads the whole table.
+			m.answered(now, e.Call, 0, true)
+			m.synced = false
+		} else {
+			m.answered(now, e.Call, e.Revision, len(e.Items) > 0)
+		}
+	case PlatformFailed:
+		m.platformFailed(now, e.Call)
+	case PlatformContacted:
+		m.setContact(e.Sent)
+	case ContactHeard:
+		if e.Age >= 0 {
+			m.setContact(e.Sent.Add(-e.Age))
+		}
+	case RevisionsHeard:
+		m.hear(now, e)
+	case ValuesFetched:
+		out = m.adopt(e.Items, PushOn)
+		m.fetcher.answered(now, e.Call, m)
+	case FetchFailed:
+		m.fetcher.failed(now, e.Call, m.Random)
+	case ValueWritten:
+		out = m.adopt([]Stored{e.Item}, PushAll)
+	}
+	m.fetcher.expire(now, m.Random)
+	out = append(out, m.startPlatformCall(now)...)
+	return append(out, m.fetcher.start(now, m)...)
+}
+
+// setMembers replaces the view. The own VM is not one of the peers.
+func (m *Machine) setMembers(members []Member) {
+	m.peers = slices.DeleteFunc(slices.Clone(members), func(x Member) bool { return x.ID == m.Self.ID })
+	slices.SortFunc(m.peers, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// adopt checks values and puts those with a higher revision into effect. Up to pushes peers are told.
+func (m *Machine) adopt(items []Stored, pushes int) []Action {
+	var out []Action
+	var news []Revision
+	for _, s := range items {
+		if s.Deleted || s.Revision <= max(m.table.Revision(s.Service), m.refused[s.Service]) {
+			// A deleted key does not change the table: services are removed by a tombstone.
+			continue
+		}
+		v, err := tabler.Decode(s.Service, s.Revision, s.Data)
+		if err != nil {
+			m.refuse(s.Service, s.Revision)
+			out = append(out, Refuse{s.Service, s.Revision, err})
+			continue
+		}
+		m.table = m.table.With(v)
+		if m.data == nil {
+			m.data = make(map[string]Stored)
+		}
+		m.data[s.Service] = s
+		m.fetcher.have(s.Service, s.Revision)
+		news = append(news, Revision{s.Service, s.Revision})
+	}
+	if len(news) == 0 {
+		return out
+	}
+	out = append(out, Adopt{m.table})
+	if to := m.choosePeers(pushes); len(to) > 0 {
+		out = append(out, Push{to, news})
+	}
+	return out
+}
+
+// refuse remembers a revision that is not valid, so that it is not fetched again.
+func (m *Machine) refuse(service string, revision uint64) {
+	if m.refused == nil {
+		m.refused = make(map[string]uint64)
+	}
+	m.refused[service] = revision
+	m.fetcher.have(service, revision)
+}
+
+// choosePeers returns up to n random peers.
+func (m *Machine) choosePeers(n int) []string {
+	ids := make([]string, len(m.peers))
+	for i, x := range m.peers {
+		ids[i] = x.ID
+	}
+	if m.Random != nil {
+		m.Random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	}
+	return ids[:min(n, len(ids))]
+}
+
+// hear notes revisions that a peer has and this VM does not.
+func (m *Machine) hear(now time.Time, e RevisionsHeard) {
+	for _, r := range e.Revisions {
+		if r.Revision > max(m.table.Revision(r.Service), m.refused[r.Service]) {
+			m.fetcher.want(now, r, e.From)
+		}
+	}
+}
+
+func (m *Machine) nextCall() CallID {
+	m.last++
+	return m.last
+}
--- /dev/null
+++ b/core/coordination/adopter/watch.go
@@ -0,0 +1,119 @@
+package adopter
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"comfreyroute/core/coordination/pacer"
+)
+
+// Watchers is the number of VMs of each failure domain that watch the platform.
+const Watchers = 2
+
+// isWatcher reports whether this VM has one of the highest hashes of its failure domain in its own view. Two VMs with
+// different views may both watch or both not watch; the second case is covered by StaleAfter.
+func (m *Machine) isWatcher() bool {
+	own, higher := xxhash.Sum64String(m.Self.ID), 0
+	for _, p := range m.peers {
+		if p.FailureDomain != m.Self.FailureDomain {
+			continue
+		}
+		h := xxhash.Sum64String(p.ID)
+		if cmp.Or(cmp.Compare(h, own), cmp.Compare(p.ID, m.Self.ID)) > 0 {
+			higher++
+		}
+	}
+	return higher < Watchers
+}
+
+// startPlatformCall starts the next platform call when none is in progress and one is due.
+func (m *Machine) startPlatformCall(now time.Time) []Action {
+	if m.call.id != 0 && now.After(m.call.deadline) {
+		m.platformFailed(now, m.call.id)
+	}
+	m.watches = m.isWatcher()
+	if m.call.id != 0 {
+		return nil
+	}
+	m.watcher.Cap, m.watcher.Random, m.prober.Random = WatchCap, m.Random, m.Random
+	wait := WatchWait
+	switch {
+	case m.watches || !m.Complete():
+		// While calls fail, short ones find the return of the platform sooner than a long poll that may hang.
+		if m.watcher.Failing() {
+			wait = 0
+		}
+		if !m.watcher.Take(now) {
+			return nil
+		}
+	case m.probe || m.isStale(now):
+		wait = 0
+		if !m.prober.Take(now) {
+			return nil
+		}
+	default:
+		return nil
+	}
+	id := m.nextCall()
+	if !m.synced {
+		wait = 0
+	}
+	m.probe = false
+	m.call = platformCall{id: id, sent: now, wait: wait, deadline: now.Add(wait + m.timeout())}
+	if !m.synced {
+		return []Action{ReadTable{id}}
+	}
+	return []Action{Watch{id, m.seen, wait}}
+}
+
+func (m *Machine) timeout() time.Duration { return cmp.Or(m.Timeout, DefaultTimeout) }
+
+// isStale reports whether no platform contact is known within about StaleAfter. The jitter, chosen again after each contact,
+// keeps VMs that lose contact together from calling together.
+func (m *Machine) isStale(now time.Time) bool {
+	if m.stale == 0 {
+		m.stale = StaleAfter*3/4 + pacer.Jitter(m.Random, StaleAfter/2)
+	}
+	return now.Sub(m.contact) > m.stale
+}
+
+// setContact notes a platform contact, if it is the latest.
+func (m *Machine) setContact(at time.Time) {
+	if at.After(m.contact) {
+		m.contact, m.stale = at, 0
+	}
+}
+
+// answered ends the platform call in progress. Values of a late answer were adopted before; it changes nothing else, because
+// the call that replaced it is still in progress.
+func (m *Machine) answered(now time.Time, id CallID, revision uint64, items bool) {
+	if id == 0 || id != m.call.id {
+		return
+	}
+	c := m.call
+	m.call = platformCall{}
+	m.seen = max(m.seen, revision)
+	m.watcher.Answered(now)
+	m.prober.Answered(now)
+	m.offline = false
+	// The platform answered at some moment after the call was sent, and an empty answer not before the wait ended. The time
+	// of receipt proves nothing: a paused VM finds old answers in its socket buffers.
+	at := c.sent
+	if !items {
+		at = slices.MinFunc([]time.Time{now, c.sent.Add(c.wait)}, time.Time.Compare)
+	}
+	m.setContact(at)
+}
+
+func (m *Machine) platformFailed(now time.Time, id CallID) {
+	if id == 0 || id != m.call.id {
+		return
+	}
+	m.call = platformCall{}
+	m.offline = !m.read
+	m.watcher.Failed(now)
+	m.prober.Failed(now)
+}
--- /dev/null
+++ b/core/coordination/pacer/pacer.go
@@ -0,0 +1,101 @@
+package pacer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Defaults of a Pacer.
+const (
+	DefaultRate  = 5.0 // calls per second
+	DefaultBurst = 5
+	DefaultBase  = 100 * time.Millisecond // first back-off delay
+	DefaultCap   = 30 * time.Second       // longest back-off delay; 1,400 VMs then make 47 calls/s
+)
+
+// Pacer is the call budget and the back-off of one concern. Its zero value uses the defaults and has no jitter.
+// The fields are set before the first use.
+type Pacer struct {
+	Rate   float64       // calls per second
+	Burst  int           // calls that may be made at once
+	Base   time.Duration // first back-off delay
+	Cap    time.Duration // longest back-off delay, before jitter
+	Random *rand.Rand    // jitter
+
+	limiter  *rate.Limiter
+	failures int
+	next     time.Time // end of the back-off delay
+}
+
+// Take reports whether a call may be made now, and counts it if so. While calls fail, one call is allowed for each delay:
+// the call that was allowed postpones the next one by a whole delay, even if its answer never comes.
+func (p *Pacer) Take(now time.Time) bool {
+	p.prepare(now)
+	if now.Before(p.next) || !p.limiter.AllowN(now, 1) {
+		return false
+	}
+	if p.failures > 0 {
+		p.next = now.Add(p.delay())
+	}
+	return true
+}
+
+// Failed counts a call without an answer and starts the next back-off delay.
+func (p *Pacer) Failed(now time.Time) {
+	p.failures++
+	p.next = now.Add(p.delay())
+}
+
+// Answered counts a call that the platform answered. The first one after failures empties the budget.
+func (p *Pacer) Answered(now time.Time) {
+	p.prepare(now)
+	if p.failures > 0 {
+		p.limiter.AllowN(now, int(max(0, p.limiter.TokensAt(now))))
+	}
+	p.failures, p.next = 0, time.Time{}
+}
+
+// Failing reports whether the last call had no answer.
+func (p *Pacer) Failing() bool { return p.failures > 0 }
+
+func (p *Pacer) prepare(now time.Time) {
+	if p.limiter != nil {
+		return
+	}
+	r, b := p.Rate, p.Burst
+	if r <= 0 {
+		r = DefaultRate
+	}
+	if b <= 0 {
+		b = DefaultBurst
+	}
+	p.limiter = rate.NewLimiter(rate.Limit(r), b)
+	p.limiter.AllowN(now, 0) // starts the bucket at the caller's clock
+}
+
+// delay is the exponential delay with jitter from half to one and a half times of it. The jitter keeps the mean and spreads
+// the calls of VMs that failed at the same moment.
+func (p *Pacer) delay() time.Duration {
+	base, limit := p.Base, p.Cap
+	if base <= 0 {
+		base = DefaultBase
+	}
+	if limit <= 0 {
+		limit = DefaultCap
+	}
+	d := limit
+	if n := max(0, p.failures-1); n < 30 {
+		d = min(limit, base<<n)
+	}
+	return Jitter(p.Random, d)
+}
+
+// Jitter returns a random duration from half of d to one and a half times d, or d without a source of random numbers.
+func Jitter(random *rand.Rand, d time.Duration) time.Duration {
+	if random == nil || d <= 1 {
+		return d
+	}
+	return d/2 + time.Duration(random.Int64N(int64(d)))
+}
