--- a/core/coordination/router/catalog.go
+++ b/core/coordination/router/catalog.go
@@ -72,7 +72,7 @@
 		u := set.At(i)
 		for k := range u.Held {
 			if validHeld(&u.Held[k]) {
-				c.add(set, group, members, &u.Held[k], available(u))
+				c.add(set, group, members, &u.Held[k], u.Allowed())
 			}
 		}
 	}
@@ -180,5 +180,3 @@
 		return x.Version == y.Version && x.Layout == y.Layout && x.ShardsTotal == y.ShardsTotal && slices.Equal(x.Shards, y.Shards)
 	})
 }
-
-func available(u *selector.Upstream) bool { return !u.Draining && u.Row.Weight > 0 }
--- a/core/coordination/router/dispatch.go
+++ b/core/coordination/router/dispatch.go
@@ -52,7 +52,7 @@
 	reason := reasonDraining
 	for _, i := range s.members[g] {
 		u := s.set.At(i)
-		if !available(u) {
+		if !u.Allowed() {
 			continue
 		}
 		tried := false
--- a/core/coordination/router/service.go
+++ b/core/coordination/router/service.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"net/netip"
 	"time"
 
 	"comfreyroute/core/coordination/budgeter"
@@ -86,22 +87,22 @@
 		row.Deadline = tabler.DefaultDeadline
 	}
 	s.row = &row
-	names := make([]string, s.set.Len())
-	for i := range names {
-		names[i] = s.set.At(i).Row.Upstream
+	old := make([]identity, s.set.Len())
+	for i := range old {
+		old[i] = identify(s.set.At(i))
 	}
+	s.set.SetFixedLimits(m.config.AdaptiveOff)
+	s.set.SetFleetMax(m.table.FleetMax())
 	s.set.Update(now, v.Upstreams, m.config.FailureDomain)
-	m.reindex(s, names)
+	m.reindex(s, old)
 	groups := 1
 	if !s.point() {
 		groups = v.Groups()
 	}
 	s.members = make([][]int, groups)
 	for i := range s.set.Len() {
-		if u := s.set.At(i); u.Row.Upstream != "" {
-			g := s.groupOf(i)
-			s.members[g] = append(s.members[g], i)
-		}
+		g := s.groupOf(i)
+		s.members[g] = append(s.members[g], i)
 	}
 	for len(s.waiting) < groups {
 		s.waiting = append(s.waiting, nil)
@@ -117,13 +118,21 @@
 	}
 }
 
+// identity names an upstream across tables. One that moved to another address is a different upstream.
+type identity struct {
+	name    string
+	address netip.AddrPort
+}
+
+func identify(u *selector.Upstream) identity { return identity{u.Row.Upstream, u.Row.Address} }
+
 // reindex translates the upstream indexes that attempts and sub-requests hold after the set changed.
-func (m *Machine) reindex(s *service, old []string) {
+func (m *Machine) reindex(s *service, old []identity) {
 	moved := make([]int, len(old))
 	same := true
-	for i, name := range old {
-		j, ok := s.set.Index(name)
-		if !ok {
+	for i, o := range old {
+		j, ok := s.set.Index(o.name)
+		if !ok || identify(s.set.At(j)) != o {
 			j = -1
 		}
 		moved[i] = j
@@ -184,13 +193,12 @@
 // observe takes the state that an upstream reported on a reply.
 func (m *Machine) observe(now time.Time, s *service, i int, r *encoder.SubReply) {
 	u := s.set.At(i)
-	changed := !sameHeld(u.Held, r.Held)
+	held, allowed := u.Held, u.Allowed()
 	_, drainChanged := s.set.Observe(now, i, r)
 	if drainChanged {
-		u = s.set.At(i)
-		m.emit(SpreadDrain{Service: s.name, Upstream: u.Row.Upstream, Incarnation: r.Incarnation, Leaving: r.Draining})
+		m.emit(SpreadDrain{Service: s.name, Upstream: u.Row.Upstream, Incarnation: u.Incarnation, Leaving: u.Draining})
 	}
-	if changed || drainChanged {
+	if u.Allowed() != allowed || !sameHeld(held, u.Held) {
 		m.refresh(now, s, i)
 	}
 }
