Hedge stragglers within the shared budget

A sub-request is sent to a second replica after the 95th percentile of the service's recent latency; the first complete reply wins and the loser is cancelled. A search that prefers latency answers when neither a first attempt nor its hedge is likely to reply, and only while at least half of its groups replied in that time.

--- a/core/coordination/router/attempt.go
+++ b/core/coordination/router/attempt.go
@@ -111,6 +111,6 @@
 		if out.request != nil {
 			m.failed(now, &out, failure{reason: reasonTimeout, possiblyRun: true})
 		}
-		m.drain(now, out.service, out.group)
+		m.drain(out.service, out.group)
 	}
 }
--- a/core/coordination/router/dispatch.go
+++ b/core/coordination/router/dispatch.go
@@ -102,6 +102,10 @@
 		Query: r.query, Body: r.body, Version: r.version(), Deadline: r.until, Caller: r.caller,
 	})
 	s.set.Started(now, i)
+	if !hedge && m.mayHedge(r) {
+		b.hedgeAt = now.Add(s.delays(now).hedge)
+		m.soon(r, b.hedgeAt)
+	}
 }
 
 // retry sends another attempt of a sub-request that has none in flight. An attempt of which no byte was written is replaced
@@ -155,6 +159,10 @@
 		return
 	}
 	if b.running() > 0 {
+		if m.mayHedge(r) {
+			b.hedgeAt = now.Add(r.service.delays(now).hedge)
+			m.soon(r, b.hedgeAt)
+		}
 		return
 	}
 	if m.retry(now, r, a.sub, f.unsent) {
@@ -201,6 +209,7 @@
 	}
 	b.state = subWaiting
 	b.owing = retry
+	m.soon(r, now.Add(s.delays(now).hedge))
 	s.waiting[g] = append(s.waiting[g], waiter{request: r, sub: g})
 }
 
@@ -220,7 +229,7 @@
 }
 
 // drain notes that the wait queue of a group may have a replica again. The queues run at the end of the step.
-func (m *Machine) drain(_ time.Time, s *service, g int) {
+func (m *Machine) drain(s *service, g int) {
 	if g < len(s.waiting) && len(s.waiting[g]) > 0 {
 		m.ready = append(m.ready, readyQueue{s, g})
 	}
--- a/core/coordination/router/machine.go
+++ b/core/coordination/router/machine.go
@@ -84,7 +84,7 @@
 	case ConnectionsChanged:
 		if s, i := m.upstream(e.Service, e.Upstream); i >= 0 {
 			s.set.SetConnections(now, i, e.Open)
-			m.drain(now, s, s.groupOf(i))
+			m.drain(s, s.groupOf(i))
 		}
 	case UpstreamLeaving:
 		if s, i := m.upstream(e.Service, e.Upstream); i >= 0 {
@@ -136,7 +136,7 @@
 	default:
 		m.checkReply(now, &out, e.Reply)
 	}
-	m.drain(now, out.service, out.group)
+	m.drain(out.service, out.group)
 }
 
 func resultOf(s encoder.SubStatus) selector.ResultKind {
@@ -174,7 +174,7 @@
 	if out.request != nil {
 		m.failed(now, &out, failure{reason: reasonOf(e.Failure), possiblyRun: e.Written, unsent: !e.Written})
 	}
-	m.drain(now, out.service, out.group)
+	m.drain(out.service, out.group)
 }
 
 func reasonOf(f Failure) string {
--- a/core/coordination/router/request.go
+++ b/core/coordination/router/request.go
@@ -45,6 +45,8 @@
 	pending     int    // sub-requests without a result
 	index       *index // nil until a search has chosen its snapshot
 	restarted   bool
+	hedgeAt     time.Time // next time that a hedge or something that waits is looked at
+	patience    time.Time // when a search that prefers latency stops waiting; zero for never
 	due         time.Time // next time that it needs attention
 	place       int       // in the timers, -1 when absent
 }
@@ -159,7 +161,7 @@
 		m.startPoint(now, r)
 	}
 	if r.state == stateRunning {
-		m.schedule(now, r)
+		m.schedule(r)
 	}
 }
 
@@ -201,21 +203,6 @@
 
 func (r *request) label() string { return strconv.FormatUint(uint64(r.id), 10) }
 
-// schedule sets the next time that a running request needs attention.
-func (m *Machine) schedule(_ time.Time, r *request) {
-	r.due = r.until
-	m.timers.set(r)
-}
-
-// expire handles a request whose due time came.
-func (m *Machine) expire(now time.Time, r *request) {
-	if !now.Before(r.until) {
-		m.deadline(now, r)
-		return
-	}
-	m.schedule(now, r)
-}
-
 // deadline answers a request with what it has.
 func (m *Machine) deadline(now time.Time, r *request) {
 	if r.kind == encoder.SubSearch {
--- a/core/coordination/router/search.go
+++ b/core/coordination/router/search.go
@@ -20,6 +20,7 @@
 		m.completeSearch(now, r)
 		return
 	}
+	m.armPatience(now, r)
 	m.sendIdle(now, r)
 }
 
--- a/core/coordination/router/service.go
+++ b/core/coordination/router/service.go
@@ -30,6 +30,7 @@
 	budget    budgeter.Budget
 	latencies budgeter.Latencies
 	pools     map[string]Pool
+	delay     delays
 }
 
 // waiter is a sub-request that waits because every replica of its group is at its in-flight limit.
@@ -47,6 +48,14 @@
 	return s.set.At(i).Row.Group
 }
 
+// waitQueue returns the number of the wait queue of a sub-request's group.
+func (s *service) waitQueue(g int) int {
+	if s.point() {
+		return 0
+	}
+	return g
+}
+
 // adopt takes a new table: rows, limits and pools of each service.
 func (m *Machine) adopt(now time.Time, t *tabler.Snapshot) {
 	m.table = t
@@ -114,7 +123,7 @@
 	}
 	m.updatePools(s, v)
 	for g := range s.waiting {
-		m.drain(now, s, g)
+		m.drain(s, g)
 	}
 }
 
@@ -208,6 +217,6 @@
 	g := s.groupOf(i)
 	if g < len(s.members) {
 		s.catalog.refresh(&s.set, g, s.members[g])
-		m.drain(now, s, g)
+		m.drain(s, g)
 	}
 }
