Admit requests by rate limit and fair queue

A request passes the operators' rate and in-flight limits and the queue of its service before any sub-request is sent.

--- a/core/coordination/router/machine.go
+++ b/core/coordination/router/machine.go
@@ -33,6 +33,7 @@
 	wake     time.Time // time of the last Wake that did not fire yet
 	actions  []Action
 	ready    []readyQueue
+	touched  []*service
 	marks    marks
 	stats    Stats
 }
@@ -48,7 +49,10 @@
 	}
 	m.apply(now, ev)
 	m.fireTimers(now)
-	m.runQueues(now)
+	for len(m.ready) > 0 || len(m.touched) > 0 {
+		m.runQueues(now)
+		m.runAdmission(now)
+	}
 	m.armWake(now)
 	out := m.actions
 	m.actions = nil
--- a/core/coordination/router/request.go
+++ b/core/coordination/router/request.go
@@ -147,8 +147,7 @@
 		m.reject(r, reasonTimeout, 0)
 		return
 	}
-	m.requests[r.id] = r
-	m.start(now, r)
+	m.admit(now, r)
 }
 
 // start runs an admitted request.
@@ -170,6 +169,7 @@
 	for g := range r.subs {
 		m.cancelAll(now, &r.subs[g])
 	}
+	m.release(now, r)
 	r.state = stateFinished
 	m.timers.remove(r)
 	delete(m.requests, r.id)
@@ -205,6 +205,10 @@
 
 // deadline answers a request with what it has.
 func (m *Machine) deadline(now time.Time, r *request) {
+	if r.state == stateQueued {
+		m.drop(now, r)
+		return
+	}
 	if r.kind == encoder.SubSearch {
 		m.giveUp(now, r, reasonTimeout)
 		return
--- a/core/coordination/router/service.go
+++ b/core/coordination/router/service.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"comfreyroute/core/coordination/admitter"
 	"comfreyroute/core/coordination/budgeter"
 	"comfreyroute/core/coordination/limiter"
 	"comfreyroute/core/coordination/selector"
@@ -20,17 +21,21 @@
 
 // service is the routing state of one service.
 type service struct {
-	name      string
-	row       *tabler.ServiceRow
-	removed   bool
-	set       selector.Set
-	members   [][]int // indexes in set of the replicas of each group; one group for a point service
-	waiting   [][]waiter
-	catalog   catalog
-	budget    budgeter.Budget
-	latencies budgeter.Latencies
-	pools     map[string]Pool
-	delay     delays
+	name       string
+	row        *tabler.ServiceRow
+	removed    bool
+	set        selector.Set
+	members    [][]int // indexes in set of the replicas of each group; one group for a point service
+	waiting    [][]waiter
+	catalog    catalog
+	budget     budgeter.Budget
+	latencies  budgeter.Latencies
+	pools      map[string]Pool
+	delay      delays
+	queue      admitter.Queue
+	rate       limiter.Rate
+	touched    bool // in Machine.touched
+	capacityAt time.Time
 }
 
 // waiter is a sub-request that waits because every replica of its group is at its in-flight limit.
@@ -117,6 +122,10 @@
 		s.waiting = append(s.waiting, nil)
 	}
 	s.budget.Configure(row.HedgeBudget, max(minBudgetTokens, int(budgetSearches*row.HedgeBudget*float64(groups))))
+	s.queue.Configure(s.row, m.table.FleetMax())
+	s.rate.Configure(row.RequestLimit, m.table.FleetMax())
+	s.capacityAt = time.Time{}
+	m.touch(s)
 	s.catalog = catalog{}
 	for g, members := range s.members {
 		s.catalog.refresh(&s.set, g, members)
