--- a/core/coordination/router/machine.go
+++ b/core/coordination/router/machine.go
@@ -33,6 +33,7 @@
 	wake     time.Time // time of the last Wake that did not fire yet
 	actions  []Action
 	ready    []readyQueue
+	touched  []*service
 	marks    marks
 	stats    Stats
 }
@@ -48,7 +49,10 @@
 	}
 	m.apply(now, ev)
 	m.fireTimers(now)
-	m.runQueues(now)
+	for len(m.ready) > 0 || len(m.touched) > 0 {
+		m.runQueues(now)
+		m.runAdmission(now)
+	}
 	m.armWake(now)
 	out := m.actions
 	m.actions = nil
@@ -84,7 +88,7 @@
 	case ConnectionsChanged:
 		if s, i := m.upstream(e.Service, e.Upstream); i >= 0 {
 			s.set.SetConnections(now, i, e.Open)
-			m.drain(now, s, s.groupOf(i))
+			m.drain(s, s.groupOf(i))
 		}
 	case UpstreamLeaving:
 		if s, i := m.upstream(e.Service, e.Upstream); i >= 0 {
@@ -136,7 +140,7 @@
 	default:
 		m.checkReply(now, &out, e.Reply)
 	}
-	m.drain(now, out.service, out.group)
+	m.drain(out.service, out.group)
 }
 
 func resultOf(s encoder.SubStatus) selector.ResultKind {
@@ -174,7 +178,7 @@
 	if out.request != nil {
 		m.failed(now, &out, failure{reason: reasonOf(e.Failure), possiblyRun: e.Written, unsent: !e.Written})
 	}
-	m.drain(now, out.service, out.group)
+	m.drain(out.service, out.group)
 }
 
 func reasonOf(f Failure) string {
