Keep the latency deviation out of denormal numbers

A profile of BenchmarkPick showed 44 % of the time in the sum of mean and deviation: with a constant latency the deviation decays into denormal numbers. A floor of 1 ns removes that.

--- a/core/coordination/selector/average.go
+++ b/core/coordination/selector/average.go
@@ -32,7 +32,8 @@
 	} else {
 		difference := x - a.mean
 		a.mean += latencyGain * difference
-		a.deviation += deviationGain * (math.Abs(difference) - a.deviation)
+		// The floor of 1 ns keeps a constant latency from driving the deviation into denormal numbers, which are slow.
+		a.deviation = max(1, a.deviation+deviationGain*(math.Abs(difference)-a.deviation))
 	}
 	a.at = now
 }
