--- a/core/coordination/selector/average.go
+++ b/core/coordination/selector/average.go
@@ -32,15 +32,17 @@
 	} else {
 		difference := x - a.mean
 		a.mean += latencyGain * difference
-		a.deviation += deviationGain * (math.Abs(difference) - a.deviation)
+		// The floor of 1 ns keeps a constant latency from driving the deviation into denormal numbers, which are slow.
+		a.deviation = max(1, a.deviation+deviationGain*(math.Abs(difference)-a.deviation))
 	}
 	a.at = now
 }
 
-// halved returns the weight that remains at an age.
+// halved returns the weight that remains at an age. It falls hyperbolically, which costs a division where an exponential
+// costs a library call for each candidate.
 func halved(age, halfLife time.Duration) float64 {
 	if age <= 0 {
 		return 1
 	}
-	return math.Exp2(-float64(age) / float64(halfLife))
+	return float64(halfLife) / float64(halfLife+age)
 }
