Test the fake upstreams and the deployment files

Each fault has a case that asks for it by the control command and checks its effect on a real connection; the deployment files are checked against the sizes of the design page. The tests wait for states of the servers and not for times; a fault that silences a server is checked by the absence of an answer.

--- /dev/null
+++ b/upstreams/describer/describer_test.go
@@ -0,0 +1,87 @@
+package describer
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestDeployments guards against deployment files that differ from the sizes in docs/design.md, section 1.6.
+func TestDeployments(t *testing.T) {
+	cases := []struct {
+		file    string
+		domains int
+		servers map[string]int
+	}{
+		{"haven.ini", 4, map[string]int{"matching": 30, "roster": 45, "profiles": 16, "ledger": 8}},
+		{"magnolia.ini", 3, map[string]int{"booth": 30, "logs": 45, "prizes": 40, "traffic": 20}},
+		{"quickstart.ini", 3, map[string]int{"catalog": 12, "orders": 4}},
+	}
+	for _, c := range cases {
+		d, err := Read(filepath.Join("..", "..", "deployments", c.file))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, addresses, domains := map[string]int{}, map[string]bool{}, map[string]bool{}
+		for _, s := range d.Servers() {
+			got[s.Service.Name]++
+			addresses[s.Address.String()] = true
+			domains[s.FailureDomain] = true
+		}
+		if diff := cmp.Diff(c.servers, got); diff != "" {
+			t.Errorf("%s: servers (-want +got):\n%s", c.file, diff)
+		}
+		if len(addresses) != len(d.Servers()) || len(domains) != c.domains {
+			t.Errorf("%s: %d addresses of %d servers, %d failure domains", c.file, len(addresses), len(d.Servers()), len(domains))
+		}
+	}
+}
+
+// TestFaults guards against a fault of a file that is accepted, or that hides another one.
+func TestFaults(t *testing.T) {
+	const file = `
+[deployment]
+network = 10.0.0.0
+ports = 7000
+[failure_domains]
+names = a, b
+delay.b.a = 1ms
+[service.x]
+kind = lookup
+slots = 0
+median = -1ms
+sigma = NaN
+groups = 4
+shards = 3
+[servers]
+`
+	_, err := Parse([]byte(file))
+	if err == nil {
+		t.Fatal("accepted")
+	}
+	for _, want := range []string{"network 10.0.0.0", "ports", "delay.b.a", `kind "lookup"`, `slots "0"`, `median "-1ms"`, `sigma "NaN"`, "one group", "servers"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("the error does not name %s:\n%v", want, err)
+		}
+	}
+}
+
+// FuzzParse guards against a file that makes the reader panic, or that passes and has no usable servers.
+func FuzzParse(f *testing.F) {
+	for _, name := range []string{"quickstart.ini", "haven.ini"} {
+		data, err := os.ReadFile(filepath.Join("..", "..", "deployments", name))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d, err := Parse(data)
+		if err == nil && len(d.Servers()) == 0 {
+			t.Fatal("no servers")
+		}
+	})
+}
--- /dev/null
+++ b/upstreams/internal/server/server_test.go
@@ -0,0 +1,331 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"comfreyroute/core/protocol/encoder"
+	"comfreyroute/upstreams/describer"
+	"comfreyroute/upstreams/indexer"
+)
+
+const testDeployment = `
+[deployment]
+network = 127.99.1.0
+[failure_domains]
+names = d1, d2
+[service.find]
+kind = search
+groups = 2
+replicas = 2
+slots = 1
+queue = 1
+connections = 3
+median = 1ms
+sigma = 0
+shards = 5
+[service.book]
+kind = point
+replicas = 1
+slots = 1
+median = 1ms
+`
+
+// silence bounds how long a test waits for an answer that must not come.
+const silence = 200 * time.Millisecond
+
+func fleet(t *testing.T) *Fleet {
+	t.Helper()
+	d, err := describer.Parse([]byte(testDeployment))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.99.1.1:0") // finds a port that is free on the first address, and very likely on the others
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Port = netip.MustParseAddrPort(l.Addr().String()).Port()
+	_ = l.Close()
+	f := NewFleet(d)
+	if err := f.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+func apply(t *testing.T, f *Fleet, command string) {
+	t.Helper()
+	var c Command
+	if err := encoder.DecodeBytes([]byte(command), 1000, &c); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Apply(c); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// caller sends sub-requests to one host over its own keep-alive connections.
+type caller struct {
+	host *host
+	http http.Client
+}
+
+func newCaller(t *testing.T, h *host) *caller {
+	c := &caller{host: h, http: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 10}}}
+	t.Cleanup(c.http.CloseIdleConnections)
+	return c
+}
+
+func (c *caller) send(wait time.Duration, path, id string, deadline time.Duration, version uint64, body any) (*encoder.SubReply, error) {
+	data, _ := json.Marshal(body)
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.host.server.Address.String()+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set(encoder.HeaderRequestID, id)
+	r.Header.Set(encoder.HeaderDeadlineMS, strconv.FormatInt(deadline.Milliseconds(), 10))
+	r.Header.Set(encoder.HeaderIndexVersion, strconv.FormatUint(version, 10))
+	a, err := c.http.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = a.Body.Close() }()
+	var reply encoder.SubReply
+	return &reply, encoder.Decode(a.Body, encoder.MaxReplyBytes, &reply)
+}
+
+func (c *caller) search(wait time.Duration, id string, version uint64, query string) (*encoder.SubReply, error) {
+	return c.send(wait, encoder.PathSub, id, 10*time.Second, version, encoder.SubRequest{Service: "find", Kind: encoder.SubSearch, Query: query})
+}
+
+// TestFaults guards against a fake that does not show the fault that a command asked for. Each case starts from a fresh fleet;
+// want is the status, or "error" for a connection that was reset or refused, or "silent" for no answer.
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name    string
+		before  string // command
+		after   string // command after the first search
+		id      string // request id of the reply when it differs from "r2"
+		version uint64
+		want    string
+		state   string // "draining" when the reply has to say so
+	}{
+		{name: "no fault", want: "ok"},
+		{name: "version not held", version: 9, want: "version_not_held"},
+		{name: "version added", after: `{"target":{"all":true},"action":"hold","version":9,"layout":"l9","shards":7}`, version: 9, want: "ok"},
+		{name: "version dropped", after: `{"target":{"all":true},"action":"drop","version":1}`, version: 1, want: "version_not_held"},
+		{name: "shed", after: `{"target":{"service":"find"},"action":"shed"}`, want: "shed"},
+		{name: "drain", after: `{"target":{"group":0},"action":"drain"}`, want: "draining", state: "draining"},
+		{name: "drain elsewhere", after: `{"target":{"service":"find","group":1},"action":"drain"}`, want: "ok"},
+		{name: "wrong id", after: `{"target":{"replica":0},"action":"wrong_id"}`, want: "ok", id: "r2-wrong"},
+		{name: "swap", before: `{"target":{"upstream":"find-g00-r0"},"action":"swap"}`, want: "ok", id: "r1"},
+		{name: "dark", after: `{"target":{"failure_domain":"d1"},"action":"dark"}`, want: "silent"},
+		{name: "silence", after: `{"target":{"all":true},"action":"silence"}`, want: "silent"},
+		{name: "crash", after: `{"target":{"all":true},"action":"crash","for_ms":60000}`, want: "error"},
+		{name: "crash on", before: `{"target":{"all":true},"action":"crash_on","query":"q2"}`, want: "error"},
+		{name: "fault ended", before: `{"target":{"all":true},"action":"shed"}`, after: `{"target":{"all":true},"action":"shed","off":true}`, want: "ok"},
+		{name: "darkness ended", before: `{"target":{"failure_domain":"d2"},"action":"dark"}`, after: `{"target":{"all":true},"action":"dark","off":true}`, want: "ok"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := fleet(t)
+			caller := newCaller(t, f.hosts[0])
+			if c.before != "" {
+				apply(t, f, c.before)
+			}
+			if _, err := caller.search(10*time.Second, "r1", 0, "q1"); err != nil {
+				t.Fatal(err)
+			}
+			if c.after != "" {
+				apply(t, f, c.after)
+			}
+			wait := 10 * time.Second
+			if c.want == "silent" {
+				wait = silence
+			}
+			reply, err := caller.search(wait, "r2", c.version, "q2")
+			var got string
+			switch {
+			case errors.Is(err, context.DeadlineExceeded):
+				got = "silent"
+			case err != nil:
+				got = "error"
+			default:
+				got = string(reply.Status)
+			}
+			if got != c.want {
+				t.Fatalf("%s, want %s (error %v)", got, c.want, err)
+			}
+			if c.id == "" {
+				c.id = "r2"
+			}
+			if err == nil && (reply.RequestID != c.id || reply.Draining != (c.state == "draining")) {
+				t.Errorf("request id %q, want %q; draining %v", reply.RequestID, c.id, reply.Draining)
+			}
+		})
+	}
+}
+
+// TestResults guards against results that bench cannot verify, and against shards that no group or two groups hold.
+func TestResults(t *testing.T) {
+	f := fleet(t)
+	apply(t, f, `{"target":{"all":true},"action":"hold","version":2,"layout":"l2","shards":7}`)
+	got, want := map[int][]string{}, map[int][]string{}
+	for _, h := range []*host{f.hosts[0], f.hosts[2]} { // one replica of each group
+		reply, err := newCaller(t, h).search(10*time.Second, "r", 2, "q")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, s := range reply.Results {
+			got[s.Shard] = append(got[s.Shard], s.Items...)
+		}
+	}
+	for s := range 7 {
+		want[s] = indexer.Items("find", 2, "l2", s, "q")
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+// TestSlots guards against work that runs beside the slots and the queue, that is not counted, or that runs after its
+// cancellation or deadline.
+func TestSlots(t *testing.T) {
+	f := fleet(t)
+	h := f.hosts[0]
+	apply(t, f, `{"target":{"all":true},"action":"straggler","delay_ms":60000}`)
+	c := newCaller(t, h)
+	running, waiting := make(chan encoder.SubStatus), make(chan encoder.SubStatus)
+	search := func(id string, deadline time.Duration, status chan<- encoder.SubStatus) {
+		reply, err := c.send(time.Minute, encoder.PathSub, id, deadline, 0, encoder.SubRequest{Service: "find", Kind: encoder.SubSearch})
+		if err != nil {
+			t.Error(err)
+			reply = &encoder.SubReply{}
+		}
+		status <- reply.Status
+	}
+	until := func(running, queued int) {
+		for {
+			h.mu.Lock()
+			ok := len(h.slots) == running && h.queued == queued
+			h.mu.Unlock()
+			if ok {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	go search("running", time.Minute, running)
+	until(1, 0)
+	go search("waiting", 50*time.Millisecond, waiting)
+	got := []encoder.SubStatus{<-waiting}
+	go search("waiting", time.Minute, waiting)
+	until(1, 1)
+	full := make(chan encoder.SubStatus, 1)
+	search("full", time.Minute, full)
+	got = append(got, <-full)
+	for _, id := range []string{"waiting", "running"} {
+		if _, err := c.send(time.Minute, encoder.PathCancel, "", time.Minute, 0, encoder.CancelRequest{RequestID: id}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got = append(got, <-waiting, <-running)
+	want := []encoder.SubStatus{encoder.StatusExpired, encoder.StatusShed, encoder.StatusCancelled, encoder.StatusCancelled}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("statuses (-want +got):\n%s", diff)
+	}
+	s := f.Stats()[0]
+	if diff := cmp.Diff([]uint64{4, 1, 1, 1, 2}, []uint64{s.Received, s.Run, s.Shed, s.Expired, s.Cancelled}); diff != "" {
+		t.Errorf("received, run, shed, expired, cancelled (-want +got):\n%s", diff)
+	}
+}
+
+// TestConnectionLimit guards against a limit that lets a connection through or that is not counted.
+func TestConnectionLimit(t *testing.T) {
+	f := fleet(t)
+	h := f.hosts[0]
+	for range h.server.Service.Connections + 2 {
+		c, err := net.Dial("tcp", h.server.Address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+	}
+	for {
+		if s := f.Stats()[0]; s.Accepted+s.Violations == uint64(h.server.Service.Connections+2) {
+			if s.MaxConnections != h.server.Service.Connections || s.Violations != 2 {
+				t.Errorf("%+v", s)
+			}
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestExecuted guards against a call that is not counted, or that is undone by a cancellation after it has run.
+func TestExecuted(t *testing.T) {
+	f := fleet(t)
+	h := f.hosts[len(f.hosts)-1]
+	c := newCaller(t, h)
+	for _, body := range []string{`{"seat":1}`, `{"seat":2}`, `{"seat":1}`} {
+		request := encoder.SubRequest{Service: "book", Kind: encoder.SubCall, Body: json.RawMessage(body)}
+		reply, err := c.send(time.Minute, encoder.PathSub, "c", time.Minute, 0, request)
+		if err != nil || string(reply.Result) != body {
+			t.Fatalf("%+v, error %v", reply, err)
+		}
+	}
+	want := map[string]map[string]int{"book": {`{"seat":1}`: 2, `{"seat":2}`: 1}}
+	if diff := cmp.Diff(want, f.Executed()); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+// TestNewIncarnation guards against a crashed server that comes back with its old incarnation or without its cold start.
+func TestNewIncarnation(t *testing.T) {
+	f := fleet(t)
+	h := f.hosts[0]
+	before := f.Stats()[0].Incarnation
+	apply(t, f, `{"target":{"upstream":"find-g00-r0"},"action":"crash","for_ms":1}`)
+	for f.Stats()[0].Incarnation == before {
+		time.Sleep(time.Millisecond)
+	}
+	reply, err := newCaller(t, h).search(10*time.Second, "r", 0, "q")
+	if err != nil || reply.Incarnation <= before {
+		t.Fatalf("%+v, error %v", reply, err)
+	}
+	cold := h.serviceTime(time.Now())
+	if want := time.Duration(h.server.Service.ColdFactor) * h.server.Service.Median; cold != want {
+		t.Errorf("service time %v after the restart, want %v", cold, want)
+	}
+}
+
+// FuzzCommand guards against a command that makes the fake panic.
+func FuzzCommand(f *testing.F) {
+	f.Add([]byte(`{"target":{"all":true},"action":"hold","version":2,"layout":"l2","shards":7}`))
+	f.Add([]byte(`{"target":{"group":-1},"action":"straggler","share":0.5,"delay_ms":10}`))
+	d, err := describer.Parse([]byte(testDeployment))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var c Command
+		if encoder.DecodeBytes(data, 1000, &c) != nil || c.Action == Crash || c.Action == Restart || c.Action == Leave || c.Action == Refuse {
+			return // these act on listeners, which this fleet does not open
+		}
+		c.ForMS = 0
+		_, _ = NewFleet(d).Apply(c)
+	})
+}
