Track the entry VMs, the isolation of a VM and the start gate

The VM list lags, so heartbeats with incarnations supplement it.

Ruled out: counting received requests as contact with a peer, because a paused VM finds old ones in its buffers; only the answer to an own request proves contact at the time of that request. Ruled out: forgetting silent peers for the isolation rule, because a cut-off VM would then take work again.

--- /dev/null
+++ b/core/coordination/tracker/machine_test.go
@@ -0,0 +1,198 @@
+package tracker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"comfreyroute/core/protocol/exchanger"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func record(i int, incarnation, heartbeat uint64) Record {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+	return Record{
+		ID: fmt.Sprintf("entry-%04d", i), FailureDomain: fmt.Sprint("domain-", i%13), PeerAddress: address,
+		CallerAddress: netip.AddrPortFrom(address.Addr(), 8000), Incarnation: incarnation, Heartbeat: heartbeat,
+	}
+}
+
+func state(m *Machine, i int) State {
+	for _, x := range m.Members() {
+		if x.Record.ID == record(i, 1, 1).ID {
+			return x.State
+		}
+	}
+	return Gone
+}
+
+// TestStates guards against a VM that is revived by an old record, that leaves its leaving state, or that an old list removes.
+func TestStates(t *testing.T) {
+	leaving := record(1, 5, 3)
+	leaving.Leaving = true
+	listed := ListedVM{ID: record(1, 1, 1).ID}
+	gone := ListedVM{ID: listed.ID, Leaving: true}
+	type step struct {
+		at   time.Duration
+		ev   Event
+		want State
+	}
+	cases := []struct {
+		name  string
+		steps []step
+	}{
+		{"silent", []step{{0, Heard{[]Record{record(1, 5, 2)}}, Live}, {2 * time.Second, Ticked{}, Live}, {4 * time.Second, Ticked{}, Suspect},
+			{5 * time.Second, Heard{[]Record{record(1, 5, 2)}}, Suspect}, {10 * time.Second, Ticked{}, Gone},
+			{11 * time.Second, Heard{[]Record{record(1, 5, 2)}}, Gone}, {12 * time.Second, Heard{[]Record{record(1, 5, 3)}}, Live}}},
+		{"leaving is final", []step{{0, Heard{[]Record{leaving}}, Leaving}, {1, Heard{[]Record{record(1, 5, 9)}}, Leaving},
+			{2, Heard{[]Record{record(1, 4, 99)}}, Leaving}, {3, Heard{[]Record{record(1, 6, 1)}}, Live}, {4, Heard{[]Record{leaving}}, Live}}},
+		{"leaving heard late", []step{{0, Heard{[]Record{record(1, 5, 9)}}, Live}, {1, Heard{[]Record{leaving}}, Leaving}}},
+		{"listed and silent", []step{{0, Listed{VMs: []ListedVM{listed}}, Live}, {20 * time.Second, Ticked{}, Suspect}, {21 * time.Second, Listed{}, Gone}}},
+		{"list lags behind a restart", []step{{0, Heard{[]Record{record(1, 5, 1)}}, Live}, {1, Listed{VMs: []ListedVM{gone}}, Leaving},
+			{2, Heard{[]Record{record(1, 6, 1)}}, Live}, {3, Listed{VMs: []ListedVM{gone}}, Live}, {4, Listed{}, Live}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := &Machine{Self: record(0, 1, 0)}
+			for i, s := range c.steps {
+				m.Step(start.Add(s.at), s.ev)
+				if diff := cmp.Diff(s.want.String(), state(m, 1).String()); diff != "" {
+					t.Fatalf("step %d (-want +got):\n%s", i, diff)
+				}
+			}
+		})
+	}
+}
+
+// TestIsolated guards against a cut-off VM that keeps or resumes work, and against a lone VM that stops.
+func TestIsolated(t *testing.T) {
+	m := &Machine{Self: record(0, 1, 0)}
+	check := func(at time.Duration, ev Event, want bool) {
+		t.Helper()
+		m.Step(start.Add(at), ev)
+		if got := m.Isolated(start.Add(at)); got != want {
+			t.Errorf("after %v: isolated %v", at, got)
+		}
+	}
+	check(0, Ticked{}, false) // no peers are known
+	check(0, Listed{Sent: start}, false)
+	check(0, Heard{[]Record{record(1, 5, 1)}}, false)
+	check(2*time.Second, Heard{[]Record{record(1, 5, 2)}}, false)
+	check(2600*time.Millisecond, Heard{[]Record{record(1, 5, 3)}}, true) // an unrequested message may be old
+	check(3*time.Second, Answered{Peer: record(1, 1, 1).ID, Sent: start.Add(time.Second)}, false)
+	check(4*time.Second, Ticked{}, true)
+	check(3*time.Hour, Ticked{}, true) // silent peers stay known
+	check(3*time.Hour, Listed{Sent: start.Add(3 * time.Hour)}, false)
+	check(4*time.Hour, Ticked{}, false) // the list confirmed that the peer is gone
+}
+
+// TestGate guards against a starting VM that takes connections of a full fleet, and against a closed gate after it was open.
+func TestGate(t *testing.T) {
+	m := &Machine{Self: record(0, 1, 0)}
+	check := func(at time.Duration, ev Event, want bool) {
+		t.Helper()
+		m.Step(start.Add(at), ev)
+		if got := m.Admitted(); got != want {
+			t.Errorf("after %v: admitted %v", at, got)
+		}
+	}
+	list := func(n int) Listed {
+		var l Listed
+		for i := range n {
+			l.VMs = append(l.VMs, ListedVM{ID: record(i+1, 1, 1).ID, Leaving: i == 0})
+		}
+		return l
+	}
+	check(0, TableAdopted{3}, false) // nothing is known of the fleet
+	check(0, list(3), false)
+	check(time.Minute, Ticked{}, false) // listed VMs that are silent still count
+	check(time.Minute, list(2), true)
+	check(2*time.Minute, list(5), true)
+}
+
+// TestRecordsBounded guards against control traffic above 3 KB/s: a message of 1.4 KB, whatever the size of the fleet.
+func TestRecordsBounded(t *testing.T) {
+	m := &Machine{Self: record(0, 1<<60, 1<<30), Random: rand.New(rand.NewPCG(1, 1))}
+	for i := 1; i < 1400; i++ {
+		m.Step(start, Heard{[]Record{record(i, 1<<60, 1<<30)}})
+	}
+	seen := map[string]bool{}
+	for range 1400 {
+		news := &exchanger.News{}
+		for i, r := range m.Records(0) {
+			if i == 0 {
+				news.Sender = r.Message()
+				continue
+			}
+			news.Members = append(news.Members, r.Message())
+			seen[r.ID] = true
+		}
+		if n := proto.Size(news); n > MaxRecordBytes || len(news.Members) < 12 {
+			t.Fatalf("a message has %d bytes and %d members", n, len(news.Members))
+		}
+	}
+	if len(seen) != 1399 {
+		t.Errorf("%d of 1399 records were sent", len(seen))
+	}
+}
+
+// TestViewsConverge guards against views that stay different, and against false suspicion while messages are lost. Each of
+// seven VMs starts with a random part of the fleet that keeps it connected; a fifth of the exchanges is lost.
+func TestViewsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const n = 7
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		ms := make([]*Machine, n)
+		index := map[string]int{}
+		for i := range ms {
+			ms[i] = &Machine{Self: record(i, 9, 0), Random: rand.New(rand.NewPCG(uint64(i), r.Uint64()))}
+			index[ms[i].Self.ID] = i
+			list := Listed{Sent: start, VMs: []ListedVM{{ID: record((i+1)%n, 1, 1).ID, PeerAddress: record((i+1)%n, 1, 1).PeerAddress}}}
+			ms[i].Step(start, list)
+		}
+		leaver := rapid.IntRange(0, n-1).Draw(t, "leaver")
+		for tick := range 150 {
+			now := start.Add(time.Duration(tick) * TickInterval)
+			if tick == 100 {
+				ms[leaver].Step(now, LeaveStarted{})
+			}
+			for _, m := range ms {
+				for _, a := range m.Step(now, Ticked{}) {
+					x, ok := a.(Exchange)
+					if !ok {
+						continue
+					}
+					if r.IntN(5) == 0 {
+						m.Step(now, ExchangeFailed{x.To.ID})
+						continue
+					}
+					peer := ms[index[x.To.ID]]
+					peer.Step(now, Heard{m.Records(0)})
+					m.Step(now, Heard{peer.Records(0)})
+					m.Step(now, Answered{x.To.ID, now})
+				}
+				if m.Isolated(now) {
+					t.Fatalf("tick %d: %s counts as isolated", tick, m.Self.ID)
+				}
+			}
+		}
+		for i, m := range ms {
+			for j := range ms {
+				want := Live
+				if j == leaver {
+					want = Leaving
+				}
+				if i != j && state(m, j) != want {
+					t.Fatalf("VM %d sees VM %d as %v", i, j, state(m, j))
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/coordination/tracker/record.go
@@ -0,0 +1,104 @@
+package tracker
+
+import (
+	"net/netip"
+	"time"
+
+	"comfreyroute/core/protocol/exchanger"
+)
+
+// State is the state of a VM in the view of another.
+type State int
+
+// The states of a VM. A gone VM is remembered for a while, so that an old record does not bring it back.
+const (
+	Live    State = iota // live
+	Suspect              // suspect
+	Leaving              // leaving
+	Gone                 // gone
+)
+
+// Record is one VM as it announces itself. Incarnation 0 belongs to a VM that is only known from the VM list.
+type Record struct {
+	ID            string
+	FailureDomain string
+	PeerAddress   netip.AddrPort
+	CallerAddress netip.AddrPort
+	Incarnation   uint64
+	Heartbeat     uint64
+	Ready         bool
+	Leaving       bool
+}
+
+// Message returns the record as peers receive it.
+func (r *Record) Message() *exchanger.VM {
+	return &exchanger.VM{
+		Id: r.ID, FailureDomain: r.FailureDomain, PeerAddress: formatAddress(r.PeerAddress), CallerAddress: formatAddress(r.CallerAddress),
+		Incarnation: r.Incarnation, Heartbeat: r.Heartbeat, Ready: r.Ready, Leaving: r.Leaving,
+	}
+}
+
+// FromMessage returns the record of a peer's message. It reports false for a record without id, incarnation or peer address.
+func FromMessage(vm *exchanger.VM) (Record, bool) {
+	peer, err := netip.ParseAddrPort(vm.GetPeerAddress())
+	caller, _ := netip.ParseAddrPort(vm.GetCallerAddress())
+	r := Record{
+		ID: vm.GetId(), FailureDomain: vm.GetFailureDomain(), PeerAddress: peer, CallerAddress: caller,
+		Incarnation: vm.GetIncarnation(), Heartbeat: vm.GetHeartbeat(), Ready: vm.GetReady(), Leaving: vm.GetLeaving(),
+	}
+	return r, err == nil && r.ID != "" && r.Incarnation > 0
+}
+
+func formatAddress(a netip.AddrPort) string {
+	if !a.IsValid() {
+		return ""
+	}
+	return a.String()
+}
+
+// Member is one VM in the view.
+type Member struct {
+	Record Record
+	State  State
+}
+
+// entry is what the view holds about one VM.
+type entry struct {
+	record   Record
+	state    State
+	heard    time.Time // when the heartbeat last rose, or when the VM was first listed
+	since    time.Time // when the state was entered
+	listed   bool      // in the latest VM list
+	dropped  bool      // a VM list that was read while it was silent does not have it
+	left     bool      // it said that it is leaving, or the platform says that it is leaving or does not exist
+	listLeft bool      // the list says leaving for the incarnation listSeen
+	listSeen uint64
+	sent     uint64 // number of the last message that carried the record
+	urgent   int    // messages that shall still carry the record first
+}
+
+// merge takes a heard record when it is newer. It reports whether it was.
+func (e *entry) merge(now time.Time, r Record) bool {
+	old := e.record
+	switch {
+	case r.Incarnation < old.Incarnation:
+		return false
+	case r.Incarnation > old.Incarnation:
+		e.record, e.urgent = r, urgentMessages
+	default:
+		leaving := r.Leaving && !old.Leaving
+		if r.Heartbeat <= old.Heartbeat && !leaving {
+			return false
+		}
+		if r.Heartbeat > old.Heartbeat {
+			e.record = r
+		}
+		// Leaving is final for an incarnation, whatever order the records arrive in.
+		e.record.Leaving = old.Leaving || r.Leaving
+		if leaving {
+			e.urgent = urgentMessages
+		}
+	}
+	e.heard, e.dropped = now, false
+	return true
+}
