Decide the order of a graceful shutdown

A shutdown must interrupt nothing in flight and must end.

Ruled out: ending on the first empty count of work, because a count from before admission is closed can miss a request that was admitted after it; waiting for issued tickets, because an unused ticket never runs after its VM is gone.

--- /dev/null
+++ b/core/coordination/drainer/doc.go
@@ -0,0 +1,6 @@
+// Package drainer decides the order of a graceful shutdown, so that no request in flight is interrupted.
+//
+// The package does no I/O and reads no clock.
+package drainer
+
+//go:generate stringer -type=Phase -linecomment -output=phase_string.go
