Test that the return of the platform brings no burst of calls

Pacer.Heard also shortens a long back-off delay when a peer has reached the platform.

The budget of all VMs together is 300 calls/s.

--- a/core/coordination/pacer/pacer.go
+++ b/core/coordination/pacer/pacer.go
@@ -13,6 +13,7 @@
 	DefaultBurst = 5
 	DefaultBase  = 100 * time.Millisecond // first back-off delay
 	DefaultCap   = 30 * time.Second       // longest back-off delay; 1,400 VMs then make 47 calls/s
+	HeardDelay   = 2 * time.Second        // back-off delay after news of the platform's return; 1,400 VMs then make 700 calls/s
 )
 
 // Pacer is the call budget and the back-off of one concern. Its zero value uses the defaults and has no jitter.
@@ -57,6 +58,14 @@
 	p.failures, p.next = 0, time.Time{}
 }
 
+// Heard shortens the back-off delay to about HeardDelay, because another VM is known to have an answer from the platform.
+// Without it a VM could take the cap of the delay to notice the end of an outage.
+func (p *Pacer) Heard(now time.Time) {
+	if at := now.Add(Jitter(p.Random, HeardDelay)); p.failures > 0 && p.next.After(now.Add(HeardDelay*3/2)) {
+		p.next = at
+	}
+}
+
 // Failing reports whether the last call had no answer.
 func (p *Pacer) Failing() bool { return p.failures > 0 }
 
--- /dev/null
+++ b/core/coordination/pacer/pacer_test.go
@@ -0,0 +1,103 @@
+package pacer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Capacity of the platform (docs/design.md 1.4), in writes per second: "several hundred".
+const platformWrites = 300
+
+// TestReturnOfPlatform guards against a burst of calls when the platform returns after an outage of an hour. Every VM has
+// more demand than its share of the platform's capacity the whole time. A call without an answer fails after 500 ms.
+func TestReturnOfPlatform(t *testing.T) {
+	const step = 10 * time.Millisecond
+	for _, n := range []int{7, 100} {
+		t.Run(fmt.Sprint(n, " VMs"), func(t *testing.T) {
+			start := time.Unix(1_800_000_000, 0)
+			returns := start.Add(time.Hour)
+			vms := make([]*Pacer, n)
+			pending := make([]time.Time, n) // when the call in progress fails
+			for i := range vms {
+				vms[i] = &Pacer{Rate: platformWrites / float64(n), Random: rand.New(rand.NewPCG(uint64(i), 1))}
+			}
+			during, after := 0, make([]int, 60)
+			for now := start; now.Before(returns.Add(time.Minute)); now = now.Add(step) {
+				up := !now.Before(returns)
+				for i, p := range vms {
+					if !pending[i].IsZero() && now.Before(pending[i]) {
+						continue
+					}
+					if !pending[i].IsZero() {
+						p.Failed(now)
+						pending[i] = time.Time{}
+					}
+					for p.Take(now) {
+						if !up {
+							during++
+							pending[i] = now.Add(500 * time.Millisecond)
+							break
+						}
+						after[int(now.Sub(returns)/time.Second)]++
+						p.Answered(now)
+					}
+				}
+			}
+			t.Logf("calls during the outage: %d; in each second after it: %v", during, after)
+			for s, calls := range after {
+				// Bursts of single VMs add at most one call each to a second.
+				if calls > platformWrites+n {
+					t.Errorf("second %d: %d calls", s, calls)
+				}
+			}
+			// An hour has 120 back-off delays of 30 s; the shorter first delays add fewer than 20.
+			if most := n * 140; during > most {
+				t.Errorf("%d calls during the outage, at most %d are allowed", during, most)
+			}
+			if after[59] < platformWrites*9/10 {
+				t.Errorf("a minute after the return only %d calls/s are made", after[59])
+			}
+		})
+	}
+}
+
+// TestTake guards against calls above the rate and against a zero value that does not work.
+func TestTake(t *testing.T) {
+	var p Pacer
+	now := time.Unix(1_800_000_000, 0)
+	taken := 0
+	for range 10_000 {
+		if p.Take(now) {
+			taken++
+		}
+		now = now.Add(time.Millisecond)
+	}
+	if most := DefaultBurst + 10*int(DefaultRate); taken > most || taken < most-1 {
+		t.Errorf("%d calls in 10 s, %d are allowed", taken, most)
+	}
+	p.Failed(now)
+	if p.Take(now.Add(DefaultBase-1)) || !p.Take(now.Add(DefaultBase)) || p.Take(now.Add(DefaultBase)) {
+		t.Error("the back-off delay is not kept")
+	}
+}
+
+// TestHeard guards against a VM that waits out a long delay although the platform is back, and against one whose delay is
+// postponed by each further message.
+func TestHeard(t *testing.T) {
+	var p Pacer
+	now := time.Unix(1_800_000_000, 0)
+	for range 20 {
+		p.Failed(now)
+	}
+	for at := time.Duration(0); at < HeardDelay; at += 100 * time.Millisecond {
+		p.Heard(now.Add(at))
+		if p.Take(now.Add(at)) {
+			t.Fatalf("a call after %v", at)
+		}
+	}
+	if !p.Take(now.Add(HeardDelay)) {
+		t.Error("no call after the delay")
+	}
+}
