Write the operators' table and the VM list of a deployment

An experiment needs a complete platform before the operator CLI exists. The stored values come from the tabler package, so that their form cannot differ from what the daemon reads.

--- a/upstreams/describer/describer_test.go
+++ b/upstreams/describer/describer_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"comfreyroute/core/state/tabler"
 )
 
 // TestDeployments guards against deployment files that differ from the sizes in docs/design.md, section 1.6.
@@ -34,6 +36,11 @@
 		if diff := cmp.Diff(c.servers, got); diff != "" {
 			t.Errorf("%s: servers (-want +got):\n%s", c.file, diff)
 		}
+		for _, v := range d.Table() {
+			if _, err := tabler.Encode(v); err != nil {
+				t.Errorf("%s: table: %v", c.file, err)
+			}
+		}
 		if len(addresses) != len(d.Servers()) || len(domains) != c.domains {
 			t.Errorf("%s: %d addresses of %d servers, %d failure domains", c.file, len(addresses), len(d.Servers()), len(domains))
 		}
--- a/upstreams/main.go
+++ b/upstreams/main.go
@@ -3,24 +3,31 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"comfreyroute/core/transport/keeper"
 	"comfreyroute/upstreams/describer"
 	"comfreyroute/upstreams/internal/server"
+	"comfreyroute/upstreams/publisher"
 )
 
 func main() {
 	deployment := flag.String("deployment", "", "INI file that describes the deployment")
 	control := flag.String("control", "", "address of the control interface, ip:port; none without it")
 	table := flag.Bool("print-table", false, "print the operators' table of the deployment as JSON and exit")
+	publish := flag.String("publish", "", "write the operators' table to the platform at this address, ip:port")
+	list := flag.String("list", "", "add the servers to the VM list of the platform fake by its control address, ip:port")
 	flag.Parse()
 	log, err := zap.NewProduction()
 	if err != nil {
@@ -32,7 +39,9 @@
 	case *table:
 		err = printTable(os.Stdout, d)
 	default:
-		err = run(d, *control, log)
+		if err = publishAll(d, *publish, *list); err == nil {
+			err = run(d, *control, log)
+		}
 	}
 	if err != nil {
 		log.Error("upstreams: stopped", zap.Error(err))
@@ -40,6 +49,31 @@
 	}
 }
 
+// publishAll brings the table and the VM list to the platform, where an address is given.
+func publishAll(d *describer.Deployment, platform, control string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
+	defer cancel()
+	if platform != "" {
+		a, err := netip.ParseAddrPort(platform)
+		if err != nil {
+			return eris.Wrap(err, "flag publish")
+		}
+		if err := publisher.Table(ctx, &keeper.Client{Address: a}, d); err != nil {
+			return err
+		}
+	}
+	if control == "" {
+		return nil
+	}
+	a, err := netip.ParseAddrPort(control)
+	if err != nil {
+		return eris.Wrap(err, "flag list")
+	}
+	return publisher.List(ctx, a, d.Listed())
+}
+
+const publishTimeout = 10 * time.Second
+
 func run(d *describer.Deployment, control string, log *zap.Logger) error {
 	f := server.NewFleet(d)
 	if err := f.Listen(); err != nil {
--- /dev/null
+++ b/upstreams/publisher/publisher.go
@@ -0,0 +1,60 @@
+// Package publisher brings the operators' table and the VM list of a deployment to the platform fake, so that a test or an
+// experiment starts from a complete platform without the operator CLI.
+package publisher
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+
+	"comfreyroute/core/protocol/encoder"
+	"comfreyroute/core/state/tabler"
+	"comfreyroute/core/transport/keeper"
+	"comfreyroute/upstreams/describer"
+)
+
+// Table writes the table values of a deployment. It replaces the values that the store holds.
+func Table(ctx context.Context, c *keeper.Client, d *describer.Deployment) error {
+	for _, v := range d.Table() {
+		data, err := tabler.Encode(v)
+		if err != nil {
+			return err
+		}
+		key := tabler.Key(v.Service.Service)
+		old := c.Get(ctx, key)
+		if old.Status != keeper.OK {
+			return eris.Wrapf(old.Err, "publish %s: %s", key, old.Status)
+		}
+		if w := c.Put(ctx, key, data, old.Item.Revision, 0); w.Status != keeper.OK {
+			return eris.Errorf("publish %s: %s: %v", key, w.Status, w.Err)
+		}
+	}
+	return nil
+}
+
+// List adds VMs to the VM list by the platform fake's control interface.
+func List(ctx context.Context, control netip.AddrPort, vms []encoder.ListedVM) error {
+	body, err := json.Marshal(map[string]any{"set": vms})
+	if err != nil {
+		return eris.Wrap(err, "publish VM list")
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+control.String()+"/control", bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "publish VM list")
+	}
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return eris.Wrap(err, "publish VM list")
+	}
+	defer func() { _ = a.Body.Close() }()
+	if a.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(a.Body, 1000))
+		return eris.Errorf("publish VM list: HTTP status %d: %s", a.StatusCode, text)
+	}
+	return nil
+}
