--- /dev/null
+++ b/operator/internal/commander/fleet.go
@@ -0,0 +1,156 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/url"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
+
+	"comfreyroute/core/state/reporter"
+)
+
+func (e *environment) fleetCommands() []subcommands.Command {
+	var html bool
+	return []subcommands.Command{
+		&command{
+			name: "status", usage: "status",
+			synopsis: "show every VM: readiness, revisions in effect, peers, upstreams out of use, budgets",
+			execute:  func(ctx context.Context, _ []string) subcommands.ExitStatus { return e.status(ctx) },
+		},
+		&command{
+			name: "burn", usage: "burn [-html]",
+			synopsis: "show the service-level burn report of the fleet",
+			flags:    func(f *flag.FlagSet) { f.BoolVar(&html, "html", false, "print the HTML page") },
+			execute:  func(ctx context.Context, _ []string) subcommands.ExitStatus { return e.burn(ctx, html) },
+		},
+		&command{
+			name: "outcome", usage: "outcome KEY|TICKET",
+			synopsis: "look up what became of the call with an idempotency key or a ticket, without running it",
+			execute:  e.outcome,
+		},
+	}
+}
+
+// fleetStatus is the part of /admin/fleet that the text form shows.
+type fleetStatus struct {
+	VMs []struct {
+		VM        string            `json:"vm"`
+		Domain    string            `json:"domain"`
+		Ready     bool              `json:"ready"`
+		Reason    string            `json:"reason"`
+		Requests  int               `json:"requests"`
+		Peers     int               `json:"peers"`
+		Contact   int64             `json:"contact"` // ms since the freshest known contact with the platform, -1 for none
+		Revisions map[string]uint64 `json:"revisions"`
+		Out       []struct {
+			Service  string `json:"service"`
+			Upstream string `json:"upstream"`
+			Why      string `json:"why"`
+		} `json:"out"`
+		Suspicions int                `json:"suspicions"`
+		Budgets    map[string]float64 `json:"budgets"`
+	} `json:"vms"`
+	Unreachable []string `json:"unreachable"`
+}
+
+func (e *environment) status(ctx context.Context) subcommands.ExitStatus {
+	data, code, err := e.get(ctx, "/admin/fleet", nil)
+	if err != nil {
+		return e.fail(code, err)
+	}
+	if e.json {
+		_, _ = e.out.Write(data)
+		return ExitDone
+	}
+	var s fleetStatus
+	if err := json.Unmarshal(data, &s); err != nil {
+		return e.fail(ExitUnavailable, eris.Wrap(err, "status"))
+	}
+	t := tabwriter.NewWriter(e.out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "VM\tDOMAIN\tREADY\tREQUESTS\tPEERS\tPLATFORM\tSUSPICIONS\tREVISIONS\tBUDGETS")
+	for _, v := range s.VMs {
+		ready := "yes"
+		if !v.Ready {
+			ready = "no: " + v.Reason
+		}
+		contact := "never"
+		if v.Contact >= 0 {
+			contact = fmt.Sprintf("%d ms ago", v.Contact)
+		}
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%s\t%d\t%s\t%s\n", v.VM, v.Domain, ready, v.Requests, v.Peers, contact, v.Suspicions,
+			pairs(v.Revisions), pairs(v.Budgets))
+	}
+	if err := t.Flush(); err != nil {
+		return e.fail(ExitUnavailable, err)
+	}
+	for _, v := range s.VMs {
+		for _, o := range v.Out {
+			_, _ = fmt.Fprintf(e.out, "%s: %s/%s gets no new work: %s\n", v.VM, o.Service, o.Upstream, o.Why)
+		}
+	}
+	for _, v := range s.Unreachable {
+		_, _ = fmt.Fprintf(e.out, "%s could not be reached\n", v)
+	}
+	return ExitDone
+}
+
+// pairs prints a map in the order of its keys.
+func pairs[V uint64 | float64](m map[string]V) string {
+	var parts []string
+	for k, v := range m {
+		parts = append(parts, fmt.Sprintf("%s=%.4v", k, v))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
+
+func (e *environment) burn(ctx context.Context, html bool) subcommands.ExitStatus {
+	data, code, err := e.get(ctx, "/admin/burn", nil)
+	if err != nil {
+		return e.fail(code, err)
+	}
+	if e.json {
+		_, _ = e.out.Write(data)
+		return ExitDone
+	}
+	var r reporter.Report
+	if err := json.Unmarshal(data, &r); err != nil {
+		return e.fail(ExitUnavailable, eris.Wrap(err, "burn report"))
+	}
+	write := r.WriteText
+	if html {
+		write = r.WriteHTML
+	}
+	if err := write(e.out); err != nil {
+		return e.fail(ExitUnavailable, err)
+	}
+	return ExitDone
+}
+
+func (e *environment) outcome(ctx context.Context, arguments []string) subcommands.ExitStatus {
+	if len(arguments) != 1 {
+		return e.fail(ExitUsage, eris.New("outcome: one key or ticket is needed"))
+	}
+	data, code, err := e.get(ctx, "/admin/outcome", url.Values{"id": arguments})
+	if err != nil {
+		return e.fail(code, err)
+	}
+	_, _ = e.out.Write(data)
+	return ExitDone
+}
+
+func (e *environment) get(ctx context.Context, path string, query url.Values) ([]byte, int, error) {
+	i, err := e.inspector()
+	if err != nil {
+		return nil, ExitUsage, err
+	}
+	data, err := i.Get(ctx, path, query)
+	return data, ExitUnavailable, err
+}
