--- a/core/coordination/router/attempt.go
+++ b/core/coordination/router/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"comfreyroute/core/coordination/quarantiner"
 	"comfreyroute/core/coordination/selector"
 )
 
@@ -18,17 +19,18 @@
 
 // attempt is one sub-request at one upstream until the transport reports its end.
 type attempt struct {
-	id        AttemptID // 0 for a free place
-	request   *request  // nil once nothing waits for the reply
-	service   *service
-	sub       int
-	upstream  int // index in the service's set, -1 after a table change removed it
-	group     int // of the upstream, for its wait queue
-	name      string
-	sent      time.Time
-	deadline  time.Time
-	hedge     bool
-	cancelled bool
+	id          AttemptID // 0 for a free place
+	request     *request  // nil once nothing waits for the reply
+	service     *service
+	sub         int
+	upstream    int // index in the service's set, -1 after a table change removed it
+	group       int // of the upstream, for its wait queue
+	name        string
+	incarnation uint64
+	sent        time.Time
+	deadline    time.Time
+	hedge       bool
+	cancelled   bool
 }
 
 // attempts is the table of attempts in flight. A place is found by the low bits of the id, without a map.
@@ -73,8 +75,9 @@
 }
 
 // end removes an attempt whose end the transport reported and frees its in-flight place at the upstream.
-func (m *Machine) end(now time.Time, a *attempt, kind selector.ResultKind) attempt {
+func (m *Machine) end(now time.Time, a *attempt, kind selector.ResultKind, how quarantiner.EndKind) attempt {
 	out := m.attempts.remove(a)
+	m.ended(now, &out, how)
 	if out.upstream >= 0 {
 		out.service.set.Finished(now, out.upstream, selector.Result{Latency: now.Sub(out.sent), Kind: kind})
 	}
@@ -107,7 +110,7 @@
 			continue
 		}
 		m.stats.Reaped++
-		out := m.end(now, a, selector.Unattributed)
+		out := m.end(now, a, selector.Unattributed, quarantiner.Other)
 		if out.request != nil {
 			m.failed(now, &out, failure{reason: reasonTimeout, possiblyRun: true})
 		}
--- a/core/coordination/router/config.go
+++ b/core/coordination/router/config.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"comfreyroute/core/coordination/quarantiner"
 	"comfreyroute/core/coordination/selector"
 )
 
@@ -20,6 +21,7 @@
 func (m *Machine) Configure(c Config) {
 	m.config = c
 	m.random = c.Random
+	m.quarantine.Configure(c.VM, quarantiner.Settings{})
 }
 
 // Stats counts what the router saw and did since it started.
--- a/core/coordination/router/dispatch.go
+++ b/core/coordination/router/dispatch.go
@@ -93,6 +93,10 @@
 	a := m.attempts.add()
 	a.request, a.service, a.sub, a.upstream, a.group = r, s, g, i, s.groupOf(i)
 	a.name, a.sent, a.deadline, a.hedge = u.Row.Upstream, now, r.until, hedge
+	if b.attempts == 0 && !r.restarted {
+		s.budget.Primary(1)
+		m.stats.Primaries++
+	}
 	b.tried[b.attempts] = i
 	b.attempts++
 	b.attach(a.id)
@@ -102,6 +106,7 @@
 		Query: r.query, Body: r.body, Version: r.version(), Deadline: r.until, Caller: r.caller,
 	})
 	s.set.Started(now, i)
+	m.sent(now, r, a, u)
 	if !hedge && m.mayHedge(r) {
 		b.hedgeAt = now.Add(s.delays(now).hedge)
 		m.soon(r, b.hedgeAt)
@@ -154,6 +159,9 @@
 	}
 	b.possiblyRun = b.possiblyRun || f.possiblyRun
 	b.reason, b.retryAfter = f.reason, f.retryAfter
+	if r.probeGroup != noProbe && f.possiblyRun && f.reason == reasonReset {
+		m.probeReset(now, a)
+	}
 	if r.kind == encoder.SubCall {
 		m.callFailed(now, r, f)
 		return
@@ -165,6 +173,13 @@
 		}
 		return
 	}
+	if f.possiblyRun && r.probeGroup != noProbe {
+		m.settleFailed(now, r, a.sub)
+		return
+	}
+	if f.reason == reasonReset && f.possiblyRun && m.hold(now, r, a.sub) {
+		return
+	}
 	if m.retry(now, r, a.sub, f.unsent) {
 		return
 	}
@@ -178,6 +193,10 @@
 func (m *Machine) settleFailed(now time.Time, r *request, g int) {
 	r.subs[g].state = subFailed
 	r.pending--
+	if r.probeGroup != noProbe && r.kind == encoder.SubSearch {
+		m.giveUp(now, r, reasonSuspect)
+		return
+	}
 	m.completeIfSettled(now, r)
 }
 
--- a/core/coordination/router/event.go
+++ b/core/coordination/router/event.go
@@ -86,6 +86,9 @@
 	NextProbe time.Time
 }
 
+// FleetSeen brings the ids of the entry VMs in this VM's view, itself included. They decide which VM probes a suspect.
+type FleetSeen struct{ VMs []string }
+
 // TimerFired tells that the time of the last Wake action was reached.
 type TimerFired struct{}
 
@@ -99,4 +102,5 @@
 func (ConnectionsChanged) isEvent()  {}
 func (UpstreamLeaving) isEvent()     {}
 func (SuspicionHeard) isEvent()      {}
+func (FleetSeen) isEvent()           {}
 func (TimerFired) isEvent()          {}
--- a/core/coordination/router/hedge.go
+++ b/core/coordination/router/hedge.go
@@ -118,6 +118,8 @@
 			if !b.hedgeAt.IsZero() {
 				m.soon(r, b.hedgeAt)
 			}
+		case subHeld:
+			m.lookHeld(now, r, g)
 		case subWaiting:
 			m.drain(r.service, r.service.waitQueue(g))
 			m.soon(r, now.Add(r.service.delays(now).hedge))
@@ -143,6 +145,9 @@
 		return
 	}
 	b.hedgeAt = now.Add(r.service.delays(now).hedge)
+	if r.probeGroup != noProbe || m.quarantine.Suspicious(r.signature) {
+		return
+	}
 	i, ok := m.pick(now, r, g)
 	if !ok {
 		return
--- a/core/coordination/router/machine.go
+++ b/core/coordination/router/machine.go
@@ -6,13 +6,14 @@
 	"strings"
 	"time"
 
+	"comfreyroute/core/coordination/quarantiner"
 	"comfreyroute/core/coordination/selector"
 	"comfreyroute/core/protocol/encoder"
 	"comfreyroute/core/state/tabler"
 )
 
 const (
-	// choreInterval is how often attempts without a reported end are looked for.
+	// choreInterval is how often attempts without a reported end and upstreams without work are looked for.
 	choreInterval = time.Second
 	// fixedSeed seeds the generator of a machine that got none.
 	fixedSeed = 1
@@ -21,21 +22,23 @@
 // Machine is the query state machine of one VM. The zero value is usable and knows no service until TableAdopted. It is not
 // safe for concurrent use.
 type Machine struct {
-	config   Config
-	random   *rand.Rand
-	table    *tabler.Snapshot
-	services []*service // in order of first adoption, so that iteration is deterministic
-	byName   map[string]*service
-	requests map[RequestID]*request
-	attempts attempts
-	timers   timers
-	chore    time.Time
-	wake     time.Time // time of the last Wake that did not fire yet
-	actions  []Action
-	ready    []readyQueue
-	touched  []*service
-	marks    marks
-	stats    Stats
+	config     Config
+	random     *rand.Rand
+	table      *tabler.Snapshot
+	services   []*service // in order of first adoption, so that iteration is deterministic
+	byName     map[string]*service
+	requests   map[RequestID]*request
+	attempts   attempts
+	timers     timers
+	chore      time.Time
+	wake       time.Time // time of the last Wake that did not fire yet
+	actions    []Action
+	ready      []readyQueue
+	touched    []*service
+	marks      marks
+	quarantine quarantiner.Machine
+	trials     []trial
+	stats      Stats
 }
 
 // Step applies one event and returns the actions to carry out, in order. Events come with times that do not decrease.
@@ -81,10 +84,13 @@
 	case UpstreamSeen:
 		if s := m.find(e.Service); s != nil && e.Reply != nil {
 			if i, ok := s.set.Index(e.Reply.Upstream); ok {
-				m.observe(now, s, i, e.Reply)
+				m.seen(now, s, i, e.Reply)
 			}
 		}
 	case UpstreamUnreachable:
+		if s, i := m.upstream(e.Service, e.Upstream); i >= 0 {
+			m.unreachable(now, s, i, e.Refused)
+		}
 	case ConnectionsChanged:
 		if s, i := m.upstream(e.Service, e.Upstream); i >= 0 {
 			s.set.SetConnections(now, i, e.Open)
@@ -96,6 +102,10 @@
 			m.refresh(now, s, i)
 		}
 	case SuspicionHeard:
+		m.quarantine.Heard(now, quarantiner.Suspicion(e))
+		m.spread()
+	case FleetSeen:
+		m.quarantine.SetMembers(e.VMs)
 	case TimerFired:
 		m.wake = time.Time{}
 	}
@@ -128,7 +138,7 @@
 	if !belongs {
 		kind = selector.Unattributed
 	}
-	out := m.end(now, a, kind)
+	out := m.end(now, a, kind, endOf(e.Reply.Status))
 	if belongs && out.upstream >= 0 {
 		m.observe(now, out.service, out.upstream, e.Reply)
 	}
@@ -158,6 +168,14 @@
 	}
 }
 
+// endOf tells the quarantine whether an upstream ran a request and survived it.
+func endOf(s encoder.SubStatus) quarantiner.EndKind {
+	if s == encoder.StatusOK || s == encoder.StatusError {
+		return quarantiner.Replied
+	}
+	return quarantiner.Other
+}
+
 func (m *Machine) attemptFailed(now time.Time, e AttemptFailed) {
 	a := m.attempts.find(e.Attempt)
 	if a == nil {
@@ -174,7 +192,19 @@
 	case FailureCancelled:
 		kind = selector.Cancelled
 	}
-	out := m.end(now, a, kind)
+	how := quarantiner.Other
+	if e.Failure == FailureReset && e.Written {
+		how = quarantiner.Reset
+	}
+	out := m.end(now, a, kind, how)
+	if out.upstream >= 0 {
+		switch e.Failure {
+		case FailureRefused:
+			m.refused(now, out.service, out.name)
+		case FailureReset, FailureUnresponsive:
+			m.probe(now, out.service, out.upstream)
+		}
+	}
 	if out.request != nil {
 		m.failed(now, &out, failure{reason: reasonOf(e.Failure), possiblyRun: e.Written, unsent: !e.Written})
 	}
@@ -204,13 +234,25 @@
 	}
 	if !m.chore.IsZero() && !m.chore.After(now) {
 		m.reap(now)
+		m.probeStopped(now)
 		m.chore = time.Time{}
 	}
-	if m.chore.IsZero() && len(m.attempts.places) > len(m.attempts.free) {
+	if m.chore.IsZero() && len(m.services) > 0 {
 		m.chore = now.Add(choreInterval)
 	}
 }
 
+// probeStopped asks for the state of the upstreams that get no work, so that they are seen when they are back.
+func (m *Machine) probeStopped(now time.Time) {
+	for _, s := range m.services {
+		for i := range s.set.Len() {
+			if u := s.set.At(i); u.Row.Weight > 0 && !u.Allowed() {
+				m.probe(now, s, i)
+			}
+		}
+	}
+}
+
 // armWake asks for a timer when the next due time is earlier than the one asked for. A later due time needs no new Wake:
 // the earlier one fires once without effect.
 func (m *Machine) armWake(now time.Time) {
--- a/core/coordination/router/point.go
+++ b/core/coordination/router/point.go
@@ -10,8 +10,6 @@
 func (m *Machine) startPoint(now time.Time, r *request) {
 	r.subs = make([]sub, 1)
 	r.pending = 1
-	r.service.budget.Primary(1)
-	m.stats.Primaries++
 	m.first(now, r, 0)
 }
 
@@ -43,6 +41,7 @@
 
 func (m *Machine) pointReplied(now time.Time, a *attempt, reply *encoder.SubReply) {
 	r := a.request
+	m.probeReplied(now, r)
 	m.cancelAll(now, &r.subs[0])
 	m.answerPoint(now, r, &encoder.CallAnswer{Outcome: encoder.OutcomeDone, Upstream: a.name, Result: reply.Result})
 }
@@ -75,7 +74,7 @@
 // pointDeadline answers a lookup or a call at its deadline. An attempt in flight may have run.
 func (m *Machine) pointDeadline(now time.Time, r *request) {
 	b := &r.subs[0]
-	if b.state == subSent {
+	if b.state == subSent || b.state == subHeld {
 		b.reason = reasonTimeout
 		b.possiblyRun = b.possiblyRun || b.running() > 0
 	} else {
--- /dev/null
+++ b/core/coordination/router/property_test.go
@@ -0,0 +1,68 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"comfreyroute/core/protocol/encoder"
+
+	"pgregory.net/rapid"
+)
+
+// TestRandomEvents guards against any sequence of requests, faults, table changes and index versions that breaks an
+// invariant: one version for each answer, every shard listed once, one answer for each caller that waits, calls that run at
+// most once, the budget in every window, nothing for an upstream or a caller that is gone.
+func TestRandomEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"))
+		share := rapid.SampledFrom([]float64{0, 0.1, 0.5, 0.9}).Draw(t, "share of faults")
+		kinds := rapid.SliceOfNDistinct(rapid.IntRange(1, int(faultCount)-1), 1, 6, rapid.ID).Draw(t, "faults")
+		w.draw = func() fault {
+			if w.random.Float64() >= share {
+				return faultNone
+			}
+			return fault(kinds[w.random.IntN(len(kinds))])
+		}
+		var last RequestID
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			switch rapid.IntRange(0, 11).Draw(t, "event") {
+			case 0, 1, 2, 3, 4:
+				last++
+				w.step(RequestArrived{
+					Request: last, Service: "matching", Kind: encoder.SubSearch, Caller: fmt.Sprint(last % 3), Query: fmt.Sprint(last % 5),
+				})
+			case 5:
+				last++
+				w.step(RequestArrived{Request: last, Service: "profiles", Kind: encoder.SubLookup, Query: fmt.Sprint(last)})
+			case 6, 7:
+				last++
+				w.step(RequestArrived{Request: last, Service: "profiles", Kind: encoder.SubCall, Body: []byte(fmt.Sprint(last))})
+			case 8:
+				if last > 0 {
+					w.step(CallerGone{RequestID(rapid.Uint64Range(1, uint64(last)).Draw(t, "gone"))})
+				}
+			case 9:
+				w.step(TableAdopted{testTable(testGroups, rapid.IntRange(1, 4).Draw(t, "replicas"))})
+			case 10:
+				w.version++
+			case 11:
+				w.step(UpstreamUnreachable{Service: "matching", Upstream: "u1-1", Refused: true})
+			}
+			w.run(w.now.Add(time.Duration(rapid.IntRange(0, 30000).Draw(t, "gap")) * time.Microsecond))
+		}
+		w.run(w.now.Add(2 * time.Second))
+		if w.err == nil {
+			w.err = w.checker.finished()
+		}
+		if w.err != nil {
+			t.Fatal(w.err)
+		}
+		if n := len(w.machine.attempts.places) - len(w.machine.attempts.free); n != 0 {
+			t.Fatalf("%d attempts are never freed", n)
+		}
+		if n := len(w.machine.requests) + len(w.machine.timers); n != 0 {
+			t.Fatalf("%d requests or timers are never freed", n)
+		}
+	})
+}
--- a/core/coordination/router/request.go
+++ b/core/coordination/router/request.go
@@ -38,6 +38,8 @@
 	query       string
 	body        json.RawMessage
 	minCoverage float64
+	signature   uint64
+	probeGroup  int // group of the only sub-request of a suspect that is probed, noProbe for others
 	state       requestState
 	began       time.Time
 	until       time.Time // when it is answered at the latest
@@ -57,6 +59,7 @@
 	subIdle subState = iota
 	subWaiting
 	subSent
+	subHeld // reset without an explanation
 	subDone
 	subFailed
 )
@@ -128,7 +131,7 @@
 	s := m.find(e.Service)
 	r := &request{
 		id: e.Request, caller: e.Caller, service: s, kind: e.Kind, query: e.Query, body: e.Body,
-		minCoverage: e.MinCoverage, place: -1,
+		minCoverage: e.MinCoverage, signature: signature(&e), probeGroup: noProbe, place: -1,
 	}
 	if s == nil || s.removed {
 		m.reject(r, reasonUnknownService, 0)
@@ -154,6 +157,9 @@
 func (m *Machine) start(now time.Time, r *request) {
 	r.state = stateRunning
 	r.began = now
+	if !m.cleared(now, r) {
+		return
+	}
 	if r.kind == encoder.SubSearch {
 		m.startSearch(now, r)
 	} else {
--- a/core/coordination/router/search.go
+++ b/core/coordination/router/search.go
@@ -14,8 +14,6 @@
 	r.subs = make([]sub, len(s.members))
 	r.pending = len(r.subs)
 	m.grow(len(r.subs))
-	s.budget.Primary(len(r.subs))
-	m.stats.Primaries += uint64(len(r.subs))
 	if len(r.subs) == 0 {
 		m.completeSearch(now, r)
 		return
@@ -31,7 +29,7 @@
 		if r.state != stateRunning || r.index != x {
 			return
 		}
-		if r.subs[g].state == subIdle {
+		if r.subs[g].state == subIdle && (r.probeGroup == noProbe || r.probeGroup%len(r.subs) == g) {
 			m.first(now, r, g)
 		}
 	}
@@ -59,6 +57,7 @@
 	b.state = subDone
 	m.cancelAll(now, b)
 	r.pending--
+	m.probeReplied(now, r)
 	m.completeIfSettled(now, r)
 }
 
@@ -154,6 +153,11 @@
 		switch b.state {
 		case subIdle, subWaiting:
 			b.reason = reasonBusy
+			if r.probeGroup != noProbe {
+				b.reason = reasonSuspect
+			}
+		case subHeld:
+			b.reason = reasonSuspect
 		case subSent:
 			b.reason = reason
 			b.possiblyRun = true
--- a/core/coordination/router/service.go
+++ b/core/coordination/router/service.go
@@ -35,6 +35,7 @@
 	queue      admitter.Queue
 	rate       limiter.Rate
 	touched    bool // in Machine.touched
+	probedAt   []time.Time
 	capacityAt time.Time
 }
 
@@ -124,7 +125,7 @@
 	s.budget.Configure(row.HedgeBudget, max(minBudgetTokens, int(budgetSearches*row.HedgeBudget*float64(groups))))
 	s.queue.Configure(s.row, m.table.FleetMax())
 	s.rate.Configure(row.RequestLimit, m.table.FleetMax())
-	s.capacityAt = time.Time{}
+	s.capacityAt, s.probedAt = time.Time{}, nil
 	m.touch(s)
 	s.catalog = catalog{}
 	for g, members := range s.members {
@@ -212,10 +213,15 @@
 func (m *Machine) observe(now time.Time, s *service, i int, r *encoder.SubReply) {
 	u := s.set.At(i)
 	held, allowed := u.Held, u.Allowed()
-	_, drainChanged := s.set.Observe(now, i, r)
+	restarted, drainChanged := s.set.Observe(now, i, r)
 	if drainChanged {
 		m.emit(SpreadDrain{Service: s.name, Upstream: u.Row.Upstream, Incarnation: u.Incarnation, Leaving: u.Draining})
 	}
+	if restarted {
+		m.quarantine.Restarted(now, s.name, u.Row.Upstream, u.Incarnation)
+		m.settleTrials(now, s, u.Row.Upstream, u.Incarnation)
+		m.spread()
+	}
 	if u.Allowed() != allowed || !sameHeld(held, u.Held) {
 		m.refresh(now, s, i)
 	}
