Add bench with open-loop load and paired experiments

Latency and coverage claims need a load that does not slow down with the system, answers that are verified shard by shard, and a baseline under the same conditions. bench load sends the load and verifies the answers; bench experiment runs two policies on two complete sets of processes in alternating blocks with the same seeds.

Each set has its own fakes instead of sharing them: with shared fakes the entry VMs of both policies would count against one connection limit, and 14 of them exceed fleet_max.

Not yet run against the entry daemon.

--- /dev/null
+++ b/bench/experiment.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
+
+	"comfreyroute/bench/internal/plotter"
+	"comfreyroute/bench/internal/runner"
+)
+
+// Modes of the written files.
+const (
+	directoryMode = 0o755
+	fileMode      = 0o644
+)
+
+// experimentCommand is bench experiment.
+type experimentCommand struct {
+	bin string
+	out string
+}
+
+func (*experimentCommand) Name() string { return "experiment" }
+func (*experimentCommand) Synopsis() string {
+	return "compare two policies on real processes under a fault"
+}
+func (*experimentCommand) Usage() string {
+	return `experiment [-bin DIRECTORY] [-out DIRECTORY] FILE.ini
+Starts two complete sets of fakes and entry VMs on loopback, runs the same load and scenario on both in alternating blocks,
+writes table.md, table.csv and latency.png, and stops all processes. Exit code 1 tells that an answer was wrong or that an
+upstream had more connections than its limit.
+`
+}
+
+func (c *experimentCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.bin, "bin", "bin", "directory of the programs entry, platform and upstreams")
+	f.StringVar(&c.out, "out", "out", "directory of the results; each experiment has its own directory in it")
+}
+
+func (c *experimentCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	faulty, err := c.run(ctx, f.Arg(0))
+	switch {
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		return subcommands.ExitFailure
+	case faulty:
+		return subcommands.ExitFailure
+	default:
+		return subcommands.ExitSuccess
+	}
+}
+
+func (c *experimentCommand) run(ctx context.Context, path string) (bool, error) {
+	e, err := runner.Read(path)
+	if err != nil {
+		return false, err
+	}
+	logs, err := os.MkdirTemp("", "comfreyroute-"+e.Name+"-")
+	if err != nil {
+		return false, eris.Wrap(err, "experiment")
+	}
+	progress := func(s string) { fmt.Fprintln(os.Stderr, s) }
+	results, err := runner.Run(ctx, c.bin, logs, e, progress)
+	if err != nil {
+		return false, eris.Wrapf(err, "settings and logs are in %s", logs)
+	}
+	out := filepath.Join(c.out, e.Name)
+	if err := write(out, e, results); err != nil {
+		return false, err
+	}
+	faulty := false
+	for _, r := range results {
+		for _, x := range r.Report.Examples {
+			fmt.Fprintln(os.Stderr, r.Policy+":", x)
+		}
+		faulty = faulty || r.Report.Wrong > 0 || r.Violations > 0
+	}
+	progress("results are in " + out)
+	if faulty {
+		progress("settings and logs are in " + logs)
+		return true, nil
+	}
+	return false, eris.Wrap(os.RemoveAll(logs), "remove logs")
+}
+
+// write writes the tables and the plot of an experiment.
+func write(out string, e *runner.Experiment, results [2]*runner.Result) error {
+	if err := os.MkdirAll(out, directoryMode); err != nil {
+		return eris.Wrap(err, "write results")
+	}
+	var rows []plotter.Row
+	for _, r := range results {
+		rows = append(rows, plotter.Row{Name: r.Policy, Report: r.Report})
+	}
+	var table, values bytes.Buffer
+	fmt.Fprintf(&table, "# %s\n\nScenario %s, service %s of %s, %d entry VMs, %.1f requests/s, %d blocks of %v for each policy, seed %d.\n\n",
+		e.Name, e.Scenario, e.Service, e.Deployment.Name, e.Entries, e.Rate, e.Blocks, e.Block, e.Seed)
+	if err := plotter.Markdown(&table, rows); err != nil {
+		return err
+	}
+	fmt.Fprintf(&table, "\nRatio of %s to %s over the paired blocks, median (lowest to highest): p50 %s, p99 %s.\n\n",
+		results[0].Policy, results[1].Policy, ratios(results, 50), ratios(results, 99))
+	for _, r := range results {
+		fmt.Fprintf(&table, "* %s: most connections to one upstream %d, above its limit %d; platform calls: %d reads, %d writes, %d watches, %d lists.\n",
+			r.Policy, r.MaxConnections, r.Violations, r.Calls.Reads, r.Calls.Writes, r.Calls.Watches, r.Calls.Lists)
+	}
+	if err := plotter.CSV(&values, append(rows, blocks(results)...)); err != nil {
+		return err
+	}
+	for name, data := range map[string][]byte{"table.md": table.Bytes(), "table.csv": values.Bytes()} {
+		if err := os.WriteFile(filepath.Join(out, name), data, fileMode); err != nil {
+			return eris.Wrap(err, "write results")
+		}
+	}
+	return plotter.Quantiles(filepath.Join(out, "latency.png"), e.Name, rows)
+}
+
+// ratios describes the ratio of a latency quantile between the policies in each pair of blocks.
+func ratios(results [2]*runner.Result, q float64) string {
+	var r []float64
+	for i := range results[0].Blocks {
+		a, b := results[0].Blocks[i].Quantile(q), results[1].Blocks[i].Quantile(q)
+		if a > 0 && b > 0 {
+			r = append(r, float64(a)/float64(b))
+		}
+	}
+	if len(r) == 0 {
+		return "none"
+	}
+	slices.Sort(r)
+	return fmt.Sprintf("%.3f (%.3f to %.3f)", r[len(r)/2], r[0], r[len(r)-1])
+}
+
+func blocks(results [2]*runner.Result) []plotter.Row {
+	var rows []plotter.Row
+	for _, r := range results {
+		for i, b := range r.Blocks {
+			rows = append(rows, plotter.Row{Name: fmt.Sprintf("%s block %d", r.Policy, i), Report: b})
+		}
+	}
+	return rows
+}
--- /dev/null
+++ b/bench/internal/checker/checker_test.go
@@ -0,0 +1,110 @@
+package checker
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"comfreyroute/core/protocol/encoder"
+	"comfreyroute/upstreams/describer"
+	"comfreyroute/upstreams/indexer"
+)
+
+func deployment(t testing.TB) *describer.Deployment {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join("..", "..", "..", "deployments", "quickstart.ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := describer.Parse(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// answer returns a correct answer in which shard 3 is missing.
+func answer(query string) *encoder.SearchAnswer {
+	a := &encoder.SearchAnswer{Outcome: encoder.OutcomePartial, Snapshot: 1, Layout: "l1", ShardsTotal: 16}
+	for s := range 16 {
+		if s == 3 {
+			a.Missing = append(a.Missing, encoder.MissingShard{Shard: s})
+			continue
+		}
+		a.Covered = append(a.Covered, s)
+		a.Results = append(a.Results, encoder.ShardResult{Shard: s, Items: indexer.Items("catalog", 1, "l1", s, query)})
+	}
+	return a
+}
+
+// TestSearch guards against a wrong answer that passes as correct, and against a correct one that is called wrong.
+func TestSearch(t *testing.T) {
+	full := 0 // a shard with results
+	for len(indexer.Items("catalog", 1, "l1", full, "q")) == 0 {
+		full++
+	}
+	cases := []struct {
+		name   string
+		change func(a *encoder.SearchAnswer)
+		want   string // part of the fault
+	}{
+		{"correct", func(*encoder.SearchAnswer) {}, ""},
+		{"nothing reached", func(a *encoder.SearchAnswer) { *a = encoder.SearchAnswer{Outcome: encoder.OutcomePartial} }, ""},
+		{"unknown snapshot", func(a *encoder.SearchAnswer) { a.Snapshot = 2 }, "not an index version"},
+		{"other layout", func(a *encoder.SearchAnswer) { a.Layout = "l2" }, "has layout"},
+		{"done with a missing shard", func(a *encoder.SearchAnswer) { a.Outcome = encoder.OutcomeDone }, "outcome done"},
+		{"shard not reported", func(a *encoder.SearchAnswer) { a.Missing = nil }, "shard 3 is reported 0 times"},
+		{"shard covered and missing", func(a *encoder.SearchAnswer) { a.Covered = append(a.Covered, 3) }, "shard 3 is reported 2 times"},
+		{"shard outside", func(a *encoder.SearchAnswer) { a.Covered = append(a.Covered, 16) }, "outside"},
+		{"shard merged twice", func(a *encoder.SearchAnswer) { a.Results = append(a.Results, a.Results[0]) }, "two results"},
+		{"result of a missing shard", func(a *encoder.SearchAnswer) { a.Results = append(a.Results, encoder.ShardResult{Shard: 3}) }, "not covered"},
+		{"result lost", func(a *encoder.SearchAnswer) { a.Results[full].Items = nil }, "want"},
+		{"results of another query", func(a *encoder.SearchAnswer) { a.Results = answer("other").Results }, "want"},
+		{"result of another version", func(a *encoder.SearchAnswer) { a.Results[full].Items = indexer.Items("catalog", 2, "l1", full, "q") }, "want"},
+	}
+	check := New(deployment(t))
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := answer("q")
+			c.change(a)
+			got := check.Search("catalog", "q", a)
+			if (c.want == "") != (got == "") || !strings.Contains(got, c.want) {
+				t.Errorf("fault %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// TestExecutions guards against a call that ran against its stated outcome and is not reported.
+func TestExecutions(t *testing.T) {
+	executed := map[string]int{"a": 1, "b": 2, "c": 1, "e": 1}
+	outcomes := map[string]encoder.Outcome{
+		"a": encoder.OutcomeDone, "b": encoder.OutcomeUnknown, "c": encoder.OutcomeNotRun, "d": encoder.OutcomeDone,
+		"e": encoder.OutcomeUnknown, "f": encoder.OutcomeUnknown, "g": encoder.OutcomeNotRun,
+	}
+	want := []string{"call b ran 2 times", "call c is said to be not run and ran", "call d is said to be done and did not run"}
+	if diff := cmp.Diff(want, Executions(outcomes, executed)); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+// FuzzSearch guards against an answer that makes the checker panic.
+func FuzzSearch(f *testing.F) {
+	data, err := json.Marshal(answer("q"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte(`{"snapshot":1,"layout":"l1","shards_total":16,"covered":[-1]}`))
+	check := New(deployment(f))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var a encoder.SearchAnswer
+		if encoder.DecodeBytes(data, encoder.MaxReplyBytes, &a) == nil {
+			check.Search("catalog", "q", &a)
+		}
+	})
+}
--- /dev/null
+++ b/bench/internal/loader/loader_test.go
@@ -0,0 +1,129 @@
+package loader
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"comfreyroute/bench/internal/checker"
+	"comfreyroute/core/protocol/encoder"
+	"comfreyroute/upstreams/describer"
+	"comfreyroute/upstreams/indexer"
+)
+
+// TestRun guards against an answer that is counted in the wrong place. The entry VM of the test answers the requests in turn
+// with each outcome; a search of 16 shards lacks one in a partial answer.
+func TestRun(t *testing.T) {
+	d, err := describer.Read(filepath.Join("..", "..", "..", "deployments", "quickstart.ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var requests atomic.Uint64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var q encoder.SearchRequest
+		if err := encoder.Decode(r.Body, encoder.MaxCallerBytes, &q); err != nil {
+			t.Error(err)
+		}
+		a := encoder.SearchAnswer{Outcome: encoder.OutcomeDone, Snapshot: 1, Layout: "l1", ShardsTotal: 16}
+		for i := range 16 {
+			a.Covered = append(a.Covered, i)
+			a.Results = append(a.Results, encoder.ShardResult{Shard: i, Items: indexer.Items(q.Service, 1, "l1", i, q.Query)})
+		}
+		switch requests.Add(1) % 5 {
+		case 1:
+			a.Outcome, a.Missing = encoder.OutcomePartial, []encoder.MissingShard{{Shard: 15}}
+			a.Covered, a.Results = a.Covered[:15], a.Results[:15]
+		case 2:
+			a = encoder.SearchAnswer{Outcome: encoder.OutcomeNotRun}
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 3:
+			a.Results = nil
+		case 4:
+			panic(http.ErrAbortHandler)
+		}
+		_ = json.NewEncoder(w).Encode(a)
+	}))
+	defer s.Close()
+	mix, err := ParseMix("catalog", d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := New(checker.New(d))
+	defer l.Close()
+	r := l.Run(context.Background(), Config{
+		Entries: []netip.AddrPort{netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))},
+		Rate:    1000, Duration: 100 * time.Millisecond, Constant: true, Objective: time.Minute, Mix: mix,
+	})
+	got := *r
+	got.Examples, got.Outcomes, got.Latency, got.Lag = nil, nil, nil, nil
+	want := Report{Sent: 100, Answered: 60, Whole: 40, Refused: 20, Failed: 20, Wrong: 20, Within: 60,
+		Covered: 20*15 + 40*16, Shards: 60 * 16, Needed: 80 * 4}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	if n := r.Latency.TotalCount(); uint64(n) != want.Answered {
+		t.Errorf("%d samples, want %d", n, want.Answered)
+	}
+}
+
+// TestIntendedTime guards against a latency that is measured from the real send time, which hides the waiting of requests
+// that the load tool sends late.
+func TestIntendedTime(t *testing.T) {
+	d, err := describer.Read(filepath.Join("..", "..", "..", "deployments", "quickstart.ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &run{loader: New(checker.New(d)), config: Config{Objective: time.Minute}, slots: make(chan struct{}, 1), report: NewReport()}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"outcome":"partial"}`))
+	}))
+	defer s.Close()
+	late := time.Second
+	r.start(context.Background(), request{
+		Share: Share{Service: "catalog", Kind: encoder.SubSearch}, intended: time.Now().Add(-late), measured: true,
+		entry: netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")),
+	})
+	r.wait.Wait()
+	// The histogram keeps three digits, so that a value may be 0.1 % lower.
+	if r.report.Answered != 1 || r.report.Quantile(50) < late*999/1000 {
+		t.Errorf("latency %v of %d answers, want at least %v of 1", r.report.Quantile(50), r.report.Answered, late)
+	}
+}
+
+// TestParseMix guards against a mix that sends a kind of request that a service does not take.
+func TestParseMix(t *testing.T) {
+	d, err := describer.Read(filepath.Join("..", "..", "..", "deployments", "quickstart.ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	search, lookup := Share{"catalog", encoder.SubSearch, 4, 1}, Share{"orders", encoder.SubLookup, 1, 0.5}
+	cases := []struct {
+		text string
+		want []Share // nil: an error
+	}{
+		{"", []Share{search}},
+		{"catalog, orders=0.5", []Share{search, lookup}},
+		{"orders:call=2", []Share{{"orders", encoder.SubCall, 1, 2}}},
+		{"orders:search", nil},
+		{"catalog:call", nil},
+		{"orders:run", nil},
+		{"catalog=0", nil},
+		{"catalog=NaN", nil},
+		{"ledger", nil},
+	}
+	for _, c := range cases {
+		got, err := ParseMix(c.text, d)
+		if diff := cmp.Diff(c.want, got); diff != "" || (err != nil) != (c.want == nil) {
+			t.Errorf("%q: error %v (-want +got):\n%s", c.text, err, diff)
+		}
+	}
+}
--- /dev/null
+++ b/bench/internal/loader/request.go
@@ -0,0 +1,176 @@
+package loader
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+
+	"comfreyroute/bench/internal/checker"
+	"comfreyroute/core/protocol/encoder"
+)
+
+// Paths of an entry VM.
+const (
+	pathSearch = "/v1/search"
+	pathLookup = "/v1/lookup"
+	pathCall   = "/v1/call"
+)
+
+// request is one request of the load.
+type request struct {
+	Share
+	entry    netip.AddrPort
+	intended time.Time
+	measured bool
+	query    string
+}
+
+// answer is what became of a request.
+type answer struct {
+	latency time.Duration
+	outcome encoder.Outcome // empty when the request failed
+	covered int
+	missing int
+	call    string // body of a call
+	wrong   string
+	failure string
+}
+
+func (r *run) send(ctx context.Context, q request) answer {
+	switch q.Kind {
+	case encoder.SubLookup:
+		return r.lookup(ctx, q)
+	case encoder.SubCall:
+		return r.call(ctx, q)
+	default:
+		return r.search(ctx, q)
+	}
+}
+
+func (r *run) search(ctx context.Context, q request) answer {
+	var a encoder.SearchAnswer
+	body := encoder.SearchRequest{Service: q.Service, Query: q.query, DeadlineMS: r.config.Deadline.Milliseconds()}
+	if err := r.post(ctx, q, pathSearch, body, &a); err != nil {
+		return answer{failure: err.Error()}
+	}
+	x := answer{outcome: a.Outcome, covered: len(a.Covered), missing: len(a.Missing)}
+	if a.Outcome != encoder.OutcomeNotRun {
+		x.wrong = r.loader.checker.Search(q.Service, q.query, &a)
+	}
+	return x
+}
+
+func (r *run) lookup(ctx context.Context, q request) answer {
+	var a encoder.CallAnswer
+	body := encoder.LookupRequest{Service: q.Service, Key: q.query, DeadlineMS: r.config.Deadline.Milliseconds()}
+	if err := r.post(ctx, q, pathLookup, body, &a); err != nil {
+		return answer{failure: err.Error()}
+	}
+	x := answer{outcome: a.Outcome}
+	if a.Outcome == encoder.OutcomeDone {
+		x.wrong = checker.Lookup(q.Service, q.query, &a)
+	}
+	return x
+}
+
+// call sends a call under a new key. A call that failed counts as unknown, because it may have run.
+func (r *run) call(ctx context.Context, q request) answer {
+	key, err := uuid.NewV7()
+	if err != nil {
+		return answer{failure: err.Error()}
+	}
+	text := fmt.Sprintf(`{"call":%q}`, key)
+	var a encoder.CallAnswer
+	body := encoder.CallRequest{Service: q.Service, Key: key.String(), Body: json.RawMessage(text), DeadlineMS: r.config.Deadline.Milliseconds()}
+	if err := r.post(ctx, q, pathCall, body, &a); err != nil {
+		return answer{failure: err.Error(), call: text}
+	}
+	x := answer{outcome: a.Outcome, call: text}
+	if a.Outcome == encoder.OutcomeDone {
+		x.wrong = checker.Call([]byte(text), &a)
+	}
+	return x
+}
+
+// post sends a request and decodes its answer whatever the HTTP status is: rejections carry the same body.
+func (r *run) post(ctx context.Context, q request, path string, body, reply any) error {
+	deadline := r.config.Deadline
+	if deadline <= 0 {
+		deadline = DefaultObjective
+	}
+	ctx, cancel := context.WithTimeout(ctx, deadline+grace)
+	defer cancel()
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	h, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+q.entry.String()+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	h.Header.Set("Content-Type", "application/json")
+	h.Header.Set(encoder.HeaderCaller, "bench")
+	a, err := r.loader.http.Do(h)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = a.Body.Close() }()
+	if err := encoder.Decode(a.Body, encoder.MaxReplyBytes, reply); err != nil {
+		return fmt.Errorf("HTTP status %d: %w", a.StatusCode, err)
+	}
+	return nil
+}
+
+// record counts an answer.
+func (r *run) record(q request, a answer, lag time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.report
+	if a.call != "" {
+		if p.Outcomes[q.Service] == nil {
+			p.Outcomes[q.Service] = make(map[string]encoder.Outcome)
+		}
+		p.Outcomes[q.Service][a.call] = a.outcome
+	}
+	if a.outcome != encoder.OutcomeNotRun {
+		p.Needed += uint64(q.Groups)
+	}
+	if a.wrong != "" { // also in the warm-up
+		p.Wrong++
+		p.example(fmt.Sprintf("wrong: %s %s: %s", q.Service, q.query, a.wrong))
+	}
+	if !q.measured {
+		return
+	}
+	p.Sent++
+	_ = p.Lag.RecordValue(micros(lag))
+	switch a.outcome {
+	case encoder.OutcomeDone, encoder.OutcomePartial:
+		p.Answered++
+		_ = p.Latency.RecordValue(micros(a.latency))
+		if a.latency <= r.config.Objective {
+			p.Within++
+		}
+		if a.missing == 0 && a.outcome == encoder.OutcomeDone {
+			p.Whole++
+		}
+		p.Covered += uint64(a.covered)
+		p.Shards += uint64(a.covered + a.missing)
+	case encoder.OutcomeNotRun:
+		p.Refused++
+	case encoder.OutcomeUnknown:
+		p.Unknown++
+	default:
+		p.Failed++
+		p.example("failed: " + a.failure)
+	}
+}
+
+// micros converts a duration for a histogram, whose range it does not leave.
+func micros(d time.Duration) int64 { return min(max(d.Microseconds(), lowest), highest) }
--- /dev/null
+++ b/bench/internal/runner/runner_test.go
@@ -0,0 +1,145 @@
+package runner
+
+import (
+	"errors"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"gopkg.in/ini.v1"
+
+	"comfreyroute/upstreams/describer"
+)
+
+// TestExperimentFiles guards against experiment files that cannot be read, and against scenarios whose steps are out of order,
+// outside the block, or take two replicas of one group away together.
+func TestExperimentFiles(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join("..", "..", "..", "experiments", "*.ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := make(map[string]bool)
+	for _, f := range files {
+		e, err := Read(f)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		if e.Name+".ini" != filepath.Base(f) {
+			t.Errorf("%s has the name %q", f, e.Name)
+		}
+		seen[e.Scenario] = true
+		for b := range e.Blocks {
+			steps, _ := scenarios[e.Scenario](e, b)
+			for i, s := range steps {
+				if s.at < 0 || s.at > 1 || (i > 0 && s.at < steps[i-1].at) {
+					t.Errorf("%s: step %d is at %v", e.Name, i, s.at)
+				}
+			}
+		}
+	}
+	for _, s := range Scenarios() {
+		if !seen[s] {
+			t.Errorf("no experiment has scenario %q", s)
+		}
+	}
+}
+
+// TestRestartOrder guards against a rolling restart that takes neighbouring replicas of one group away together: it has to
+// reach all groups before it comes back to the first one.
+func TestRestartOrder(t *testing.T) {
+	e, err := Read(filepath.Join("..", "..", "..", "experiments", "restart.ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	groups := make(map[string]int)
+	for _, s := range e.Deployment.Servers() {
+		groups[s.Name] = s.Group
+	}
+	steps, _ := restart(e, 0)
+	n := e.Deployment.Find(e.Service).Groups
+	if len(steps) != n*e.Deployment.Find(e.Service).Replicas {
+		t.Fatalf("%d steps", len(steps))
+	}
+	for i, s := range steps {
+		if got := groups[s.command.Target.Upstream]; got != i%n {
+			t.Errorf("step %d restarts a server of group %d, want %d", i, got, i%n)
+		}
+	}
+}
+
+// TestIndexSteps guards against an index change that leaves a group without any version that another group holds.
+func TestIndexSteps(t *testing.T) {
+	e, err := Read(filepath.Join("..", "..", "..", "experiments", "index.ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	steps, v := index(e, 0)
+	held := make([][]uint64, e.Deployment.Find(e.Service).Replicas) // by replica; all groups change together
+	for r := range held {
+		held[r] = []uint64{v.number - 1}
+	}
+	for i, s := range steps {
+		r := *s.command.Target.Replica
+		if s.command.Action == "hold" {
+			held[r] = append(held[r], s.command.Version)
+		} else {
+			held[r] = slices.DeleteFunc(held[r], func(n uint64) bool { return n == s.command.Version })
+		}
+		if len(held[r]) == 0 {
+			t.Errorf("step %d leaves replica %d without a version", i, r)
+		}
+	}
+	for r := range held {
+		if !slices.Equal(held[r], []uint64{v.number}) {
+			t.Errorf("replica %d holds %v at the end", r, held[r])
+		}
+	}
+}
+
+// TestFaults guards against a fault of an experiment file that is accepted or hides another one.
+func TestFaults(t *testing.T) {
+	const file = `
+[experiment]
+name = a/b
+deployment = missing.ini
+scenario = storm
+entries = 1000
+blocks = 1000000
+rates = 5
+block = 5
+[policy.default]
+`
+	f, err := ini.Load([]byte(file))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = convert(f, func(string) (*describer.Deployment, string, error) {
+		return nil, "", errors.New("no deployment")
+	})
+	if err == nil {
+		t.Fatal("accepted")
+	}
+	for _, want := range []string{`name "a/b"`, "no deployment", `scenario "storm"`, `entries "1000"`, `blocks "1000000"`, `rates "5"`, `block "5"`, `rate ""`, "policy"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("the error does not name %s:\n%v", want, err)
+		}
+	}
+}
+
+// FuzzExperiment guards against a file that makes the reader panic.
+func FuzzExperiment(f *testing.F) {
+	d, err := describer.Read(filepath.Join("..", "..", "..", "deployments", "quickstart.ini"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add([]byte("[experiment]\nname = a\nscenario = none\nservice = catalog\nload = 0.5\n[policy.a]\n[policy.b]\nhedge = off\n"))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		file, err := ini.Load(data)
+		if err != nil {
+			return
+		}
+		_, _ = convert(file, func(string) (*describer.Deployment, string, error) { return d, "", nil })
+	})
+}
--- /dev/null
+++ b/bench/load.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
+
+	"comfreyroute/bench/internal/checker"
+	"comfreyroute/bench/internal/controller"
+	"comfreyroute/bench/internal/loader"
+	"comfreyroute/bench/internal/plotter"
+	"comfreyroute/upstreams/describer"
+)
+
+// settleTime lets cancelled sub-requests reach the upstreams before their counts are read.
+const settleTime = time.Second
+
+// loadCommand is bench load.
+type loadCommand struct {
+	deployment string
+	entries    string
+	control    string
+	mix        string
+	config     loader.Config
+}
+
+func (*loadCommand) Name() string { return "load" }
+func (*loadCommand) Synopsis() string {
+	return "send open-loop load to entry VMs and verify the answers"
+}
+func (*loadCommand) Usage() string {
+	return `load -deployment FILE -entries ip:port,... [flags]
+Sends requests to the entry VMs in turn, measures from the intended send time and verifies each answer against the content
+of the fake index. Exit code 1 tells that an answer was wrong.
+`
+}
+
+func (c *loadCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.deployment, "deployment", "deployments/quickstart.ini", "deployment file of the upstreams")
+	f.StringVar(&c.entries, "entries", "127.0.0.1:8000", "caller addresses of the entry VMs, ip:port, separated by commas")
+	f.StringVar(&c.control, "control", "", "control address of the upstreams, ip:port; gives extra load and executed calls")
+	f.StringVar(&c.mix, "mix", "", "requests such as matching=3,profiles=1,ledger:call=0.1; all search services when empty")
+	f.Float64Var(&c.config.Rate, "rate", 50, "requests per second over all entry VMs")
+	f.DurationVar(&c.config.Duration, "duration", 10*time.Second, "measured time")
+	f.DurationVar(&c.config.Warmup, "warmup", 2*time.Second, "time before it, not measured")
+	f.DurationVar(&c.config.Deadline, "deadline", 0, "deadline of each request; 0 leaves it to the service row")
+	f.BoolVar(&c.config.Constant, "constant", false, "constant instead of Poisson arrivals")
+	f.Uint64Var(&c.config.Seed, "seed", 1, "seed of the arrivals and queries")
+}
+
+func (c *loadCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	wrong, err := c.run(ctx)
+	switch {
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		return subcommands.ExitUsageError
+	case wrong:
+		return subcommands.ExitFailure
+	default:
+		return subcommands.ExitSuccess
+	}
+}
+
+// run reports whether an answer was wrong.
+func (c *loadCommand) run(ctx context.Context) (bool, error) {
+	d, err := describer.Read(c.deployment)
+	if err != nil {
+		return false, err
+	}
+	if c.config.Mix, err = loader.ParseMix(c.mix, d); err != nil {
+		return false, err
+	}
+	if c.config.Rate <= 0 || c.config.Rate > 50000 || len(c.config.Mix) == 0 {
+		return false, eris.New("rate is not between 0 and 50000, or the deployment has no search service and no mix is set")
+	}
+	for _, e := range strings.Split(c.entries, ",") {
+		a, err := netip.ParseAddrPort(strings.TrimSpace(e))
+		if err != nil {
+			return false, eris.Wrap(err, "entries")
+		}
+		c.config.Entries = append(c.config.Entries, a)
+	}
+	c.config.CallerDelay = d.CallerDelay
+	check := checker.New(d)
+	var control *controller.Client
+	if c.control != "" {
+		a, err := netip.ParseAddrPort(c.control)
+		if err != nil {
+			return false, eris.Wrap(err, "control")
+		}
+		control = &controller.Client{Address: a}
+		if err := learn(ctx, check, *control, d); err != nil {
+			return false, err
+		}
+	}
+	return c.measure(ctx, check, control)
+}
+
+func (c *loadCommand) measure(ctx context.Context, check *checker.Checker, control *controller.Client) (bool, error) {
+	before, err := received(ctx, control, c.config.Mix)
+	if err != nil {
+		return false, err
+	}
+	l := loader.New(check)
+	defer l.Close()
+	r := l.Run(ctx, c.config)
+	if control != nil {
+		time.Sleep(settleTime)
+		after, err := received(ctx, control, c.config.Mix)
+		if err != nil {
+			return false, err
+		}
+		r.Received = after - before
+		executed, err := control.Executed(ctx)
+		if err != nil {
+			return false, err
+		}
+		for service, outcomes := range r.Outcomes {
+			faults := checker.Executions(outcomes, executed[service])
+			r.Wrong += uint64(len(faults))
+			r.Examples = append(r.Examples, faults[:min(len(faults), 10)]...)
+		}
+	} else {
+		r.Needed = 0 // without the counts of the upstreams there is no extra load to report
+	}
+	for _, e := range r.Examples {
+		fmt.Fprintln(os.Stderr, e)
+	}
+	return r.Wrong > 0, plotter.Markdown(os.Stdout, []plotter.Row{{Name: "load", Report: r}})
+}
+
+// received returns the sub-requests that the servers of the services in a mix have received.
+func received(ctx context.Context, control *controller.Client, mix []loader.Share) (uint64, error) {
+	if control == nil {
+		return 0, nil
+	}
+	stats, err := control.Stats(ctx)
+	if err != nil {
+		return 0, err
+	}
+	services := make(map[string]bool)
+	for _, m := range mix {
+		services[m.Service] = true
+	}
+	n := uint64(0)
+	for _, s := range stats {
+		if services[s.Service] {
+			n += s.Received
+		}
+	}
+	return n, nil
+}
+
+// learn tells the checker the index versions that the upstreams hold. A version that comes during the load is not known to it.
+func learn(ctx context.Context, check *checker.Checker, control controller.Client, d *describer.Deployment) error {
+	held, err := control.Held(ctx)
+	if err != nil {
+		return err
+	}
+	for _, s := range d.Servers() {
+		for _, v := range held[s.Name] {
+			check.Learn(s.Service.Name, v.Version, v.Layout, v.ShardsTotal)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,24 @@
+// Command bench measures entry VMs: it sends open-loop load, verifies every answer, and compares two policies under faults.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&loadCommand{}, "")
+	subcommands.Register(&experimentCommand{}, "")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := subcommands.Execute(ctx)
+	stop()
+	os.Exit(int(status))
+}
--- a/upstreams/describer/deployment.go
+++ b/upstreams/describer/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"time"
 )
@@ -111,3 +112,10 @@
 	}
 	return nil
 }
+
+// Capacity returns the requests per second that a service can run when all its servers are equally busy: each request takes
+// one slot in each group for the mean service time.
+func (s *Service) Capacity() float64 {
+	mean := s.Median.Seconds()*math.Exp(s.Sigma*s.Sigma/2) + s.TailShare*s.TailTime.Seconds()
+	return float64(s.Replicas*s.Slots) / mean
+}
