--- /dev/null
+++ b/core/coordination/prober/prober.go
@@ -0,0 +1,83 @@
+// Package prober decides which connections to an upstream are unresponsive.
+//
+// A connection can stop answering for good while new connections to the same upstream work. Such a failure says nothing
+// about the upstream, so it must be told apart from a slow or a dead upstream: a silent connection is given up only when
+// something that was sent later on another connection to the same upstream was answered.
+package prober
+
+import (
+	"slices"
+	"time"
+)
+
+// Bounds of the time after which a request without a reply is late.
+const (
+	MinLate    = 20 * time.Millisecond
+	meanFactor = 4 // a reply that takes four times the recent mean is unusual
+	meanShare  = 8 // weight of the past in the moving mean of reply times
+)
+
+// Connection names one connection to an upstream. It is never reused.
+type Connection uint64
+
+// silence records that a connection has been late since a time.
+type silence struct {
+	connection Connection
+	since      time.Time
+}
+
+// Prober watches the connections to one upstream. The zero value is usable.
+type Prober struct {
+	mean   time.Duration
+	silent []silence
+	asked  time.Time // start of the last probe
+}
+
+// LateAt returns when a request that was sent at a time counts as late: after half of its allowed time, which leaves the
+// other half for a retry, but not before four times the recent mean reply time, so that a slow upstream keeps its
+// connections. It is never after the deadline.
+func (p *Prober) LateAt(sent, deadline time.Time) time.Time {
+	late := sent.Add(max(MinLate, deadline.Sub(sent)/2, meanFactor*p.mean))
+	if late.After(deadline) {
+		return deadline
+	}
+	return late
+}
+
+// Late records that a request on a connection got no reply in time. It returns true when the caller has to ping the
+// upstream on another connection; one ping serves all connections that are late at the same time.
+func (p *Prober) Late(now time.Time, c Connection) bool {
+	p.Forget(c)
+	p.silent = append(p.silent, silence{c, now})
+	if now.Sub(p.asked) < MinLate {
+		return false
+	}
+	p.asked = now
+	return true
+}
+
+// Answered records a reply on a connection to something that was sent at a time. It returns the connections that are
+// unresponsive: those that were late already when it was sent.
+func (p *Prober) Answered(now time.Time, c Connection, sent time.Time) []Connection {
+	p.Forget(c)
+	took := now.Sub(sent)
+	if p.mean == 0 {
+		p.mean = took
+	} else {
+		p.mean += (took - p.mean) / meanShare
+	}
+	var unresponsive []Connection
+	p.silent = slices.DeleteFunc(p.silent, func(s silence) bool {
+		if s.since.After(sent) {
+			return false
+		}
+		unresponsive = append(unresponsive, s.connection)
+		return true
+	})
+	return unresponsive
+}
+
+// Forget drops a connection that was closed or that answered.
+func (p *Prober) Forget(c Connection) {
+	p.silent = slices.DeleteFunc(p.silent, func(s silence) bool { return s.connection == c })
+}
