--- a/core/transport/connector/pool.go
+++ b/core/transport/connector/pool.go
@@ -73,6 +73,11 @@
 func (p *pool) open(hurry <-chan struct{}) {
 	defer p.owner.running.Done()
 	backoff := minBackoff
+	p.mu.Lock()
+	pace := p.pace
+	p.mu.Unlock()
+	// The upstream has to notice the close of the connection that is replaced before it counts the new one.
+	p.owner.pause(pace, nil)
 	for {
 		p.mu.Lock()
 		if len(p.conns) >= p.limit || p.owner.stopped() {
@@ -80,7 +85,8 @@
 			p.mu.Unlock()
 			return
 		}
-		address, pace := p.address, p.pace
+		address := p.address
+		pace = p.pace
 		p.mu.Unlock()
 		if p.openOne(address) {
 			backoff = minBackoff
@@ -117,6 +123,7 @@
 		_ = nc.Close()
 		return true
 	}
+	_ = nc.SetDeadline(time.Time{})
 	p.conns[c] = struct{}{}
 	p.idle = append(p.idle, c)
 	p.answered(c, began)
--- /dev/null
+++ b/entry/internal/looper/loop.go
@@ -0,0 +1,239 @@
+// Package looper runs the routing loop: the one goroutine that owns the router machine.
+//
+// Everything else reaches the machine through bounded channels. The loop never waits for anything but its channels, so a
+// slow caller, peer or upstream cannot delay the requests of others. A full channel is an outcome that the sender handles.
+package looper
+
+import (
+	"sync/atomic"
+	"time"
+
+	"comfreyroute/core/coordination/router"
+	"comfreyroute/core/protocol/encoder"
+)
+
+// Capacities of the channels of the loop.
+const (
+	EventCapacity    = 8192 // events of the transport; a connection waits while it is full
+	arrivalCapacity  = 512  // requests of callers; a request is rejected while it is full
+	departedCapacity = 512
+	newsCapacity     = 256 // table, membership and peers
+	inspectCapacity  = 16
+)
+
+// Machine is the decision code that the loop runs.
+type Machine interface {
+	Step(now time.Time, ev router.Event) []router.Action
+}
+
+// Transport carries out the actions that concern upstreams. Do never blocks; an event that it returns ends a Send.
+type Transport interface {
+	Do(a router.Action) router.Event
+}
+
+// Spreader tells the peers about a suspicion or a draining upstream. It never blocks and returns a channel that is closed
+// when the peers know, or when waiting for them longer is not worthwhile.
+type Spreader interface {
+	Spread(a router.Action) <-chan struct{}
+}
+
+// Recorder keeps the decision trace.
+type Recorder interface {
+	Record(now time.Time, ev router.Event, actions []router.Action)
+}
+
+// Answer ends a request. Exactly one of Search and Point is set.
+type Answer struct {
+	Search *encoder.SearchAnswer
+	Point  *encoder.CallAnswer
+	// Spread is closed when the peers know what this request has shown about upstreams; nil means that nothing was shown.
+	Spread <-chan struct{}
+}
+
+type arrival struct {
+	event  router.RequestArrived
+	answer chan<- Answer
+}
+
+// Loop is the routing loop.
+type Loop struct {
+	Machine   Machine
+	Transport Transport
+	Spreader  Spreader              // may be nil
+	Recorder  Recorder              // may be nil
+	Observe   func(a router.Action) // sees each action; may be nil
+	Events    <-chan router.Event   // of the transport
+	arrivals  chan arrival
+	departed  chan router.RequestID
+	news      chan router.Event
+	inspect   chan func(Machine)
+	quit      chan struct{}
+	done      chan struct{}
+	next      atomic.Uint64
+	inFlight  atomic.Int64
+	waiting   map[router.RequestID]chan<- Answer
+	timer     *time.Timer
+	spreading <-chan struct{}
+	queue     []router.Event
+}
+
+// Start starts the loop.
+func (l *Loop) Start() {
+	l.arrivals = make(chan arrival, arrivalCapacity)
+	l.departed = make(chan router.RequestID, departedCapacity)
+	l.news = make(chan router.Event, newsCapacity)
+	l.inspect = make(chan func(Machine), inspectCapacity)
+	l.quit = make(chan struct{})
+	l.done = make(chan struct{})
+	l.waiting = map[router.RequestID]chan<- Answer{}
+	l.timer = time.NewTimer(time.Hour)
+	go l.run()
+}
+
+// Submit hands in a request and returns its id and the channel of its answer. It returns false when the loop is full.
+func (l *Loop) Submit(ev router.RequestArrived) (router.RequestID, <-chan Answer, bool) {
+	ev.Request = router.RequestID(l.next.Add(1))
+	answer := make(chan Answer, 1)
+	select {
+	case l.arrivals <- arrival{ev, answer}:
+		l.inFlight.Add(1)
+		return ev.Request, answer, true
+	default:
+		return ev.Request, nil, false
+	}
+}
+
+// Leave tells that the caller of a request no longer waits.
+func (l *Loop) Leave(r router.RequestID) {
+	select {
+	case l.departed <- r:
+	case <-l.quit:
+	}
+}
+
+// Post hands in an event that is no request. It waits while the channel is full and must not be called by the loop.
+func (l *Loop) Post(ev router.Event) {
+	select {
+	case l.news <- ev:
+	case <-l.quit:
+	}
+}
+
+// Inspect runs f with the machine on the loop and waits for it. It returns false when the loop is full or stopped.
+func (l *Loop) Inspect(f func(Machine)) bool {
+	ran := make(chan struct{})
+	select {
+	case l.inspect <- func(m Machine) { f(m); close(ran) }:
+	default:
+		return false
+	}
+	select {
+	case <-ran:
+		return true
+	case <-l.quit:
+		return false
+	}
+}
+
+// InFlight returns how many requests have no answer yet.
+func (l *Loop) InFlight() int { return int(l.inFlight.Load()) }
+
+// Stop ends the loop. Requests without an answer never get one.
+func (l *Loop) Stop() { close(l.quit) }
+
+// Done is closed when the loop has ended.
+func (l *Loop) Done() <-chan struct{} { return l.done }
+
+func (l *Loop) run() {
+	defer close(l.done)
+	defer l.timer.Stop()
+	for {
+		select {
+		case ev := <-l.Events:
+			l.step(ev)
+		case ev := <-l.news:
+			l.step(ev)
+		case a := <-l.arrivals:
+			l.waiting[a.event.Request] = a.answer
+			l.step(a.event)
+		case r := <-l.departed:
+			l.depart(r)
+		case <-l.timer.C:
+			l.step(router.TimerFired{})
+		case f := <-l.inspect:
+			f(l.Machine)
+		case <-l.quit:
+			return
+		}
+	}
+}
+
+// depart forgets a request whose caller is gone. The machine answers it nevertheless or not at all; nobody waits for it.
+func (l *Loop) depart(r router.RequestID) {
+	if _, ok := l.waiting[r]; !ok {
+		return
+	}
+	delete(l.waiting, r)
+	l.inFlight.Add(-1)
+	l.step(router.CallerGone{Request: r})
+}
+
+// step passes an event to the machine and carries out what it decides, until nothing follows from it.
+func (l *Loop) step(ev router.Event) {
+	l.queue = append(l.queue[:0], ev)
+	for i := 0; i < len(l.queue); i++ {
+		now := time.Now()
+		actions := l.Machine.Step(now, l.queue[i])
+		if l.Recorder != nil {
+			l.Recorder.Record(now, l.queue[i], actions)
+		}
+		// Suspicions reach the peers before the answers of the same step reach the callers.
+		for _, a := range actions {
+			l.spread(a)
+		}
+		for _, a := range actions {
+			if follows := l.carry(now, a); follows != nil {
+				l.queue = append(l.queue, follows)
+			}
+		}
+	}
+	clear(l.queue)
+}
+
+func (l *Loop) spread(a router.Action) {
+	if l.Spreader == nil {
+		return
+	}
+	switch a.(type) {
+	case router.SpreadSuspicion, router.SpreadDrain:
+		l.spreading = l.Spreader.Spread(a)
+	}
+}
+
+func (l *Loop) carry(now time.Time, a router.Action) router.Event {
+	if l.Observe != nil {
+		l.Observe(a)
+	}
+	switch a := a.(type) {
+	case router.AnswerSearch:
+		l.answer(a.Request, Answer{Search: a.Answer})
+	case router.AnswerPoint:
+		l.answer(a.Request, Answer{Point: a.Answer})
+	case router.Wake:
+		l.timer.Reset(a.At.Sub(now))
+	case router.Send, router.Cancel, router.Probe, router.Pool:
+		return l.Transport.Do(a)
+	}
+	return nil
+}
+
+func (l *Loop) answer(r router.RequestID, a Answer) {
+	answer, ok := l.waiting[r]
+	if !ok {
+		return
+	}
+	delete(l.waiting, r)
+	l.inFlight.Add(-1)
+	a.Spread = l.spreading
+	answer <- a // has room for the one answer
+}
--- /dev/null
+++ b/entry/internal/measurer/measurer.go
@@ -0,0 +1,61 @@
+// Package measurer keeps the metrics of the entry daemon.
+package measurer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"comfreyroute/core/coordination/router"
+	"comfreyroute/entry/internal/looper"
+)
+
+// Answered counts an answer: its latency, its outcome and, for a search, its coverage.
+func Answered(service, kind string, took time.Duration, a looper.Answer) {
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`comfrey_request_seconds{service=%q,kind=%q}`, service, kind)).Update(took.Seconds())
+	outcome, reason := "", ""
+	switch {
+	case a.Search != nil:
+		outcome, reason = string(a.Search.Outcome), a.Search.Reason
+		if a.Search.ShardsTotal > 0 {
+			metrics.GetOrCreateCounter(fmt.Sprintf(`comfrey_shards_total{service=%q}`, service)).Add(a.Search.ShardsTotal)
+			metrics.GetOrCreateCounter(fmt.Sprintf(`comfrey_shards_covered_total{service=%q}`, service)).Add(len(a.Search.Covered))
+		}
+	case a.Point != nil:
+		outcome, reason = string(a.Point.Outcome), a.Point.Reason
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`comfrey_answers_total{service=%q,kind=%q,outcome=%q,reason=%q}`, service, kind, outcome, reason)).Inc()
+}
+
+// Actions counts the actions of the router. Only the routing loop uses it: it keeps the counters by service, because
+// looking them up by name costs more than the action.
+type Actions struct{ sent map[string]*metrics.Counter }
+
+// Count counts one action.
+func (n *Actions) Count(a router.Action) {
+	switch a := a.(type) {
+	case router.Send:
+		c := n.sent[a.Service]
+		if c == nil {
+			if n.sent == nil {
+				n.sent = map[string]*metrics.Counter{}
+			}
+			c = metrics.GetOrCreateCounter(fmt.Sprintf(`comfrey_subrequests_total{service=%q}`, a.Service))
+			n.sent[a.Service] = c
+		}
+		c.Inc()
+	case router.Cancel:
+		cancelled.Inc()
+	case router.SpreadSuspicion:
+		suspicions.Inc()
+	}
+}
+
+var (
+	cancelled  = metrics.NewCounter("comfrey_cancels_total")
+	suspicions = metrics.NewCounter("comfrey_suspicions_total")
+)
+
+// Gauge registers a value that is read when the metrics are.
+func Gauge(name string, f func() float64) { metrics.GetOrCreateGauge(name, f) }
--- /dev/null
+++ b/entry/internal/runner/log.go
@@ -0,0 +1,35 @@
+package runner
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"comfreyroute/core/state/settler"
+)
+
+// Sampling of equal log messages: under faults each message appears a few times a second, not once for each request.
+const (
+	logInterval = time.Second
+	logFirst    = 5
+	logEvery    = 1000
+)
+
+func newLog(s *settler.Settings) (*zap.Logger, error) {
+	c := zap.NewProductionConfig()
+	c.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	c.DisableStacktrace = true
+	c.Sampling = nil
+	if err := c.Level.UnmarshalText([]byte(s.Log.Level)); err != nil {
+		return nil, err
+	}
+	sample := zap.WrapCore(func(core zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(core, logInterval, logFirst, logEvery)
+	})
+	l, err := c.Build(sample)
+	if err != nil {
+		return nil, err
+	}
+	return l.With(zap.String("vm", s.VM.ID)), nil
+}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,30 @@
+// Command entry is the entry daemon of comfreyroute, and a small client for a first try.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"comfreyroute/entry/internal/runner"
+	"comfreyroute/entry/internal/searcher"
+	"comfreyroute/entry/internal/seeder"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&runner.Command{}, "daemon")
+	subcommands.Register(&runner.CheckCommand{}, "daemon")
+	subcommands.Register(&searcher.SearchCommand{}, "client")
+	subcommands.Register(&searcher.WaitCommand{}, "client")
+	subcommands.Register(&seeder.Command{}, "client")
+	// Without a subcommand the daemon runs, so that a supervisor needs only the settings.
+	if len(os.Args) < 2 || os.Args[1][0] == '-' && os.Args[1] != "-help" && os.Args[1] != "-h" {
+		os.Args = append([]string{os.Args[0], "run"}, os.Args[1:]...)
+	}
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/scripts/quickstart.sh
@@ -0,0 +1,74 @@
+#!/usr/bin/env bash
+# Starts the platform, the upstreams and three entry daemons on loopback, loads a table, sends searches and a booking,
+# prints the answers and stops everything. Needs the binaries in ./bin (make build). Ends with 0 when every step worked.
+set -u
+cd "$(dirname "$0")/.."
+directory=$(mktemp -d "${TMPDIR:-/tmp}/comfreyroute-quickstart.XXXXXX") || exit 1
+platform=127.0.0.1:18400
+pids=()
+
+stop() {
+	local p
+	for p in "${pids[@]}"; do kill "$p" 2>/dev/null; done
+	for p in "${pids[@]}"; do wait "$p" 2>/dev/null; done
+	pids=()
+}
+trap 'stop; rm -rf "$directory"' EXIT
+
+fail() {
+	printf 'quickstart: %s failed\n' "$1" >&2
+	for log in "$directory"/*.log; do
+		printf -- '--- last lines of %s\n' "${log##*/}" >&2
+		tail -n 5 "$log" >&2
+	done
+	exit 1
+}
+
+start() {
+	local name=$1
+	shift
+	"$@" >"$directory/$name.log" 2>&1 &
+	pids+=($!)
+}
+
+# A fixed port that another process holds would make a step talk to the wrong process, so this is checked first.
+for port in 18400 18411 18412 18413 18421 18422 18423; do
+	if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+		printf 'quickstart: port %s is in use\n' "$port" >&2
+		exit 1
+	fi
+done
+
+start platform bin/platform -address "$platform"
+start upstreams bin/upstreams -deployment deployments/quickstart.ini
+bin/entry wait -address "$platform" -path /v1/calls || fail 'the start of the platform'
+
+bin/upstreams -deployment deployments/quickstart.ini -print-table >"$directory/rows.json" || fail 'the list of upstreams'
+bin/entry seed -platform "$platform" -fleet 6 -point orders <"$directory/rows.json" || fail 'loading the table'
+
+for n in 1 2 3; do
+	cat >"$directory/entry$n.ini" <<INI
+[vm]
+id = entry$n
+domain = d$n
+callers = 127.0.0.1:1841$n
+peers = 127.0.0.1:1842$n
+[platform]
+address = $platform
+[shutdown]
+wait = 100ms
+limit = 10s
+INI
+	bin/entry check -settings "$directory/entry$n.ini" >/dev/null || fail "the check of the settings of entry$n"
+	start "entry$n" bin/entry run -settings "$directory/entry$n.ini"
+done
+for n in 1 2 3; do
+	bin/entry wait -address "127.0.0.1:1841$n" || fail "the start of entry$n"
+done
+
+for n in 1 2 3; do
+	bin/entry search -address "127.0.0.1:1841$n" -service catalog -query "quiet corner $n" || fail "the search at entry$n"
+done
+
+stop
+printf 'quickstart: all steps worked\n'
