Add the messenger: the Peers service over drpc

A drpc connection carries one call at a time. With a single connection for each peer a ticket that waits for an upstream would hold up the heartbeats, so each peer has two bounded lanes. The library's connection cache holds idle connections; it does not bound calls, so a semaphore does.

--- /dev/null
+++ b/core/coordination/prober/prober_test.go
@@ -0,0 +1,75 @@
+package prober
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestAnswered guards against a connection that is given up without later proof that the upstream answers, and against an
+// unresponsive one that is kept.
+func TestAnswered(t *testing.T) {
+	start := time.Unix(100, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	cases := []struct {
+		name string
+		run  func(p *Prober) []Connection
+		want []Connection
+	}{
+		{"sent after the silence", func(p *Prober) []Connection {
+			p.Late(at(40), 1)
+			return p.Answered(at(45), 2, at(41))
+		}, []Connection{1}},
+		{"sent before the silence", func(p *Prober) []Connection {
+			p.Late(at(40), 1)
+			return p.Answered(at(45), 2, at(39))
+		}, nil},
+		{"answered meanwhile", func(p *Prober) []Connection {
+			p.Late(at(40), 1)
+			p.Answered(at(42), 1, at(0))
+			return p.Answered(at(45), 2, at(41))
+		}, nil},
+		{"two silent", func(p *Prober) []Connection {
+			p.Late(at(40), 1)
+			p.Late(at(41), 3)
+			return p.Answered(at(45), 2, at(42))
+		}, []Connection{1, 3}},
+		{"closed meanwhile", func(p *Prober) []Connection {
+			p.Late(at(40), 1)
+			p.Forget(1)
+			return p.Answered(at(45), 2, at(41))
+		}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if diff := cmp.Diff(c.want, c.run(&Prober{})); diff != "" {
+				t.Errorf("unresponsive (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestLateAt guards against a slow upstream that loses its connections, and against a check after the deadline.
+func TestLateAt(t *testing.T) {
+	sent := time.Unix(100, 0)
+	cases := []struct {
+		name    string
+		mean    time.Duration
+		allowed time.Duration
+		want    time.Duration
+	}{
+		{"half of the time", 5 * time.Millisecond, 72 * time.Millisecond, 36 * time.Millisecond},
+		{"slow upstream", 15 * time.Millisecond, 72 * time.Millisecond, 60 * time.Millisecond},
+		{"very slow upstream", 50 * time.Millisecond, 72 * time.Millisecond, 72 * time.Millisecond},
+		{"short deadline", time.Millisecond, 30 * time.Millisecond, MinLate},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := Prober{mean: c.mean}
+			if diff := cmp.Diff(c.want, p.LateAt(sent, sent.Add(c.allowed)).Sub(sent)); diff != "" {
+				t.Errorf("late after (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/core/transport/connector/conn.go
+++ b/core/transport/connector/conn.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"syscall"
 	"time"
 
@@ -168,9 +167,10 @@
 
 func isReset(err error) bool { return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) }
 
-func isMalformed(err error) bool {
-	_, ok := errors.AsType[*http.ProtocolError](err)
-	return ok || strings.Contains(err.Error(), "malformed")
+// isBroken tells an error of the connection from an error of the message.
+func isBroken(err error) bool {
+	_, ok := errors.AsType[net.Error](err)
+	return ok || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.ErrClosedPipe)
 }
 
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/core/transport/connector/send.go
+++ b/core/transport/connector/send.go
@@ -117,12 +117,12 @@
 		return router.FailureMismatched
 	case j.cancelled:
 		return router.FailureCancelled
-	case errors.Is(err, errInvalid), isMalformed(err):
-		return router.FailureInvalid
 	case isTimeout(err):
 		return router.FailureTimeout
-	default:
+	case isBroken(err):
 		return router.FailureReset
+	default:
+		return router.FailureInvalid
 	}
 }
 
--- /dev/null
+++ b/core/transport/messenger/messenger_test.go
@@ -0,0 +1,139 @@
+package messenger
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"testing"
+
+	"go.uber.org/goleak"
+	"storj.io/drpc/drpcwire"
+
+	"comfreyroute/core/protocol/exchanger"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// handler answers Exchange, and RunTicket once it is released.
+type handler struct {
+	exchanger.DRPCPeersUnimplementedServer
+	entered chan struct{}
+	release chan struct{}
+}
+
+func (*handler) Exchange(_ context.Context, n *exchanger.News) (*exchanger.News, error) { return n, nil }
+
+func (h *handler) RunTicket(ctx context.Context, r *exchanger.TicketRequest) (*exchanger.CallReply, error) {
+	h.entered <- struct{}{}
+	select {
+	case <-h.release:
+	case <-ctx.Done():
+	}
+	return &exchanger.CallReply{Outcome: "done"}, nil
+}
+
+func listen(t *testing.T, address string, h *handler) *Messenger {
+	t.Helper()
+	m, err := Listen(netip.MustParseAddrPort(address), h, func(error) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		m.Close()
+		<-m.Done()
+	})
+	return m
+}
+
+func exchange(m *Messenger, to netip.AddrPort) error {
+	_, err := m.Peer(to).Exchange(context.Background(), &exchanger.News{Sender: &exchanger.VM{Id: "a"}})
+	return err
+}
+
+// TestReconnect guards against a peer that stays unreachable after its restart, and against a call that is reported as
+// sent although the peer could not be reached.
+func TestReconnect(t *testing.T) {
+	a, b := listen(t, "127.0.0.1:0", &handler{}), listen(t, "127.0.0.1:0", &handler{})
+	address := b.Address()
+	if err := exchange(a, address); err != nil {
+		t.Fatalf("first call: %v", err)
+	}
+	if n := a.Bytes(); n.Sent == 0 || n.Received == 0 {
+		t.Errorf("counted bytes are %+v, want both above 0", n)
+	}
+	b.Close()
+	<-b.Done()
+	// The first call after the close may meet the old connection; the second needs a new one.
+	_ = exchange(a, address)
+	if err := exchange(a, address); !errors.Is(err, ErrUnsent) {
+		t.Errorf("call of a closed peer: %v, want ErrUnsent", err)
+	}
+	listen(t, address.String(), &handler{})
+	if err := exchange(a, address); err != nil {
+		t.Errorf("call after the restart: %v", err)
+	}
+}
+
+// TestFaultyPeer guards against a peer whose oversized or malformed messages end more than its own connection.
+func TestFaultyPeer(t *testing.T) {
+	oversized := drpcwire.AppendFrame(nil, drpcwire.Frame{
+		Data: bytes.Repeat([]byte{1}, MaxMessageBytes+1), ID: drpcwire.ID{Stream: 1, Message: 1}, Kind: drpcwire.KindInvoke,
+	})
+	cases := []struct {
+		name string
+		data []byte
+	}{
+		{"oversized", oversized},
+		{"malformed", bytes.Repeat([]byte{0xff}, 64)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a, b := listen(t, "127.0.0.1:0", &handler{}), listen(t, "127.0.0.1:0", &handler{})
+			if err := exchange(a, b.Address()); err != nil {
+				t.Fatal(err)
+			}
+			nc, err := net.Dial("tcp", b.Address().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = nc.Close() }()
+			_, _ = nc.Write(c.data)
+			if _, err := nc.Read(make([]byte, 1)); err == nil {
+				t.Error("the faulty connection was answered, want it closed")
+			}
+			if err := exchange(a, b.Address()); err != nil {
+				t.Errorf("another connection after the fault: %v", err)
+			}
+		})
+	}
+}
+
+// TestLanes guards against tickets that hold up heartbeats, and against an unbounded number of calls to one peer.
+func TestLanes(t *testing.T) {
+	h := &handler{entered: make(chan struct{}, workCalls), release: make(chan struct{})}
+	a, b := listen(t, "127.0.0.1:0", &handler{}), listen(t, "127.0.0.1:0", h)
+	ended := make(chan error, workCalls)
+	for range workCalls {
+		go func() {
+			_, err := a.Peer(b.Address()).RunTicket(context.Background(), &exchanger.TicketRequest{})
+			ended <- err
+		}()
+	}
+	for range workCalls {
+		<-h.entered
+	}
+	if err := exchange(a, b.Address()); err != nil {
+		t.Errorf("heartbeat beside running tickets: %v", err)
+	}
+	if _, err := a.Peer(b.Address()).RunTicket(context.Background(), &exchanger.TicketRequest{}); !errors.Is(err, ErrUnsent) {
+		t.Errorf("ticket above the bound: %v, want ErrUnsent", err)
+	}
+	close(h.release)
+	for range workCalls {
+		if err := <-ended; err != nil {
+			t.Errorf("ticket: %v", err)
+		}
+	}
+}
--- /dev/null
+++ b/core/transport/messenger/server.go
@@ -0,0 +1,136 @@
+package messenger
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"comfreyroute/core/protocol/exchanger"
+)
+
+// Bounds of the peer connections.
+const (
+	MaxMessageBytes = 8 << 20 // a fetch of the whole table is the largest message
+	maxInbound      = 1024    // connections that peers opened
+	inactivity      = 2 * time.Minute
+	dialTimeout     = 250 * time.Millisecond
+	cachedPerLane   = 4
+	cachedTotal     = 256
+)
+
+// Bytes counts the traffic with peers since the start.
+type Bytes struct{ Sent, Received uint64 }
+
+// Messenger listens for peers and calls them.
+type Messenger struct {
+	listener net.Listener
+	stop     context.CancelFunc
+	done     chan struct{}
+	sent     atomic.Uint64
+	received atomic.Uint64
+	inbound  atomic.Int64
+	pool     *drpcpool.Pool[lane, drpcpool.Conn]
+	lanes    lanes
+}
+
+// Listen opens the peer address and serves the handler. Errors of single connections go to log.
+func Listen(address netip.AddrPort, handler exchanger.DRPCPeersServer, log func(error)) (*Messenger, error) {
+	mux := drpcmux.New()
+	if err := exchanger.DRPCRegisterPeers(mux, handler); err != nil {
+		return nil, eris.Wrap(err, "register the peer service")
+	}
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen for peers on %s", address)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	m := &Messenger{
+		listener: listener, stop: stop, done: make(chan struct{}),
+		pool: drpcpool.New[lane, drpcpool.Conn](drpcpool.Options{Expiration: inactivity / 2, Capacity: cachedTotal, KeyCapacity: cachedPerLane}),
+	}
+	options := managerOptions()
+	options.InactivityTimeout = inactivity
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: options, Log: log})
+	go func() {
+		defer close(m.done)
+		if err := server.Serve(ctx, &countingListener{listener, m}); err != nil {
+			log(err)
+		}
+	}()
+	return m, nil
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes}}
+}
+
+// Address returns the address that the messenger listens on.
+func (m *Messenger) Address() netip.AddrPort { return m.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+// Bytes returns the traffic since the start.
+func (m *Messenger) Bytes() Bytes { return Bytes{Sent: m.sent.Load(), Received: m.received.Load()} }
+
+// Close ends the listener and all connections. Calls in progress fail.
+func (m *Messenger) Close() {
+	m.stop()
+	_ = m.pool.Close()
+}
+
+// Done is closed when the server has ended after Close.
+func (m *Messenger) Done() <-chan struct{} { return m.done }
+
+// countingListener bounds the inbound connections and counts their bytes.
+type countingListener struct {
+	net.Listener
+	messenger *Messenger
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.messenger.inbound.Add(1) > maxInbound {
+			l.messenger.inbound.Add(-1)
+			_ = nc.Close()
+			continue
+		}
+		return &countingConn{Conn: nc, messenger: l.messenger, inbound: true}, nil
+	}
+}
+
+type countingConn struct {
+	net.Conn
+	messenger *Messenger
+	inbound   bool
+	closed    atomic.Bool
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.messenger.received.Add(uint64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.messenger.sent.Add(uint64(n))
+	return n, err
+}
+
+func (c *countingConn) Close() error {
+	if !c.closed.Swap(true) && c.inbound {
+		c.messenger.inbound.Add(-1)
+	}
+	return c.Conn.Close()
+}
