--- a/core/coordination/router/service.go
+++ b/core/coordination/router/service.go
@@ -1,8 +1,10 @@
 package router
 
 import (
+	"net/netip"
 	"time"
 
+	"comfreyroute/core/coordination/admitter"
 	"comfreyroute/core/coordination/budgeter"
 	"comfreyroute/core/coordination/limiter"
 	"comfreyroute/core/coordination/selector"
@@ -19,16 +21,21 @@
 
 // service is the routing state of one service.
 type service struct {
-	name      string
-	row       *tabler.ServiceRow
-	removed   bool
-	set       selector.Set
-	members   [][]int // indexes in set of the replicas of each group; one group for a point service
-	waiting   [][]waiter
-	catalog   catalog
-	budget    budgeter.Budget
-	latencies budgeter.Latencies
-	pools     map[string]Pool
+	name       string
+	row        *tabler.ServiceRow
+	removed    bool
+	set        selector.Set
+	members    [][]int // indexes in set of the replicas of each group; one group for a point service
+	waiting    [][]waiter
+	catalog    catalog
+	budget     budgeter.Budget
+	latencies  budgeter.Latencies
+	pools      map[string]Pool
+	delay      delays
+	queue      admitter.Queue
+	rate       limiter.Rate
+	touched    bool // in Machine.touched
+	capacityAt time.Time
 }
 
 // waiter is a sub-request that waits because every replica of its group is at its in-flight limit.
@@ -46,6 +53,14 @@
 	return s.set.At(i).Row.Group
 }
 
+// waitQueue returns the number of the wait queue of a sub-request's group.
+func (s *service) waitQueue(g int) int {
+	if s.point() {
+		return 0
+	}
+	return g
+}
+
 // adopt takes a new table: rows, limits and pools of each service.
 func (m *Machine) adopt(now time.Time, t *tabler.Snapshot) {
 	m.table = t
@@ -86,44 +101,56 @@
 		row.Deadline = tabler.DefaultDeadline
 	}
 	s.row = &row
-	names := make([]string, s.set.Len())
-	for i := range names {
-		names[i] = s.set.At(i).Row.Upstream
+	old := make([]identity, s.set.Len())
+	for i := range old {
+		old[i] = identify(s.set.At(i))
 	}
+	s.set.SetFixedLimits(m.config.AdaptiveOff)
+	s.set.SetFleetMax(m.table.FleetMax())
 	s.set.Update(now, v.Upstreams, m.config.FailureDomain)
-	m.reindex(s, names)
+	m.reindex(s, old)
 	groups := 1
 	if !s.point() {
 		groups = v.Groups()
 	}
 	s.members = make([][]int, groups)
 	for i := range s.set.Len() {
-		if u := s.set.At(i); u.Row.Upstream != "" {
-			g := s.groupOf(i)
-			s.members[g] = append(s.members[g], i)
-		}
+		g := s.groupOf(i)
+		s.members[g] = append(s.members[g], i)
 	}
 	for len(s.waiting) < groups {
 		s.waiting = append(s.waiting, nil)
 	}
 	s.budget.Configure(row.HedgeBudget, max(minBudgetTokens, int(budgetSearches*row.HedgeBudget*float64(groups))))
+	s.queue.Configure(s.row, m.table.FleetMax())
+	s.rate.Configure(row.RequestLimit, m.table.FleetMax())
+	s.capacityAt = time.Time{}
+	m.touch(s)
 	s.catalog = catalog{}
 	for g, members := range s.members {
 		s.catalog.refresh(&s.set, g, members)
 	}
 	m.updatePools(s, v)
 	for g := range s.waiting {
-		m.drain(now, s, g)
+		m.drain(s, g)
 	}
 }
 
+// identity names an upstream across tables. One that moved to another address is a different upstream.
+type identity struct {
+	name    string
+	address netip.AddrPort
+}
+
+func identify(u *selector.Upstream) identity { return identity{u.Row.Upstream, u.Row.Address} }
+
 // reindex translates the upstream indexes that attempts and sub-requests hold after the set changed.
-func (m *Machine) reindex(s *service, old []string) {
+func (m *Machine) reindex(s *service, old []identity) {
 	moved := make([]int, len(old))
 	same := true
-	for i, name := range old {
-		j, ok := s.set.Index(name)
-		if !ok {
+	for i, o := range old {
+		j, ok := s.set.Index(o.name)
+		if !ok || identify(s.set.At(j)) != o {
 			j = -1
 		}
 		moved[i] = j
@@ -184,13 +211,12 @@
 // observe takes the state that an upstream reported on a reply.
 func (m *Machine) observe(now time.Time, s *service, i int, r *encoder.SubReply) {
 	u := s.set.At(i)
-	changed := !sameHeld(u.Held, r.Held)
+	held, allowed := u.Held, u.Allowed()
 	_, drainChanged := s.set.Observe(now, i, r)
 	if drainChanged {
-		u = s.set.At(i)
-		m.emit(SpreadDrain{Service: s.name, Upstream: u.Row.Upstream, Incarnation: r.Incarnation, Leaving: r.Draining})
+		m.emit(SpreadDrain{Service: s.name, Upstream: u.Row.Upstream, Incarnation: u.Incarnation, Leaving: u.Draining})
 	}
-	if changed || drainChanged {
+	if u.Allowed() != allowed || !sameHeld(held, u.Held) {
 		m.refresh(now, s, i)
 	}
 }
@@ -200,6 +226,6 @@
 	g := s.groupOf(i)
 	if g < len(s.members) {
 		s.catalog.refresh(&s.set, g, s.members[g])
-		m.drain(now, s, g)
+		m.drain(s, g)
 	}
 }
