--- a/core/transport/messenger/messenger_test.go
+++ b/core/transport/messenger/messenger_test.go
@@ -23,7 +23,9 @@
 	release chan struct{}
 }
 
-func (*handler) Exchange(_ context.Context, n *exchanger.News) (*exchanger.News, error) { return n, nil }
+func (*handler) Exchange(_ context.Context, n *exchanger.News) (*exchanger.News, error) {
+	return n, nil
+}
 
 func (h *handler) RunTicket(ctx context.Context, r *exchanger.TicketRequest) (*exchanger.CallReply, error) {
 	h.entered <- struct{}{}
@@ -36,7 +38,10 @@
 
 func listen(t *testing.T, address string, h *handler) *Messenger {
 	t.Helper()
-	m, err := Listen(netip.MustParseAddrPort(address), h, func(error) {})
+	m, err := Listen(netip.MustParseAddrPort(address), func(error) {})
+	if err == nil {
+		err = m.Serve(h)
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/core/transport/messenger/server.go
+++ b/core/transport/messenger/server.go
@@ -33,6 +33,7 @@
 // Messenger listens for peers and calls them.
 type Messenger struct {
 	listener net.Listener
+	log      func(error)
 	stop     context.CancelFunc
 	done     chan struct{}
 	sent     atomic.Uint64
@@ -42,31 +43,36 @@
 	lanes    lanes
 }
 
-// Listen opens the peer address and serves the handler. Errors of single connections go to log.
-func Listen(address netip.AddrPort, handler exchanger.DRPCPeersServer, log func(error)) (*Messenger, error) {
-	mux := drpcmux.New()
-	if err := exchanger.DRPCRegisterPeers(mux, handler); err != nil {
-		return nil, eris.Wrap(err, "register the peer service")
-	}
+// Listen opens the peer address. Errors of single connections go to log.
+func Listen(address netip.AddrPort, log func(error)) (*Messenger, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for peers on %s", address)
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	m := &Messenger{
-		listener: listener, stop: stop, done: make(chan struct{}),
+	return &Messenger{
+		listener: listener, log: log, done: make(chan struct{}),
 		pool: drpcpool.New[lane, drpcpool.Conn](drpcpool.Options{Expiration: inactivity / 2, Capacity: cachedTotal, KeyCapacity: cachedPerLane}),
+	}, nil
+}
+
+// Serve answers peers with a handler until Close. It is separate from Listen, because a handler may use the messenger.
+func (m *Messenger) Serve(handler exchanger.DRPCPeersServer) error {
+	mux := drpcmux.New()
+	if err := exchanger.DRPCRegisterPeers(mux, handler); err != nil {
+		return eris.Wrap(err, "register the peer service")
 	}
 	options := managerOptions()
 	options.InactivityTimeout = inactivity
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: options, Log: log})
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: options, Log: m.log})
+	var ctx context.Context
+	ctx, m.stop = context.WithCancel(context.Background())
 	go func() {
 		defer close(m.done)
-		if err := server.Serve(ctx, &countingListener{listener, m}); err != nil {
-			log(err)
+		if err := server.Serve(ctx, &countingListener{m.listener, m}); err != nil {
+			m.log(err)
 		}
 	}()
-	return m, nil
+	return nil
 }
 
 func managerOptions() drpcmanager.Options {
@@ -79,7 +85,7 @@
 // Bytes returns the traffic since the start.
 func (m *Messenger) Bytes() Bytes { return Bytes{Sent: m.sent.Load(), Received: m.received.Load()} }
 
-// Close ends the listener and all connections. Calls in progress fail.
+// Close ends the listener and all connections after Serve. Calls in progress fail.
 func (m *Messenger) Close() {
 	m.stop()
 	_ = m.pool.Close()
--- /dev/null
+++ b/entry/internal/booker/peer.go
@@ -0,0 +1,76 @@
+package booker
+
+import (
+	"context"
+	"time"
+
+	"comfreyroute/core/coordination/claimer"
+	"comfreyroute/core/protocol/encoder"
+	"comfreyroute/core/protocol/exchanger"
+)
+
+// ask asks the VM that holds a claim for the outcome.
+func (b *Booker) ask(ctx context.Context, a claimer.AskHolder) claimer.Event {
+	ev := claimer.HolderAnswered{Key: a.Key, Nonce: a.Nonce}
+	peer := b.Peer(a.VM)
+	if peer == nil {
+		return ev
+	}
+	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
+	defer cancel()
+	r, err := peer.Outcome(ctx, &exchanger.OutcomeRequest{
+		Service: a.Service, Key: a.Key, Incarnation: a.Incarnation, Signature: a.Signature, WaitMs: time.Until(a.Deadline).Milliseconds(),
+	})
+	if err == nil {
+		ev.Reached, ev.Outcome, ev.Reason, ev.Result = true, encoder.Outcome(r.GetOutcome()), r.GetReason(), r.GetResult()
+	}
+	return ev
+}
+
+// forward passes a ticketed call to the VM that issued the ticket.
+func (b *Booker) forward(ctx context.Context, a claimer.Forward) claimer.Event {
+	ev := claimer.ForwardEnded{Call: a.Call}
+	peer := b.Peer(a.VM)
+	if peer == nil {
+		return ev
+	}
+	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
+	defer cancel()
+	r, err := peer.RunTicket(ctx, &exchanger.TicketRequest{
+		Ticket: a.Ticket, Service: a.Service, Body: a.Body, Caller: a.Caller, DeadlineMs: time.Until(a.Deadline).Milliseconds(),
+	})
+	if err == nil {
+		ev.Reached, ev.Outcome, ev.Reason, ev.Result = true, encoder.Outcome(r.GetOutcome()), r.GetReason(), r.GetResult()
+	}
+	return ev
+}
+
+// RunTicket handles a ticketed call that a peer passed on.
+func (b *Booker) RunTicket(ctx context.Context, r *exchanger.TicketRequest) (*exchanger.CallReply, error) {
+	deadline := time.Now().Add(time.Duration(r.GetDeadlineMs()) * time.Millisecond)
+	return b.serve(ctx, func(id claimer.CallID) claimer.Event {
+		return claimer.CallArrived{
+			Call: id, Service: r.GetService(), Ticket: r.GetTicket(), Body: r.GetBody(), Caller: r.GetCaller(),
+			Deadline: deadline, Nonce: Secret(), Forwarded: true,
+		}
+	})
+}
+
+// Outcome handles the question of a peer for the outcome of a claim.
+func (b *Booker) Outcome(ctx context.Context, r *exchanger.OutcomeRequest) (*exchanger.CallReply, error) {
+	deadline := time.Now().Add(time.Duration(r.GetWaitMs()) * time.Millisecond)
+	return b.serve(ctx, func(id claimer.CallID) claimer.Event {
+		return claimer.OutcomeAsked{
+			Call: id, Key: r.GetKey(), Signature: r.GetSignature(), Incarnation: r.GetIncarnation(), Deadline: deadline,
+		}
+	})
+}
+
+func (b *Booker) serve(ctx context.Context, make func(claimer.CallID) claimer.Event) (*exchanger.CallReply, error) {
+	a, ok := b.Call(ctx, make)
+	if !ok {
+		return &exchanger.CallReply{Outcome: string(encoder.OutcomeUnknown), Reason: "overloaded"}, nil
+	}
+	c := a.Call
+	return &exchanger.CallReply{Outcome: string(c.Outcome), Reason: c.Reason, Result: c.Result, Upstream: c.Upstream}, nil
+}
--- a/entry/internal/looper/loop.go
+++ b/entry/internal/looper/loop.go
@@ -50,6 +50,22 @@
 	Spread <-chan struct{}
 }
 
+// spreadWait bounds how long an answer waits for the peers to hear of a suspicion.
+const spreadWait = 20 * time.Millisecond
+
+// AwaitSpread waits until the peers have heard what the request has shown, but only for a short time.
+func (a *Answer) AwaitSpread() {
+	if a.Spread == nil {
+		return
+	}
+	t := time.NewTimer(spreadWait)
+	defer t.Stop()
+	select {
+	case <-a.Spread:
+	case <-t.C:
+	}
+}
+
 type arrival struct {
 	event  router.RequestArrived
 	answer chan<- Answer
--- /dev/null
+++ b/entry/internal/measurer/report.go
@@ -0,0 +1,102 @@
+package measurer
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"comfreyroute/core/protocol/encoder"
+	"comfreyroute/core/state/reporter"
+	"comfreyroute/core/state/tabler"
+	"comfreyroute/entry/internal/looper"
+)
+
+const sampleCapacity = 4096
+
+var droppedSamples = metrics.NewCounter("comfrey_report_dropped_total")
+
+// Reporting is the reporting concern: the one goroutine that owns the counters of the burn report.
+type Reporting struct {
+	VM string
+
+	reporter reporter.Reporter
+	samples  chan sample
+	inspect  chan func()
+	quit     chan struct{}
+	done     chan struct{}
+}
+
+type sample struct {
+	row    *tabler.ServiceRow
+	sample reporter.Sample
+}
+
+// Start starts the concern.
+func (r *Reporting) Start() {
+	r.samples = make(chan sample, sampleCapacity)
+	r.inspect = make(chan func(), 8)
+	r.quit, r.done = make(chan struct{}), make(chan struct{})
+	r.reporter.Start(time.Now())
+	go r.run()
+}
+
+// Stop ends the concern.
+func (r *Reporting) Stop() { close(r.quit) }
+
+// Done is closed when the concern has ended.
+func (r *Reporting) Done() <-chan struct{} { return r.done }
+
+func (r *Reporting) run() {
+	defer close(r.done)
+	for {
+		select {
+		case s := <-r.samples:
+			r.reporter.Record(time.Now(), s.row, s.sample)
+		case f := <-r.inspect:
+			f()
+		case <-r.quit:
+			return
+		}
+	}
+}
+
+// Record counts an answer in the metrics and in the report. A sample that finds no room is dropped and counted.
+func (r *Reporting) Record(row *tabler.ServiceRow, kind string, took time.Duration, a looper.Answer) {
+	Answered(row.Service, kind, took, a)
+	select {
+	case r.samples <- sample{row, sampleOf(took, a)}:
+	default:
+		droppedSamples.Inc()
+	}
+}
+
+func sampleOf(took time.Duration, a looper.Answer) reporter.Sample {
+	s := reporter.Sample{Latency: took}
+	var outcome encoder.Outcome
+	if a.Search != nil {
+		outcome, s.Covered, s.Shards = a.Search.Outcome, len(a.Search.Covered), a.Search.ShardsTotal
+	} else {
+		outcome, s.Covered, s.Shards = a.Point.Outcome, 1, 1
+	}
+	s.NotRun, s.Unknown = outcome == encoder.OutcomeNotRun, outcome == encoder.OutcomeUnknown
+	return s
+}
+
+// Summary returns the counts of this VM.
+func (r *Reporting) Summary(ctx context.Context) (reporter.Summary, bool) {
+	answer := make(chan reporter.Summary, 1)
+	select {
+	case r.inspect <- func() { answer <- r.reporter.Summarize(time.Now(), r.VM) }:
+	case <-ctx.Done():
+		return reporter.Summary{}, false
+	case <-r.done:
+		return reporter.Summary{}, false
+	}
+	select {
+	case s := <-answer:
+		return s, true
+	case <-r.done:
+		return reporter.Summary{}, false
+	}
+}
--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -4,19 +4,23 @@
 package receiver
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/kataras/iris/v12"
 
+	"comfreyroute/core/coordination/claimer"
 	"comfreyroute/core/coordination/router"
 	"comfreyroute/core/protocol/encoder"
 	"comfreyroute/core/state/tabler"
+	"comfreyroute/entry/internal/booker"
 	"comfreyroute/entry/internal/looper"
 )
 
@@ -25,7 +29,6 @@
 	maxNameBytes  = 128
 	maxDeadline   = time.Minute
 	answerGrace   = time.Second            // after the deadline, before a request without an answer is given up
-	spreadWait    = 20 * time.Millisecond  // an answer waits at most so long for peers to hear of a suspicion
 	retryHint     = 100 * time.Millisecond // when the loop is full
 	contentJSON   = "application/json"
 	reasonBusy    = "overloaded"
@@ -38,19 +41,28 @@
 	Leave(router.RequestID)
 }
 
-// Receiver answers callers and operators. Table returns the table in effect.
+// Calls takes non-idempotent calls and requests for tickets.
+type Calls interface {
+	Call(ctx context.Context, make func(claimer.CallID) claimer.Event) (booker.Answer, bool)
+}
+
+// Receiver answers callers and operators. Its fields are set before Handler.
 type Receiver struct {
 	Loop      Loop
-	Table     func() *tabler.Snapshot
-	Ready     func() (ready bool, reason string)
+	Calls     Calls
+	Table     func() *tabler.Snapshot              // in effect
+	Ready     func() (ready bool, reason string)   // for the load balancer
+	Accepts   func() (accepts bool, reason string) // for requests; a VM that leaves accepts for a while without being ready
 	BodyBytes int64
 	IDPrefix  string // of request ids
 	Requests  int    // limit of requests in flight
 	Admin     map[string]http.HandlerFunc
-	Measure   func(service, kind string, took time.Duration, a looper.Answer)
+	Measure   func(row *tabler.ServiceRow, kind string, took time.Duration, a looper.Answer)
 
 	refusing atomic.Bool
-	running  atomic.Int64
+	numbers  atomic.Uint64
+	count    atomic.Int64
+	running  sync.Map // request ids
 }
 
 // Handler returns the HTTP handler of all paths. It returns an error when iris cannot build its routes.
@@ -60,6 +72,8 @@
 	app.Logger().SetLevel("disable")
 	app.Post("/v1/search", r.search)
 	app.Post("/v1/lookup", r.lookup)
+	app.Post("/v1/call", r.call)
+	app.Post("/v1/tickets", r.tickets)
 	app.Get("/livez", func(c iris.Context) { c.StatusCode(http.StatusOK) })
 	app.Get("/readyz", r.readyz)
 	app.Get("/metrics", func(c iris.Context) { metrics.WritePrometheus(c.ResponseWriter(), true) })
@@ -75,8 +89,32 @@
 // Refuse makes the receiver answer every new request with "not run".
 func (r *Receiver) Refuse() { r.refusing.Store(true) }
 
-// Running returns how many requests are in flight.
-func (r *Receiver) Running() int { return int(r.running.Load()) }
+// Running returns the ids of the requests in flight.
+func (r *Receiver) Running() []string {
+	var ids []string
+	r.running.Range(func(id, _ any) bool {
+		ids = append(ids, id.(string))
+		return true
+	})
+	return ids
+}
+
+// enter counts a request and returns its id, or false when too many are in flight or the VM leaves. It counts before it
+// looks whether the VM leaves, so that a request that is not seen by Running is refused.
+func (r *Receiver) enter() (string, bool) {
+	id := r.IDPrefix + strconv.FormatUint(r.numbers.Add(1), 36)
+	r.running.Store(id, nil)
+	if r.count.Add(1) > int64(r.Requests) || r.refusing.Load() {
+		r.leave(id)
+		return id, false
+	}
+	return id, true
+}
+
+func (r *Receiver) leave(id string) {
+	r.count.Add(-1)
+	r.running.Delete(id)
+}
 
 func (r *Receiver) readyz(c iris.Context) {
 	if ok, reason := r.Ready(); !ok {
@@ -90,7 +128,7 @@
 	if !r.decode(c, &q) {
 		return
 	}
-	v, ok := r.check(c, q.Service, tabler.KindSearch, q.DeadlineMS)
+	v, ok := r.check(c, q.Service, encoder.SubSearch, q.DeadlineMS)
 	if !ok {
 		return
 	}
@@ -106,7 +144,7 @@
 	if !r.decode(c, &q) {
 		return
 	}
-	v, ok := r.check(c, q.Service, tabler.KindPoint, q.DeadlineMS)
+	v, ok := r.check(c, q.Service, encoder.SubLookup, q.DeadlineMS)
 	if !ok {
 		return
 	}
@@ -132,7 +170,8 @@
 	return false
 }
 
-func (r *Receiver) check(c iris.Context, service string, kind tabler.Kind, deadlineMS int64) (*tabler.Value, bool) {
+// check tells whether a request can be taken, and answers it if not.
+func (r *Receiver) check(c iris.Context, service string, sub encoder.SubKind, deadlineMS int64) (*tabler.Value, bool) {
 	if deadlineMS < 0 || deadlineMS > maxDeadline.Milliseconds() {
 		fail(c, http.StatusBadRequest, "deadline_ms is not between 0 and "+strconv.FormatInt(maxDeadline.Milliseconds(), 10))
 		return nil, false
@@ -141,8 +180,8 @@
 		fail(c, http.StatusBadRequest, encoder.HeaderCaller+" has more than 128 bytes or characters that are not printable")
 		return nil, false
 	}
-	if ready, reason := r.Ready(); !ready && r.Table().Find(service) == nil || r.refusing.Load() {
-		r.refuse(c, kind, reason)
+	if ok, reason := r.Accepts(); !ok {
+		r.refuse(c, sub, reason)
 		return nil, false
 	}
 	v := r.Table().Find(service)
@@ -150,6 +189,10 @@
 		fail(c, http.StatusNotFound, "there is no such service in the table")
 		return nil, false
 	}
+	kind := tabler.KindPoint
+	if sub == encoder.SubSearch {
+		kind = tabler.KindSearch
+	}
 	if v.Service.Kind != kind {
 		fail(c, http.StatusBadRequest, "the service is of kind "+v.Service.Kind.String())
 		return nil, false
@@ -159,24 +202,24 @@
 
 // run hands a request to the loop and answers it.
 func (r *Receiver) run(c iris.Context, v *tabler.Value, ev router.RequestArrived, deadlineMS int64) {
-	if r.running.Add(1) > int64(r.Requests) {
-		r.running.Add(-1)
-		r.refuse(c, v.Service.Kind, reasonBusy)
+	name, ok := r.enter()
+	if !ok {
+		r.refuse(c, ev.Kind, reasonBusy)
 		return
 	}
-	defer r.running.Add(-1)
+	defer r.leave(name)
 	began := time.Now()
 	ev.Service, ev.Caller = v.Service.Service, c.GetHeader(encoder.HeaderCaller)
-	allowed := v.Service.Deadline
-	if deadlineMS > 0 {
-		allowed = time.Duration(deadlineMS) * time.Millisecond
-	}
-	ev.Deadline = began.Add(allowed)
-	a, ok := r.wait(c, ev, allowed)
-	if !ok {
-		return
+	limit := allowed(v, deadlineMS)
+	ev.Deadline = began.Add(limit)
+	if a, ok := r.wait(c, ev, limit); ok {
+		r.finish(c, v, ev.Kind, began, named(a, name))
 	}
-	r.Measure(ev.Service, string(ev.Kind), time.Since(began), a)
+}
+
+// finish measures and writes an answer.
+func (r *Receiver) finish(c iris.Context, v *tabler.Value, kind encoder.SubKind, began time.Time, a looper.Answer) {
+	r.Measure(&v.Service, string(kind), time.Since(began), a)
 	if a.Search != nil {
 		write(c, status(a.Search.Outcome), a.Search.RetryAfterMS, a.Search)
 		return
@@ -185,49 +228,36 @@
 }
 
 // wait returns the answer of a request, or false when the caller is gone.
-func (r *Receiver) wait(c iris.Context, ev router.RequestArrived, allowed time.Duration) (looper.Answer, bool) {
+func (r *Receiver) wait(c iris.Context, ev router.RequestArrived, limit time.Duration) (looper.Answer, bool) {
 	id, answers, ok := r.Loop.Submit(ev)
-	name := r.IDPrefix + strconv.FormatUint(uint64(id), 10)
 	if !ok {
-		return r.name(refusal(ev.Kind, reasonBusy, retryHint), name), true
+		return refusal(ev.Kind, reasonBusy, retryHint), true
 	}
-	t := time.NewTimer(allowed + answerGrace)
+	t := time.NewTimer(limit + answerGrace)
 	defer t.Stop()
 	select {
 	case a := <-answers:
-		await(a.Spread, t)
-		return r.name(a, name), true
+		a.AwaitSpread()
+		return a, true
 	case <-c.Request().Context().Done():
 		r.Loop.Leave(id)
 		return looper.Answer{}, false
 	case <-t.C:
 		r.Loop.Leave(id)
-		return r.name(unknown(ev.Kind), name), true
-	}
-}
-
-// await waits until the peers have heard what a request has shown, but only for a short time.
-func await(spread <-chan struct{}, t *time.Timer) {
-	if spread == nil {
-		return
-	}
-	t.Reset(spreadWait)
-	select {
-	case <-spread:
-	case <-t.C:
+		return unknown(ev.Kind), true
 	}
 }
 
-// name sets the request id on a copy, because the decision trace keeps the answer of the machine.
-func (r *Receiver) name(a looper.Answer, id string) looper.Answer {
+// named sets the request id on a copy, because the decision trace keeps the answer of the machine.
+func named(a looper.Answer, id string) looper.Answer {
 	if a.Search != nil {
-		named := *a.Search
-		named.RequestID = id
-		return looper.Answer{Search: &named}
+		search := *a.Search
+		search.RequestID = id
+		return looper.Answer{Search: &search}
 	}
-	named := *a.Point
-	named.RequestID = id
-	return looper.Answer{Point: &named}
+	point := *a.Point
+	point.RequestID = id
+	return looper.Answer{Point: &point}
 }
 
 func refusal(kind encoder.SubKind, reason string, retry time.Duration) looper.Answer {
@@ -253,19 +283,20 @@
 	return a
 }
 
-func (r *Receiver) refuse(c iris.Context, kind tabler.Kind, reason string) {
+// refuse answers a request that this VM does not take. An earlier attempt under the key or ticket of a call may have run
+// elsewhere, so the outcome of a call is unknown.
+func (r *Receiver) refuse(c iris.Context, sub encoder.SubKind, reason string) {
 	if r.refusing.Load() {
 		reason = reasonLeaving
 	}
-	sub := encoder.SubLookup
-	if kind == tabler.KindSearch {
-		sub = encoder.SubSearch
-	}
 	a := refusal(sub, reason, retryHint)
 	if a.Search != nil {
 		write(c, http.StatusServiceUnavailable, a.Search.RetryAfterMS, a.Search)
 		return
 	}
+	if sub == encoder.SubCall {
+		a.Point.Outcome = encoder.OutcomeUnknown
+	}
 	write(c, http.StatusServiceUnavailable, a.Point.RetryAfterMS, a.Point)
 }
 
--- /dev/null
+++ b/entry/internal/registrar/list.go
@@ -0,0 +1,96 @@
+package registrar
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"comfreyroute/core/coordination/pacer"
+	"comfreyroute/core/coordination/router"
+	"comfreyroute/core/coordination/tracker"
+	"comfreyroute/core/protocol/encoder"
+	"comfreyroute/core/transport/keeper"
+)
+
+// Times between two reads of the VM list. Watchers read it often, because it shows upstreams that are leaving; the other
+// VMs hear of those from the watchers.
+const (
+	listInterval     = time.Second
+	listIntervalRest = time.Minute
+)
+
+const (
+	roleEntry    = "entry"
+	roleUpstream = "upstream"
+)
+
+// readList reads the VM list when it is due: at once on a VM that is not admitted yet.
+func (r *Registrar) readList(now time.Time) {
+	interval := listIntervalRest
+	if r.Watching() || !r.Machine.Admitted() {
+		interval = listInterval
+	}
+	if r.listing || now.Sub(r.listed) < pacer.Jitter(r.Machine.Random, interval) {
+		return
+	}
+	r.listing, r.listed = true, now
+	r.workers.Go(func() {
+		ctx, cancel := context.WithTimeout(r.context, listInterval)
+		defer cancel()
+		l := r.Keeper.List(ctx)
+		select {
+		case r.commands <- func() { r.takeList(now, l) }:
+		case <-r.context.Done():
+		}
+	})
+}
+
+func (r *Registrar) takeList(sent time.Time, l keeper.VMs) {
+	r.listing = false
+	if l.Status != keeper.OK {
+		r.Log.Warn("registrar: the platform gives no VM list", zap.Error(l.Err))
+		return
+	}
+	var vms []tracker.ListedVM
+	leaving := map[Upstream]bool{}
+	for _, vm := range l.VMs {
+		switch vm.Role {
+		case roleEntry:
+			address, _ := netip.ParseAddrPort(vm.Address)
+			vms = append(vms, tracker.ListedVM{
+				ID: vm.Name, FailureDomain: vm.FailureDomain, PeerAddress: address, Leaving: vm.State == encoder.VMLeaving,
+			})
+		case roleUpstream:
+			if vm.State == encoder.VMLeaving {
+				for _, u := range r.Upstreams(vm.Name) {
+					leaving[u] = true
+				}
+			}
+		}
+	}
+	r.step(tracker.Listed{VMs: vms, Sent: sent})
+	r.drains(leaving)
+}
+
+// drains tells the router which upstreams the list shows as leaving, or no longer. The router spreads it to the peers.
+func (r *Registrar) drains(leaving map[Upstream]bool) {
+	var changed []Upstream
+	for u := range leaving {
+		if !r.leaving[u] {
+			changed = append(changed, u)
+		}
+	}
+	for u := range r.leaving {
+		if !leaving[u] {
+			changed = append(changed, u)
+		}
+	}
+	r.leaving = leaving
+	slices.SortFunc(changed, compareUpstreams)
+	for _, u := range changed {
+		r.Router(router.UpstreamLeaving{Service: u.Service, Upstream: u.Name, Leaving: leaving[u]})
+	}
+}
--- /dev/null
+++ b/entry/internal/registrar/news.go
@@ -0,0 +1,87 @@
+package registrar
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"comfreyroute/core/coordination/router"
+	"comfreyroute/core/protocol/exchanger"
+)
+
+// Bounds of what a VM repeats to its peers. A heartbeat carries the latest ones; the push at once is what is fast.
+const (
+	maxSuspicions = 16
+	maxDrains     = 16
+	drainLife     = 30 * time.Second
+)
+
+// news holds what is told to peers besides the membership and the table.
+type news struct {
+	vm         string
+	suspicions []router.SpreadSuspicion
+	drains     []drain
+}
+
+type drain struct {
+	router.SpreadDrain
+	expires time.Time
+}
+
+// add remembers a suspicion or a draining upstream, replacing what it says about the same thing.
+func (n *news) add(now time.Time, a router.Action) {
+	switch a := a.(type) {
+	case router.SpreadSuspicion:
+		n.suspicions = slices.DeleteFunc(n.suspicions, func(s router.SpreadSuspicion) bool {
+			return s.Signature == a.Signature && s.Service == a.Service
+		})
+		n.suspicions = latest(append(n.suspicions, a), maxSuspicions)
+	case router.SpreadDrain:
+		n.drains = slices.DeleteFunc(n.drains, func(d drain) bool { return d.Service == a.Service && d.Upstream == a.Upstream })
+		n.drains = latest(append(n.drains, drain{a, now.Add(drainLife)}), maxDrains)
+	}
+}
+
+// latest keeps the newest entries.
+func latest[T any](list []T, limit int) []T { return slices.Delete(list, 0, max(0, len(list)-limit)) }
+
+// fill adds the news to a message. Times on the wire are relative, because clocks of VMs differ.
+func (n *news) fill(now time.Time, m *exchanger.News) {
+	n.suspicions = slices.DeleteFunc(n.suspicions, func(s router.SpreadSuspicion) bool { return !now.Before(s.Expires) })
+	n.drains = slices.DeleteFunc(n.drains, func(d drain) bool { return !now.Before(d.expires) })
+	for _, s := range n.suspicions {
+		m.Suspicions = append(m.Suspicions, &exchanger.Suspicion{
+			Signature: s.Signature, Service: s.Service, Confirmed: s.Confirmed, Crashes: uint32(s.Crashes),
+			ExpiresInMs: s.Expires.Sub(now).Milliseconds(), NextProbeInMs: max(0, s.NextProbe.Sub(now).Milliseconds()), Origin: n.vm,
+		})
+	}
+	for _, d := range n.drains {
+		m.Drains = append(m.Drains, &exchanger.Drain{
+			Service: d.Service, Upstream: d.Upstream, Incarnation: d.Incarnation, Draining: d.Leaving,
+			ExpiresInMs: d.expires.Sub(now).Milliseconds(),
+		})
+	}
+}
+
+// heardEvents converts the news of a peer to events of the router.
+func heardEvents(now time.Time, n *exchanger.News) []router.Event {
+	var events []router.Event
+	in := func(ms int64) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	for _, s := range n.GetSuspicions()[:min(len(n.GetSuspicions()), maxSuspicions)] {
+		events = append(events, router.SuspicionHeard{
+			Signature: s.GetSignature(), Service: s.GetService(), Confirmed: s.GetConfirmed(), Crashes: int(s.GetCrashes()),
+			Expires: in(s.GetExpiresInMs()), NextProbe: in(s.GetNextProbeInMs()),
+		})
+	}
+	for _, d := range n.GetDrains()[:min(len(n.GetDrains()), maxDrains)] {
+		events = append(events, router.UpstreamLeaving{
+			Service: d.GetService(), Upstream: d.GetUpstream(), Incarnation: d.GetIncarnation(), Leaving: d.GetDraining(),
+		})
+	}
+	return events
+}
+
+// compareUpstreams orders upstreams, so that their events come in a fixed order.
+func compareUpstreams(a, b Upstream) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+}
--- /dev/null
+++ b/entry/internal/registrar/registrar.go
@@ -0,0 +1,283 @@
+// Package registrar runs the membership concern: the one goroutine that owns the tracker machine, and what VMs tell each
+// other with their heartbeats.
+package registrar
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"comfreyroute/core/coordination/adopter"
+	"comfreyroute/core/coordination/router"
+	"comfreyroute/core/coordination/tracker"
+	"comfreyroute/core/protocol/exchanger"
+	"comfreyroute/core/transport/keeper"
+	"comfreyroute/core/transport/messenger"
+)
+
+const (
+	eventCapacity   = 256
+	exchangeTimeout = 400 * time.Millisecond // below the interval of heartbeats
+	farFuture       = time.Hour
+)
+
+// Registrar is the membership concern. The exported fields are set before Start.
+type Registrar struct {
+	Machine   tracker.Machine
+	Messenger *messenger.Messenger
+	Keeper    *keeper.Client
+	Log       *zap.Logger
+	Revisions func() []adopter.Revision // in effect here
+	Contact   func() time.Time          // freshest platform contact that this VM knows of
+	Watching  func() bool               // this VM is a watcher of its failure domain
+	Table     func(adopter.Event)       // tells the table concern; never blocks
+	Router    func(router.Event)        // tells the routing loop; may wait while that is busy
+	Upstreams func(name string) []Upstream
+	Ready     func() bool
+	Admitted  func() // the start gate was passed; may wait while the routing loop is busy
+
+	events   chan tracker.Event
+	commands chan func()
+	news     news
+	view     atomic.Pointer[View]
+	contact  time.Time
+	listed   time.Time // last read of the VM list
+	listing  bool
+	leaving  map[Upstream]bool // upstreams that the VM list shows as leaving
+	context  context.Context
+	stop     context.CancelFunc
+	workers  sync.WaitGroup
+	done     chan struct{}
+}
+
+// Upstream names an upstream of a service.
+type Upstream struct{ Service, Name string }
+
+// View is what other concerns see of the membership. It is replaced as a whole.
+type View struct {
+	Members  []tracker.Member
+	Admitted bool
+	contact  time.Time
+	knows    bool // knows of peers that have not left
+}
+
+// Isolated reports whether the VM had no contact with the platform or a peer for too long. It is computed from the time of
+// the last contact, so that a VM that was paused notices before its first tick.
+func (v *View) Isolated(now time.Time) bool {
+	return v.knows && now.Sub(v.contact) > tracker.IsolationAfter
+}
+
+// Prepare makes the channels, so that other concerns may use this one before it starts.
+func (r *Registrar) Prepare() {
+	r.events = make(chan tracker.Event, eventCapacity)
+	r.commands = make(chan func(), eventCapacity)
+	r.leaving = map[Upstream]bool{}
+	r.view.Store(&View{})
+	r.context, r.stop = context.WithCancel(context.Background())
+	r.done = make(chan struct{})
+}
+
+// Start starts the concern after Prepare.
+func (r *Registrar) Start() { go r.run() }
+
+// Stop ends the concern.
+func (r *Registrar) Stop() { r.stop() }
+
+// Done is closed when the concern and its workers have ended.
+func (r *Registrar) Done() <-chan struct{} { return r.done }
+
+// View returns the current view.
+func (r *Registrar) View() *View { return r.view.Load() }
+
+// Post hands in an event.
+func (r *Registrar) Post(ev tracker.Event) {
+	select {
+	case r.events <- ev:
+	case <-r.context.Done():
+	}
+}
+
+// Peer returns a client of a VM, or nil when its address is not known.
+func (r *Registrar) Peer(vm string) exchanger.DRPCPeersClient {
+	for _, m := range r.View().Members {
+		if m.Record.ID == vm && m.Record.PeerAddress.IsValid() {
+			return r.Messenger.Peer(m.Record.PeerAddress)
+		}
+	}
+	return nil
+}
+
+func (r *Registrar) run() {
+	defer close(r.done)
+	defer r.workers.Wait()
+	t := time.NewTicker(tracker.TickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case ev := <-r.events:
+			r.step(ev)
+		case f := <-r.commands:
+			f()
+		case <-t.C:
+			if ready := r.Ready(); ready != r.Machine.Self.Ready {
+				r.step(tracker.ReadyChanged{Ready: ready})
+			}
+			r.step(tracker.Ticked{})
+			r.readList(time.Now())
+		case <-r.context.Done():
+			return
+		}
+	}
+}
+
+func (r *Registrar) step(ev tracker.Event) {
+	now := time.Now()
+	switch e := ev.(type) {
+	case tracker.Answered:
+		r.touch(e.Sent)
+	case tracker.PlatformContacted:
+		r.touch(e.Sent)
+	case tracker.Listed:
+		r.touch(e.Sent)
+	}
+	for _, a := range r.Machine.Step(now, ev) {
+		switch a := a.(type) {
+		case tracker.Exchange:
+			r.exchange(a.To)
+		case tracker.ViewChanged:
+			r.changed(a.Members)
+		case tracker.Replaced:
+			r.Log.Error("registrar: another process uses the id of this VM", zap.Uint64("incarnation", a.Record.Incarnation))
+		}
+	}
+	before := r.view.Load()
+	r.view.Store(&View{
+		Members: r.Machine.Members(), Admitted: r.Machine.Admitted(), contact: r.contact, knows: r.Machine.Isolated(now.Add(farFuture)),
+	})
+	if !before.Admitted && r.Machine.Admitted() {
+		r.Admitted()
+	}
+}
+
+func (r *Registrar) touch(at time.Time) {
+	if at.After(r.contact) {
+		r.contact = at
+	}
+}
+
+func (r *Registrar) changed(members []tracker.Member) {
+	list := make([]adopter.Member, 0, len(members))
+	var states []string
+	for _, m := range members {
+		list = append(list, adopter.Member{ID: m.Record.ID, FailureDomain: m.Record.FailureDomain})
+		states = append(states, m.Record.ID+"="+m.State.String())
+	}
+	r.Table(adopter.MembersChanged{Members: list})
+	r.Log.Info("registrar: the view changed", zap.Strings("vms", states))
+}
+
+// exchange sends a heartbeat to a peer.
+func (r *Registrar) exchange(to tracker.Record) {
+	message := r.message(time.Now())
+	r.workers.Go(func() {
+		ctx, cancel := context.WithTimeout(r.context, exchangeTimeout)
+		defer cancel()
+		sent := time.Now()
+		reply, err := r.Messenger.Peer(to.PeerAddress).Exchange(ctx, message)
+		if err != nil {
+			r.Post(tracker.ExchangeFailed{Peer: to.ID})
+			return
+		}
+		r.take(reply)
+		r.Post(tracker.Answered{Peer: to.ID, Sent: sent})
+		if age := reply.GetPlatformContactAgeMs(); age >= 0 {
+			r.Table(adopter.ContactHeard{Sent: sent, Age: time.Duration(age) * time.Millisecond})
+		}
+	})
+}
+
+// message returns what this VM tells its peers. Only the concern's goroutine calls it.
+func (r *Registrar) message(now time.Time) *exchanger.News {
+	n := &exchanger.News{PlatformContactAgeMs: -1}
+	for i, x := range r.Machine.Records(0) {
+		if i == 0 {
+			n.Sender = x.Message()
+			continue
+		}
+		n.Members = append(n.Members, x.Message())
+	}
+	for _, x := range r.Revisions() {
+		n.Revisions = append(n.Revisions, &exchanger.Revision{Service: x.Service, Revision: x.Revision})
+	}
+	if c := r.Contact(); !c.IsZero() {
+		n.PlatformContactAgeMs = max(0, now.Sub(c).Milliseconds())
+	}
+	r.news.fill(now, n)
+	return n
+}
+
+// take passes the news of a peer to the concerns that need them.
+func (r *Registrar) take(n *exchanger.News) {
+	var records []tracker.Record
+	for _, vm := range append([]*exchanger.VM{n.GetSender()}, n.GetMembers()...) {
+		if x, ok := tracker.FromMessage(vm); ok {
+			records = append(records, x)
+		}
+	}
+	if len(records) > 0 {
+		r.Post(tracker.Heard{Records: records})
+	}
+	if len(n.GetRevisions()) > 0 {
+		heard := adopter.RevisionsHeard{From: n.GetSender().GetId()}
+		for _, x := range n.GetRevisions() {
+			heard.Revisions = append(heard.Revisions, adopter.Revision{Service: x.GetService(), Revision: x.GetRevision()})
+		}
+		r.Table(heard)
+	}
+	now := time.Now()
+	for _, ev := range heardEvents(now, n) {
+		r.Router(ev)
+	}
+}
+
+// Answer handles an Exchange or Notify of a peer.
+func (r *Registrar) Answer(ctx context.Context, n *exchanger.News) (*exchanger.News, error) {
+	r.take(n)
+	reply := make(chan *exchanger.News, 1)
+	select {
+	case r.commands <- func() { reply <- r.message(time.Now()) }:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-r.context.Done():
+		return nil, r.context.Err()
+	}
+	select {
+	case m := <-reply:
+		return m, nil
+	case <-r.done:
+		return nil, context.Canceled
+	}
+}
+
+// addresses returns up to limit addresses of live members, in random order of the view's choice.
+func (r *Registrar) addresses(limit int, ids []string) []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, m := range r.View().Members {
+		if m.State != tracker.Live && m.State != tracker.Leaving || !m.Record.PeerAddress.IsValid() {
+			continue
+		}
+		if ids != nil && !slices.Contains(ids, m.Record.ID) {
+			continue
+		}
+		list = append(list, m.Record.PeerAddress)
+	}
+	if x := r.Machine.Random; ids == nil && x != nil && len(list) > limit {
+		x.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	return list[:min(limit, len(list))]
+}
--- a/entry/internal/runner/admin.go
+++ b/entry/internal/runner/admin.go
@@ -1,15 +1,25 @@
 package runner
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
+	"sync"
+	"time"
 
 	"comfreyroute/core/coordination/router"
+	"comfreyroute/core/coordination/tracker"
+	"comfreyroute/core/protocol/exchanger"
+	"comfreyroute/core/state/reporter"
 	"comfreyroute/core/state/tabler"
 	"comfreyroute/core/transport/connector"
+	"comfreyroute/core/transport/messenger"
 	"comfreyroute/entry/internal/looper"
+	"comfreyroute/entry/internal/measurer"
 )
 
+const burnTimeout = time.Second
+
 // status is the document of /admin/status.
 type status struct {
 	VM          string            `json:"vm"`
@@ -18,33 +28,70 @@
 	Ready       bool              `json:"ready"`
 	Reason      string            `json:"reason,omitempty"`
 	Requests    int               `json:"requests"`
+	Calls       int               `json:"calls"`
 	Open        int               `json:"open"`
 	Busy        int               `json:"busy"`
+	Watching    bool              `json:"watching"`
+	ContactMS   int64             `json:"contact"` // age of the freshest platform contact known, -1 for none
+	Members     []member          `json:"members"`
 	Transport   connector.Counts  `json:"transport"`
 	Router      router.Stats      `json:"router"`
+	Peers       messenger.Bytes   `json:"peers"`
 	Revisions   map[string]uint64 `json:"revisions"`
 }
 
+type member struct {
+	VM          string `json:"vm"`
+	Domain      string `json:"domain"`
+	State       string `json:"state"`
+	Incarnation uint64 `json:"incarnation"`
+	Ready       bool   `json:"ready"`
+	Callers     string `json:"callers"`
+}
+
 func (d *daemon) admin() map[string]http.HandlerFunc {
 	return map[string]http.HandlerFunc{
-		"/admin/status": func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, d.status()) },
-		"/admin/table":  func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, d.values()) },
+		"/admin/status":  func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, d.status()) },
+		"/admin/table":   func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, d.values()) },
+		"/admin/members": func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, d.members()) },
+		"/admin/burn":    func(w http.ResponseWriter, r *http.Request) { writeJSON(w, d.burn(r.Context())) },
+		"/burn": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "text/html; charset=utf-8")
+			_ = d.burn(r.Context()).WriteHTML(w)
+		},
 	}
 }
 
 func (d *daemon) status() status {
-	s := status{VM: d.settings.VM.ID, Incarnation: d.incarnation, Domain: d.settings.VM.FailureDomain, Revisions: map[string]uint64{}}
+	v := d.updater.View()
+	s := status{
+		VM: d.settings.VM.ID, Incarnation: d.incarnation, Domain: d.settings.VM.FailureDomain, Revisions: map[string]uint64{},
+		Requests: len(d.receiver.Running()), Calls: d.booker.Busy(), Watching: v.Watching, ContactMS: -1,
+		Members: d.members(), Transport: d.connector.Counts(), Peers: d.messenger.Bytes(),
+	}
 	s.Ready, s.Reason = d.ready()
-	s.Requests = d.receiver.Running()
 	s.Open, s.Busy = d.connector.Open()
-	s.Transport = d.connector.Counts()
+	if !v.Contact.IsZero() {
+		s.ContactMS = time.Since(v.Contact).Milliseconds()
+	}
 	d.loop.Inspect(func(looper.Machine) { s.Router = d.machine.Stats() })
-	for _, v := range d.table.Load().All() {
-		s.Revisions[v.Service.Service] = v.Revision
+	for _, r := range v.Revisions {
+		s.Revisions[r.Service] = r.Revision
 	}
 	return s
 }
 
+func (d *daemon) members() []member {
+	list := []member{}
+	for _, m := range d.registrar.View().Members {
+		list = append(list, member{
+			VM: m.Record.ID, Domain: m.Record.FailureDomain, State: m.State.String(), Incarnation: m.Record.Incarnation,
+			Ready: m.Record.Ready, Callers: m.Record.CallerAddress.String(),
+		})
+	}
+	return list
+}
+
 // value is one value of /admin/table.
 type value struct {
 	Service  string          `json:"service"`
@@ -62,7 +109,71 @@
 	return values
 }
 
+// burn returns the burn report over all VMs that answer.
+func (d *daemon) burn(ctx context.Context) reporter.Report {
+	ctx, cancel := context.WithTimeout(ctx, burnTimeout)
+	defer cancel()
+	var (
+		mu          sync.Mutex
+		summaries   []reporter.Summary
+		unreachable []string
+		calls       sync.WaitGroup
+	)
+	if s, ok := d.reporting.Summary(ctx); ok {
+		summaries = append(summaries, s)
+	}
+	for _, m := range d.registrar.View().Members {
+		if m.State == tracker.Gone || !m.Record.PeerAddress.IsValid() {
+			continue
+		}
+		calls.Go(func() {
+			var s reporter.Summary
+			reply, err := d.messenger.Peer(m.Record.PeerAddress).Burn(ctx, &exchanger.BurnRequest{})
+			if err == nil {
+				err = json.Unmarshal(reply.GetJson(), &s)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				unreachable = append(unreachable, m.Record.ID)
+				return
+			}
+			summaries = append(summaries, s)
+		})
+	}
+	calls.Wait()
+	return reporter.Merge(time.Now(), d.table.Load(), summaries, unreachable)
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
 }
+
+// registerGauges offers values that are read with the metrics.
+func (d *daemon) registerGauges() {
+	measurer.Gauge("comfrey_peer_bytes_sent", func() float64 { return float64(d.messenger.Bytes().Sent) })
+	measurer.Gauge("comfrey_peer_bytes_received", func() float64 { return float64(d.messenger.Bytes().Received) })
+	measurer.Gauge("comfrey_requests_running", func() float64 { return float64(len(d.receiver.Running())) })
+	measurer.Gauge("comfrey_connections_open", func() float64 { open, _ := d.connector.Open(); return float64(open) })
+	measurer.Gauge("comfrey_connections_refused", func() float64 { return float64(d.connector.Counts().Refused) })
+	measurer.Gauge("comfrey_connections_unresponsive", func() float64 { return float64(d.connector.Counts().Unresponsive) })
+	measurer.Gauge("comfrey_replies_mismatched", func() float64 { return float64(d.connector.Counts().Mismatched) })
+	for name, get := range map[string]func(router.Stats) uint64{
+		"comfrey_subrequests_needed":  func(s router.Stats) uint64 { return s.Primaries },
+		"comfrey_hedges":              func(s router.Stats) uint64 { return s.Hedges },
+		"comfrey_retries":             func(s router.Stats) uint64 { return s.Retries },
+		"comfrey_reroutes":            func(s router.Stats) uint64 { return s.Reroutes },
+		"comfrey_budget_refusals":     func(s router.Stats) uint64 { return s.BudgetRefusals },
+		"comfrey_replies_late":        func(s router.Stats) uint64 { return s.LateReplies },
+		"comfrey_replies_rejected":    func(s router.Stats) uint64 { return s.RejectedReplies },
+		"comfrey_searches_restarted":  func(s router.Stats) uint64 { return s.Restarts },
+		"comfrey_attempts_unreported": func(s router.Stats) uint64 { return s.Reaped },
+	} {
+		measurer.Gauge(name, func() float64 {
+			var n uint64
+			d.loop.Inspect(func(looper.Machine) { n = get(d.machine.Stats()) })
+			return float64(n)
+		})
+	}
+}
--- a/entry/internal/runner/command.go
+++ b/entry/internal/runner/command.go
@@ -30,13 +30,13 @@
 }
 
 // Execute runs the daemon until a signal ends it.
-func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *Command) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	s, err := settler.Load(c.settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	if err := run(ctx, s); err != nil {
+	if err := run(s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
--- a/entry/internal/runner/daemon.go
+++ b/entry/internal/runner/daemon.go
@@ -2,38 +2,33 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"comfreyroute/core/coordination/adopter"
+	"comfreyroute/core/coordination/claimer"
+	"comfreyroute/core/coordination/pacer"
 	"comfreyroute/core/coordination/router"
+	"comfreyroute/core/coordination/selector"
+	"comfreyroute/core/coordination/tracker"
 	"comfreyroute/core/state/settler"
 	"comfreyroute/core/state/tabler"
 	"comfreyroute/core/transport/connector"
-	"comfreyroute/entry/internal/loader"
+	"comfreyroute/core/transport/keeper"
+	"comfreyroute/core/transport/messenger"
+	"comfreyroute/entry/internal/booker"
 	"comfreyroute/entry/internal/looper"
 	"comfreyroute/entry/internal/measurer"
 	"comfreyroute/entry/internal/receiver"
-)
-
-// Bounds of the HTTP listener.
-const (
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 2 * time.Minute
-	maxHeader     = 16 << 10
-	closeTimeout  = time.Second // for the last parts to end after the requests
-	pollInterval  = 20 * time.Millisecond
+	"comfreyroute/entry/internal/registrar"
+	"comfreyroute/entry/internal/updater"
 )
 
 // daemon is one running entry daemon.
@@ -42,148 +37,211 @@
 	log         *zap.Logger
 	incarnation uint64
 	table       atomic.Pointer[tabler.Snapshot]
-	leaving     atomic.Bool
+	leaving     atomic.Bool // readiness is off
+	refusing    atomic.Bool // no new work
 	machine     router.Machine
+	keeper      keeper.Client
 	connector   *connector.Connector
+	messenger   *messenger.Messenger
 	loop        looper.Loop
+	updater     updater.Updater
+	registrar   registrar.Registrar
+	booker      booker.Booker
+	reporting   measurer.Reporting
 	receiver    receiver.Receiver
 	server      http.Server
 	counts      measurer.Actions
-	stopLoader  context.CancelFunc
-	loaderDone  chan struct{}
+	served      atomic.Pointer[tabler.Snapshot] // given to the router
 }
 
-func run(ctx context.Context, s *settler.Settings) error {
-	log, err := newLog(s)
+// start starts all parts. The VM becomes ready when it has the table and has passed the start gate.
+func (d *daemon) start() error {
+	s := d.settings
+	debug.SetMemoryLimit(s.Limits.Memory)
+	d.incarnation = uint64(time.Now().UnixMicro())
+	d.keeper = keeper.Client{Address: s.Platform.Address, Timeout: s.Platform.Timeout}
+	d.startRouting()
+	d.reporting.VM = s.VM.ID
+	d.reporting.Start()
+	d.prepareUpdater()
+	d.prepareRegistrar()
+	d.prepareBooker()
+	// The concerns call each other, so all channels exist before the first of them starts to work.
+	d.updater.Prepare()
+	d.registrar.Prepare()
+	d.booker.Prepare()
+	m, err := messenger.Listen(s.VM.PeerAddress, func(err error) {
+		d.log.Debug("messenger: a peer connection failed", zap.Error(err))
+	})
 	if err != nil {
-		return eris.Wrap(err, "make logger")
+		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	defer signal.Stop(signals)
-	d := &daemon{settings: s, log: log}
-	if err := d.start(ctx); err != nil {
+	d.messenger, d.registrar.Messenger = m, m
+	d.updater.Start()
+	d.registrar.Start()
+	d.booker.Start()
+	if err := m.Serve(&peerServer{daemon: d}); err != nil {
 		return err
 	}
-	sig := <-signals
-	log.Info("entry: stops", zap.Stringer("signal", sig))
-	d.shutdown(signals)
-	return nil
+	d.registerGauges()
+	return d.listen()
 }
 
-// start starts all parts. The table follows when the platform gives it.
-func (d *daemon) start(ctx context.Context) error {
+func (d *daemon) startRouting() {
 	s := d.settings
-	debug.SetMemoryLimit(s.Limits.Memory)
-	d.incarnation = uint64(time.Now().UnixMicro())
 	events := make(chan router.Event, looper.EventCapacity)
 	d.connector = connector.New(connector.Options{
 		VM: s.VM.ID, Incarnation: d.incarnation, FailureDomain: s.VM.FailureDomain, Local: s.VM.ConnectAddress, Events: events,
 	})
 	d.machine.Configure(router.Config{
-		FailureDomain: s.VM.FailureDomain, VM: s.VM.ID, HedgeOff: !s.Policy.Hedge, AdaptiveOff: !s.Policy.Adaptive,
-		Random: rand.New(rand.NewPCG(s.Policy.Seed, d.incarnation)),
+		FailureDomain: s.VM.FailureDomain, VM: s.VM.ID, Selection: policy(s.Policy.Selection),
+		HedgeOff: !s.Policy.Hedge, AdaptiveOff: !s.Policy.Adaptive, Random: d.random(1),
 	})
-	d.loop = looper.Loop{Machine: &d.machine, Transport: d.connector, Observe: d.counts.Count, Events: events}
+	d.loop = looper.Loop{
+		Machine: &d.machine, Transport: d.connector, Spreader: &d.registrar, Observe: d.counts.Count, Events: events,
+	}
 	d.loop.Start()
-	ctx, d.stopLoader = context.WithCancel(ctx)
-	d.loaderDone = make(chan struct{})
-	l := &loader.Loader{Address: s.Platform.Address, Timeout: s.Platform.Timeout, Adopt: d.adopt, Log: d.log}
-	go func() {
-		defer close(d.loaderDone)
-		l.Run(ctx)
-	}()
-	return d.listen()
 }
 
-func (d *daemon) listen() error {
-	d.receiver = receiver.Receiver{
-		Loop: &d.loop, Table: d.table.Load, Ready: d.ready, BodyBytes: int64(d.settings.Limits.BodyBytes),
-		IDPrefix: d.settings.VM.ID + "-" + strconv.FormatUint(d.incarnation, 36) + "-r",
-		Requests: d.settings.Limits.Requests, Admin: d.admin(), Measure: measurer.Answered,
+// policy returns the selection policy of a checked setting.
+func policy(name string) selector.Policy {
+	for _, p := range []selector.Policy{selector.Score, selector.P2C, selector.Least, selector.Random} {
+		if p.String() == name {
+			return p
+		}
 	}
-	h, err := d.receiver.Handler()
-	if err != nil {
-		return eris.Wrap(err, "build HTTP routes")
+	return selector.Score
+}
+
+// random returns a generator of its own for each concern, because a generator is not safe for concurrent use.
+func (d *daemon) random(concern uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(d.settings.Policy.Seed+concern, d.incarnation))
+}
+
+func (d *daemon) prepareUpdater() {
+	s := d.settings
+	d.updater = updater.Updater{
+		Machine: adopter.Machine{
+			Self: adopter.Member{ID: s.VM.ID, FailureDomain: s.VM.FailureDomain}, Timeout: s.Platform.Timeout, Random: d.random(2),
+		},
+		Keeper: &d.keeper, Log: d.log, Peer: d.registrar.Peer, Adopt: d.adopt, Push: d.registrar.Push, Contacted: d.contacted,
 	}
-	address := d.settings.VM.CallerAddress.String()
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return eris.Wrapf(err, "listen for callers on %s", address)
+}
+
+func (d *daemon) prepareRegistrar() {
+	s := d.settings
+	d.registrar = registrar.Registrar{
+		Machine: tracker.Machine{
+			Self: tracker.Record{
+				ID: s.VM.ID, FailureDomain: s.VM.FailureDomain, PeerAddress: s.VM.PeerAddress, CallerAddress: s.VM.CallerAddress,
+				Incarnation: d.incarnation,
+			},
+			Random: d.random(3),
+		},
+		Keeper: &d.keeper, Log: d.log, Table: d.updater.Post, Router: d.loop.Post, Upstreams: d.upstreams,
+		Revisions: func() []adopter.Revision { return d.updater.View().Revisions },
+		Contact:   func() time.Time { return d.updater.View().Contact },
+		Watching:  func() bool { return d.updater.View().Watching },
+		Admitted:  d.serve,
+		Ready:     func() bool { ok, _ := d.ready(); return ok },
 	}
-	d.server = http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
-	go func() {
-		if err := d.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			d.log.Error("entry: the HTTP listener failed", zap.Error(err))
-		}
-	}()
-	d.log.Info("entry: started", zap.String("callers", address), zap.Uint64("incarnation", d.incarnation))
-	return nil
 }
 
-// adopt puts a table in effect.
+func (d *daemon) prepareBooker() {
+	s := d.settings
+	d.booker = booker.Booker{
+		Keeper: &d.keeper, Loop: &d.loop, Log: d.log, Peer: d.registrar.Peer, Contacted: d.contacted,
+		Pacer: pacer.Pacer{Rate: s.Platform.Calls, Burst: max(1, int(s.Platform.Calls)), Random: d.random(4)},
+	}
+	d.booker.Machine.Configure(claimer.Config{
+		VM: s.VM.ID, Incarnation: d.incarnation, Retention: s.Limits.Retention, TicketLife: s.Limits.TicketLife,
+		Runs: s.Limits.Claims, Tickets: s.Limits.Tickets,
+	})
+}
+
+// adopt puts a table into effect.
 func (d *daemon) adopt(t *tabler.Snapshot) {
 	if old := d.table.Swap(t); old == nil {
 		d.log.Info("entry: the first table is in effect", zap.Int("services", len(t.Values)))
 	}
+	d.registrar.Post(tracker.TableAdopted{FleetMax: t.FleetMax()})
+	d.serve()
+}
+
+// serve gives the table to the router. Before the VM has passed the start gate it does not, because the router would open
+// connections to upstreams.
+func (d *daemon) serve() {
+	t := d.table.Load()
+	if t == nil || !d.registrar.View().Admitted || d.served.Swap(t) == t {
+		return
+	}
 	d.loop.Post(router.TableAdopted{Table: t})
 }
 
-func (d *daemon) ready() (bool, string) {
-	switch {
-	case d.leaving.Load():
+// contacted tells the membership that the platform answered a call that was sent at a time.
+func (d *daemon) contacted(sent time.Time) { d.registrar.Post(tracker.PlatformContacted{Sent: sent}) }
+
+// upstreams returns the upstreams of a name. Names are unique within a service only.
+func (d *daemon) upstreams(name string) []registrar.Upstream {
+	var list []registrar.Upstream
+	for _, v := range d.table.Load().All() {
+		if slices.ContainsFunc(v.Upstreams, func(u tabler.UpstreamRow) bool { return u.Upstream == name }) {
+			list = append(list, registrar.Upstream{Service: v.Service.Service, Name: name})
+		}
+	}
+	return list
+}
+
+// accepts tells whether new requests are taken.
+func (d *daemon) accepts() (bool, string) {
+	switch v := d.registrar.View(); {
+	case d.refusing.Load():
 		return false, "leaving"
-	case d.table.Load() == nil:
+	case d.table.Load() == nil || !d.updater.View().Complete:
 		return false, "no_table"
-	default:
-		return true, ""
+	case !v.Admitted:
+		return false, "fleet_full"
+	case v.Isolated(time.Now()):
+		return false, "isolated"
 	}
+	return true, ""
 }
 
-// shutdown finishes what is in flight and then ends all parts. A second signal or the hard limit ends it at once.
-func (d *daemon) shutdown(signals <-chan os.Signal) {
-	limit := time.NewTimer(d.settings.Shutdown.HardLimit)
-	defer limit.Stop()
-	d.leaving.Store(true)
-	if d.pause(time.After(d.settings.Shutdown.BalancerWait), limit.C, signals) {
-		d.receiver.Refuse()
-		d.drain(limit.C, signals)
-	}
-	if n := d.receiver.Running(); n > 0 {
-		d.log.Error("entry: ends with requests in flight", zap.Int("requests", n))
+// ready tells whether the load balancer shall send requests.
+func (d *daemon) ready() (bool, string) {
+	if d.leaving.Load() {
+		return false, "leaving"
 	}
+	return d.accepts()
+}
+
+func (d *daemon) idPrefix() string {
+	return d.settings.VM.ID + "-" + strconv.FormatUint(d.incarnation, 36) + "-r"
+}
+
+// end ends all parts, those first that use others.
+func (d *daemon) end() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if err := d.server.Shutdown(ctx); err != nil {
 		_ = d.server.Close()
 	}
-	d.stopLoader()
-	<-d.loaderDone
+	d.messenger.Close()
+	d.booker.Stop()
+	d.updater.Stop()
+	d.registrar.Stop()
 	d.connector.Close()
 	d.loop.Stop()
-	<-d.loop.Done()
-	select {
-	case <-d.connector.Done():
-	case <-ctx.Done():
-	}
-	d.log.Info("entry: ended")
-}
-
-// pause waits for a channel. It returns false when the shutdown must end at once.
-func (d *daemon) pause(until <-chan time.Time, limit <-chan time.Time, signals <-chan os.Signal) bool {
-	select {
-	case <-until:
-		return true
-	case <-limit:
-	case <-signals:
-	}
-	return false
-}
-
-func (d *daemon) drain(limit <-chan time.Time, signals <-chan os.Signal) {
-	for d.receiver.Running() > 0 {
-		if !d.pause(time.After(pollInterval), limit, signals) {
+	d.reporting.Stop()
+	for _, part := range []<-chan struct{}{
+		d.messenger.Done(), d.booker.Done(), d.updater.Done(), d.registrar.Done(), d.connector.Done(), d.loop.Done(), d.reporting.Done(),
+	} {
+		select {
+		case <-part:
+		case <-ctx.Done():
+			d.log.Warn("entry: a part did not end in time", zap.Duration("limit", closeTimeout))
 			return
 		}
 	}
+	d.keeper.Close()
 }
--- /dev/null
+++ b/entry/internal/runner/listen.go
@@ -0,0 +1,47 @@
+package runner
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"comfreyroute/entry/internal/receiver"
+)
+
+// Bounds of the HTTP listener.
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 16 << 10
+	closeTimeout  = 2 * time.Second // for the parts to end after the last request
+)
+
+// listen opens the caller address.
+func (d *daemon) listen() error {
+	d.receiver = receiver.Receiver{
+		Loop: &d.loop, Calls: &d.booker, Table: d.table.Load, Ready: d.ready, Accepts: d.accepts,
+		BodyBytes: int64(d.settings.Limits.BodyBytes), IDPrefix: d.idPrefix(), Requests: d.settings.Limits.Requests,
+		Admin: d.admin(), Measure: d.reporting.Record,
+	}
+	h, err := d.receiver.Handler()
+	if err != nil {
+		return eris.Wrap(err, "build HTTP routes")
+	}
+	address := d.settings.VM.CallerAddress.String()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen for callers on %s", address)
+	}
+	d.server = http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	go func() {
+		if err := d.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			d.log.Error("entry: the HTTP listener failed", zap.Error(err))
+		}
+	}()
+	d.log.Info("entry: started", zap.String("callers", address), zap.Uint64("incarnation", d.incarnation))
+	return nil
+}
--- /dev/null
+++ b/entry/internal/runner/shutdown.go
@@ -0,0 +1,121 @@
+package runner
+
+import (
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"comfreyroute/core/coordination/drainer"
+	"comfreyroute/core/coordination/tracker"
+	"comfreyroute/core/state/settler"
+)
+
+const countInterval = 20 * time.Millisecond
+
+// run runs a daemon until signals end it.
+func run(s *settler.Settings) error {
+	log, err := newLog(s)
+	if err != nil {
+		return eris.Wrap(err, "make logger")
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	d := &daemon{settings: s, log: log}
+	if err := d.start(); err != nil {
+		return err
+	}
+	return d.wait(signals)
+}
+
+// wait carries out the shutdown that the drainer decides after a signal. It returns an error when work was lost.
+func (d *daemon) wait(signals <-chan os.Signal) error {
+	wait := d.settings.Shutdown.BalancerWait
+	if wait == 0 {
+		wait = -1
+	}
+	m := drainer.Machine{Wait: wait, HardLimit: d.settings.Shutdown.HardLimit}
+	events := make(chan drainer.Event, 4)
+	var ticks <-chan time.Time
+	for {
+		var ev drainer.Event
+		select {
+		case s := <-signals:
+			d.log.Info("entry: stops", zap.Stringer("signal", s))
+			if ticks == nil {
+				t := time.NewTicker(countInterval)
+				defer t.Stop()
+				ticks = t.C
+			}
+			ev = drainer.Signalled{}
+		case ev = <-events:
+		case <-ticks:
+			ev = drainer.WorkCounted{Work: d.work()}
+		}
+		for _, a := range m.Step(time.Now(), ev) {
+			if exit, ok := a.(drainer.Exit); ok {
+				return d.exit(exit)
+			}
+			d.carry(a, events)
+		}
+	}
+}
+
+func (d *daemon) carry(a drainer.Action, events chan<- drainer.Event) {
+	switch a.(type) {
+	case drainer.TurnUnready:
+		d.leaving.Store(true)
+		d.registrar.Post(tracker.LeaveStarted{})
+	case drainer.RefuseWork:
+		d.refusing.Store(true)
+		d.receiver.Refuse()
+		go d.refuse(events)
+	case drainer.NotifyPeers:
+		told := d.registrar.NotifyAll()
+		go func() {
+			<-told
+			events <- drainer.PeersNotified{}
+		}()
+	}
+}
+
+// refuse lets the calls of this VM's own callers finish before the claimer refuses to dispatch: a call that was taken is
+// in flight although it still waits for its claim.
+func (d *daemon) refuse(events chan<- drainer.Event) {
+	for len(d.receiver.Running()) > 0 {
+		time.Sleep(countInterval)
+	}
+	d.booker.Leave()
+	events <- drainer.Refused{}
+}
+
+// work lists what is in flight.
+func (d *daemon) work() drainer.Work {
+	w := drainer.Work{Requests: d.receiver.Running()}
+	if n := d.booker.Busy(); n > 0 {
+		w.Claims = []string{strconv.Itoa(n) + " calls"}
+	}
+	if n := d.loop.InFlight(); n > len(w.Requests) {
+		w.Tickets = []string{strconv.Itoa(n-len(w.Requests)) + " dispatched calls"}
+	}
+	return w
+}
+
+func (d *daemon) exit(e drainer.Exit) error {
+	defer func() { _ = d.log.Sync() }()
+	if e.Reason != "" {
+		d.log.Error("entry: ends before its work is finished", zap.String("reason", e.Reason),
+			zap.Strings("requests", e.Lost.Requests), zap.Strings("tickets", e.Lost.Tickets), zap.Strings("claims", e.Lost.Claims))
+	}
+	d.end()
+	if e.Reason != "" {
+		return eris.Errorf("ended by %s", e.Reason)
+	}
+	d.log.Info("entry: ended")
+	return nil
+}
--- a/entry/internal/seeder/seeder.go
+++ b/entry/internal/seeder/seeder.go
@@ -39,8 +39,8 @@
 
 // Command reads upstream rows from standard input and writes the values of their services.
 type Command struct {
-	platform, point, latency string
-	fleet                    int
+	platform, point, latency, vms string
+	fleet                         int
 }
 
 // Name returns the name of the subcommand.
@@ -51,7 +51,7 @@
 
 // Usage returns the usage text.
 func (*Command) Usage() string {
-	return "seed -platform IP:PORT [-fleet N] [-point SERVICES] [-latency SERVICES] < ROWS\n"
+	return "seed -platform IP:PORT [-fleet N] [-point SERVICES] [-latency SERVICES] [-vms LIST] < ROWS\n"
 }
 
 // SetFlags registers the flags.
@@ -59,6 +59,7 @@
 	f.StringVar(&c.platform, "platform", "127.0.0.1:7400", "address of the platform")
 	f.StringVar(&c.point, "point", "", "ungrouped services, separated by commas")
 	f.StringVar(&c.latency, "latency", "", "services that prefer latency, separated by commas")
+	f.StringVar(&c.vms, "vms", "", "entry VMs for the VM list of the platform fake, as ID=IP:PORT@DOMAIN with the peer address, separated by commas")
 	f.IntVar(&c.fleet, "fleet", tabler.DefaultFleetMax, "fleet_max")
 }
 
@@ -76,6 +77,9 @@
 	if err := encoder.Decode(r, encoder.MaxPlatformBytes, &rows); err != nil {
 		return eris.Wrap(err, "read rows")
 	}
+	if err := c.list(ctx); err != nil {
+		return err
+	}
 	fleet := tabler.Value{Service: tabler.ServiceRow{Service: tabler.FleetService}, Fleet: tabler.Fleet{Max: c.fleet}}
 	if err := c.put(ctx, &fleet); err != nil {
 		return err
@@ -112,29 +116,53 @@
 	return values
 }
 
+// list puts the entry VMs into the VM list. The platform fake offers this; a real platform fills the list itself.
+func (c *Command) list(ctx context.Context) error {
+	if c.vms == "" {
+		return nil
+	}
+	var set []encoder.ListedVM
+	for _, text := range strings.Split(c.vms, ",") {
+		id, rest, ok := strings.Cut(text, "=")
+		address, domain, more := strings.Cut(rest, "@")
+		if !ok || !more {
+			return eris.Errorf("vms: %q is not ID=IP:PORT@DOMAIN", text)
+		}
+		set = append(set, encoder.ListedVM{Name: id, Role: "entry", Address: address, FailureDomain: domain, State: encoder.VMLive})
+	}
+	return c.send(ctx, http.MethodPost, "/control", struct {
+		Set []encoder.ListedVM `json:"set"`
+	}{set})
+}
+
 func (c *Command) put(ctx context.Context, v *tabler.Value) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	key := tabler.Key(v.Service.Service)
 	data, err := tabler.Encode(v)
 	if err != nil {
 		return eris.Wrapf(err, "encode %s", key)
 	}
-	body, err := json.Marshal(encoder.PutRequest{Value: data})
+	return c.send(ctx, http.MethodPut, encoder.PathKeys+key, encoder.PutRequest{Value: data})
+}
+
+// send makes one call of the platform.
+func (c *Command) send(ctx context.Context, method, path string, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	body, err := json.Marshal(v)
 	if err != nil {
-		return eris.Wrapf(err, "encode %s", key)
+		return eris.Wrapf(err, "encode body for %s", path)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+c.platform+encoder.PathKeys+key, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.platform+path, bytes.NewReader(body))
 	if err != nil {
-		return eris.Wrapf(err, "make request for %s", key)
+		return eris.Wrapf(err, "make request for %s", path)
 	}
 	reply, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return eris.Wrapf(err, "write %s", key)
+		return eris.Wrapf(err, "call %s", path)
 	}
 	defer func() { _ = reply.Body.Close() }()
 	if reply.StatusCode != http.StatusOK {
-		return eris.Errorf("write %s: the platform answers with status %d", key, reply.StatusCode)
+		return eris.Errorf("call %s: the platform answers with status %d", path, reply.StatusCode)
 	}
 	return nil
 }
--- /dev/null
+++ b/entry/internal/updater/updater.go
@@ -0,0 +1,221 @@
+// Package updater runs the table concern: the one goroutine that owns the adopter machine.
+//
+// Platform calls and fetches from peers run on goroutines of their own, at most as many as the machine has asked for and
+// not yet given up, and come back as events.
+package updater
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"comfreyroute/core/coordination/adopter"
+	"comfreyroute/core/protocol/encoder"
+	"comfreyroute/core/protocol/exchanger"
+	"comfreyroute/core/state/tabler"
+	"comfreyroute/core/transport/keeper"
+)
+
+const eventCapacity = 256
+
+// Updater is the table concern. The exported fields are set before Start.
+type Updater struct {
+	Machine adopter.Machine
+	Keeper  *keeper.Client
+	Log     *zap.Logger
+	// Peer returns a client of a VM, or nil when its address is not known.
+	Peer func(vm string) exchanger.DRPCPeersClient
+	// Adopt puts a table into effect.
+	Adopt func(*tabler.Snapshot)
+	// Push tells peers about revisions.
+	Push func(to []string, revisions []adopter.Revision)
+	// Contacted tells that the platform answered a call that was sent at a time.
+	Contacted func(sent time.Time)
+
+	events  chan adopter.Event
+	inspect chan func(*adopter.Machine)
+	view    atomic.Pointer[View]
+	context context.Context
+	stop    context.CancelFunc
+	workers sync.WaitGroup
+	done    chan struct{}
+}
+
+// View is what other concerns see of the table concern. It is replaced as a whole.
+type View struct {
+	Complete  bool
+	Watching  bool
+	Contact   time.Time
+	Revisions []adopter.Revision
+}
+
+// Prepare makes the channels, so that other concerns may use this one before it starts.
+func (u *Updater) Prepare() {
+	u.events = make(chan adopter.Event, eventCapacity)
+	u.inspect = make(chan func(*adopter.Machine), 8)
+	u.view.Store(&View{})
+	u.context, u.stop = context.WithCancel(context.Background())
+	u.done = make(chan struct{})
+}
+
+// Start starts the concern after Prepare.
+func (u *Updater) Start() { go u.run() }
+
+// Stop ends the concern.
+func (u *Updater) Stop() { u.stop() }
+
+// Done is closed when the concern and its workers have ended.
+func (u *Updater) Done() <-chan struct{} { return u.done }
+
+// View returns the current view.
+func (u *Updater) View() *View { return u.view.Load() }
+
+// Post hands in an event and drops it when the concern is busy: news of peers comes again with the next heartbeat.
+func (u *Updater) Post(ev adopter.Event) {
+	select {
+	case u.events <- ev:
+	default:
+	}
+}
+
+// Values returns the stored values of some services, or the whole table. It returns false when the table is not complete.
+func (u *Updater) Values(ctx context.Context, services []string) (values []adopter.Stored, complete bool) {
+	answered := make(chan struct{})
+	ask := func(m *adopter.Machine) {
+		values, complete = m.Values(services)
+		close(answered)
+	}
+	select {
+	case u.inspect <- ask:
+	case <-ctx.Done():
+		return nil, false
+	case <-u.context.Done():
+		return nil, false
+	}
+	select {
+	case <-answered:
+		return values, complete
+	case <-u.done:
+		return nil, false
+	}
+}
+
+func (u *Updater) run() {
+	defer close(u.done)
+	defer u.workers.Wait()
+	t := time.NewTicker(adopter.TickInterval)
+	defer t.Stop()
+	u.step(adopter.Ticked{})
+	for {
+		select {
+		case ev := <-u.events:
+			u.step(ev)
+		case <-t.C:
+			u.step(adopter.Ticked{})
+		case f := <-u.inspect:
+			f(&u.Machine)
+		case <-u.context.Done():
+			return
+		}
+	}
+}
+
+func (u *Updater) step(ev adopter.Event) {
+	for _, a := range u.Machine.Step(time.Now(), ev) {
+		u.carry(a)
+	}
+	u.view.Store(&View{
+		Complete: u.Machine.Complete(), Watching: u.Machine.Watching(), Contact: u.Machine.Contact(), Revisions: u.Machine.Revisions(),
+	})
+}
+
+func (u *Updater) carry(a adopter.Action) {
+	switch a := a.(type) {
+	case adopter.ReadTable:
+		u.work(func(ctx context.Context) adopter.Event { return u.read(ctx, a) })
+	case adopter.Watch:
+		u.work(func(ctx context.Context) adopter.Event { return u.watch(ctx, a) })
+	case adopter.Fetch:
+		u.work(func(ctx context.Context) adopter.Event { return u.fetch(ctx, a) })
+	case adopter.Adopt:
+		u.Adopt(a.Table)
+	case adopter.Push:
+		u.Push(a.To, a.Revisions)
+	case adopter.Refuse:
+		u.Log.Error("updater: a table value is not valid and is not adopted",
+			zap.String("service", a.Service), zap.Uint64("revision", a.Revision), zap.Error(a.Err))
+	}
+}
+
+// work runs a call and posts its result. Unlike news, a result is never dropped.
+func (u *Updater) work(call func(context.Context) adopter.Event) {
+	u.workers.Go(func() {
+		ev := call(u.context)
+		select {
+		case u.events <- ev:
+		case <-u.context.Done():
+		}
+	})
+}
+
+func (u *Updater) read(ctx context.Context, a adopter.ReadTable) adopter.Event {
+	sent := time.Now()
+	r := u.Keeper.Range(ctx, tabler.KeyPrefix, 0)
+	if r.Status != keeper.OK {
+		u.failed("read", r.Err)
+		return adopter.PlatformFailed{Call: a.Call}
+	}
+	u.Contacted(sent)
+	return adopter.TableRead{Call: a.Call, Items: stored(r.Items), Revision: r.Revision}
+}
+
+func (u *Updater) watch(ctx context.Context, a adopter.Watch) adopter.Event {
+	sent := time.Now()
+	r := u.Keeper.Watch(ctx, tabler.KeyPrefix, a.After, a.Wait)
+	if r.Status != keeper.OK {
+		u.failed("watch", r.Err)
+		return adopter.PlatformFailed{Call: a.Call}
+	}
+	u.Contacted(sent)
+	return adopter.WatchAnswered{Call: a.Call, Items: stored(r.Items), Revision: r.Revision, Compacted: r.Compacted}
+}
+
+func (u *Updater) failed(call string, err error) {
+	if u.context.Err() == nil {
+		u.Log.Warn("updater: the platform does not answer", zap.String("call", call), zap.Error(err))
+	}
+}
+
+func (u *Updater) fetch(ctx context.Context, a adopter.Fetch) adopter.Event {
+	peer := u.Peer(a.From)
+	if peer == nil {
+		return adopter.FetchFailed{Call: a.Call}
+	}
+	ctx, cancel := context.WithTimeout(ctx, adopter.FetchTimeout)
+	defer cancel()
+	reply, err := peer.FetchTable(ctx, &exchanger.FetchTableRequest{Services: a.Services})
+	if err != nil {
+		return adopter.FetchFailed{Call: a.Call}
+	}
+	items := make([]adopter.Stored, 0, len(reply.GetValues()))
+	for _, v := range reply.GetValues() {
+		if _, ok := tabler.ServiceOf(tabler.Key(v.GetService())); ok {
+			items = append(items, adopter.Stored{Service: v.GetService(), Revision: v.GetRevision(), Data: v.GetValue()})
+		}
+	}
+	return adopter.ValuesFetched{Call: a.Call, Items: items}
+}
+
+// stored converts keys of the platform. Keys that are none of the table are dropped.
+func stored(items []encoder.KeyValue) []adopter.Stored {
+	list := make([]adopter.Stored, 0, len(items))
+	for _, kv := range items {
+		if service, ok := tabler.ServiceOf(kv.Key); ok {
+			list = append(list, adopter.Stored{Service: service, Revision: kv.Revision, Data: kv.Value, Deleted: kv.Deleted})
+		}
+	}
+	return list
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -19,6 +19,7 @@
 	subcommands.Register(&runner.Command{}, "daemon")
 	subcommands.Register(&runner.CheckCommand{}, "daemon")
 	subcommands.Register(&searcher.SearchCommand{}, "client")
+	subcommands.Register(&searcher.CallCommand{}, "client")
 	subcommands.Register(&searcher.WaitCommand{}, "client")
 	subcommands.Register(&seeder.Command{}, "client")
 	// Without a subcommand the daemon runs, so that a supervisor needs only the settings.
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -44,7 +44,8 @@
 bin/entry wait -address "$platform" -path /v1/calls || fail 'the start of the platform'
 
 bin/upstreams -deployment deployments/quickstart.ini -print-table >"$directory/rows.json" || fail 'the list of upstreams'
-bin/entry seed -platform "$platform" -fleet 6 -point orders <"$directory/rows.json" || fail 'loading the table'
+bin/entry seed -platform "$platform" -fleet 6 -point orders \
+	-vms entry1=127.0.0.1:18421@d1,entry2=127.0.0.1:18422@d2,entry3=127.0.0.1:18423@d3 <"$directory/rows.json" || fail 'loading the table'
 
 for n in 1 2 3; do
 	cat >"$directory/entry$n.ini" <<INI
@@ -69,6 +70,10 @@
 for n in 1 2 3; do
 	bin/entry search -address "127.0.0.1:1841$n" -service catalog -query "quiet corner $n" || fail "the search at entry$n"
 done
+bin/entry call -address 127.0.0.1:18411 -service orders -body '{"slot":"friday 16:00","family":"quickstart"}' -repeat 127.0.0.1:18412 \
+	|| fail 'the booking'
+bin/entry call -address 127.0.0.1:18413 -service orders -body '{"slot":"friday 17:00","family":"quickstart"}' -ticket 127.0.0.1:18411 \
+	|| fail 'the booking with a ticket'
 
 stop
 printf 'quickstart: all steps worked\n'
