--- a/entry/internal/updater/updater.go
+++ b/entry/internal/updater/updater.go
@@ -166,7 +166,7 @@
 	r := u.Keeper.Range(ctx, tabler.KeyPrefix, 0)
 	if r.Status != keeper.OK {
 		u.failed("read", r.Err)
-		return adopter.PlatformFailed{Call: a.Call}
+		return adopter.PlatformFailed(a)
 	}
 	u.Contacted(sent)
 	return adopter.TableRead{Call: a.Call, Items: stored(r.Items), Revision: r.Revision}
--- a/entry/main.go
+++ b/entry/main.go
@@ -8,9 +8,9 @@
 
 	"github.com/google/subcommands"
 
+	"comfreyroute/entry/internal/announcer"
 	"comfreyroute/entry/internal/runner"
 	"comfreyroute/entry/internal/searcher"
-	"comfreyroute/entry/internal/seeder"
 )
 
 func main() {
@@ -21,7 +21,7 @@
 	subcommands.Register(&searcher.SearchCommand{}, "client")
 	subcommands.Register(&searcher.CallCommand{}, "client")
 	subcommands.Register(&searcher.WaitCommand{}, "client")
-	subcommands.Register(&seeder.Command{}, "client")
+	subcommands.Register(&announcer.Command{}, "client")
 	// Without a subcommand the daemon runs, so that a supervisor needs only the settings.
 	if len(os.Args) < 2 || os.Args[1][0] == '-' && os.Args[1] != "-help" && os.Args[1] != "-h" {
 		os.Args = append([]string{os.Args[0], "run"}, os.Args[1:]...)
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -40,12 +40,10 @@
 done
 
 start platform bin/platform -address "$platform"
-start upstreams bin/upstreams -deployment deployments/quickstart.ini
 bin/entry wait -address "$platform" -path /v1/calls || fail 'the start of the platform'
-
-bin/upstreams -deployment deployments/quickstart.ini -print-table >"$directory/rows.json" || fail 'the list of upstreams'
-bin/entry seed -platform "$platform" -fleet 6 -point orders \
-	-vms entry1=127.0.0.1:18421@d1,entry2=127.0.0.1:18422@d2,entry3=127.0.0.1:18423@d3 <"$directory/rows.json" || fail 'loading the table'
+start upstreams bin/upstreams -deployment deployments/quickstart.ini -publish "$platform" -list "$platform"
+bin/entry announce -platform "$platform" -vms entry1=127.0.0.1:18421@d1,entry2=127.0.0.1:18422@d2,entry3=127.0.0.1:18423@d3 \
+	|| fail 'the VM list'
 
 for n in 1 2 3; do
 	cat >"$directory/entry$n.ini" <<INI
