Observe late replies of upstreams that a table change removed and added again

Found by the random event test: a draining reply that arrived between the two table changes was dropped, and the upstream got new work. Attempts now find their upstream again by name and address.

The test's own faults were two: it went on after its first violation, and it delivered two ends for one attempt.

--- a/core/coordination/router/attempt.go
+++ b/core/coordination/router/attempt.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"net/netip"
 	"time"
 
 	"comfreyroute/core/coordination/quarantiner"
@@ -26,6 +27,7 @@
 	upstream    int // index in the service's set, -1 after a table change removed it
 	group       int // of the upstream, for its wait queue
 	name        string
+	address     netip.AddrPort
 	incarnation uint64
 	sent        time.Time
 	deadline    time.Time
@@ -33,6 +35,18 @@
 	cancelled   bool
 }
 
+// locate returns the index of the upstream, also when a table change removed it and another one added it again.
+func (a *attempt) locate() int {
+	if a.upstream >= 0 {
+		return a.upstream
+	}
+	i, ok := a.service.set.Index(a.name)
+	if !ok || a.service.set.At(i).Row.Address != a.address {
+		return -1
+	}
+	return i
+}
+
 // attempts is the table of attempts in flight. A place is found by the low bits of the id, without a map.
 type attempts struct {
 	places   []attempt
--- a/core/coordination/router/dispatch.go
+++ b/core/coordination/router/dispatch.go
@@ -92,7 +92,7 @@
 	u := s.set.At(i)
 	a := m.attempts.add()
 	a.request, a.service, a.sub, a.upstream, a.group = r, s, g, i, s.groupOf(i)
-	a.name, a.sent, a.deadline, a.hedge = u.Row.Upstream, now, r.until, hedge
+	a.name, a.address, a.sent, a.deadline, a.hedge = u.Row.Upstream, u.Row.Address, now, r.until, hedge
 	if b.attempts == 0 && !r.restarted {
 		s.budget.Primary(1)
 		m.stats.Primaries++
--- a/core/coordination/router/machine.go
+++ b/core/coordination/router/machine.go
@@ -139,8 +139,8 @@
 		kind = selector.Unattributed
 	}
 	out := m.end(now, a, kind, endOf(e.Reply.Status))
-	if belongs && out.upstream >= 0 {
-		m.observe(now, out.service, out.upstream, e.Reply)
+	if i := out.locate(); belongs && i >= 0 {
+		m.observe(now, out.service, i, e.Reply)
 	}
 	switch r := out.request; {
 	case r == nil:
--- a/core/coordination/router/world_test.go
+++ b/core/coordination/router/world_test.go
@@ -123,6 +123,9 @@
 }
 
 func (w *world) step(ev Event) {
+	if w.err != nil {
+		return
+	}
 	actions := w.machine.Step(w.now, ev)
 	if w.trace != nil {
 		w.trace(w.now, ev, actions)
@@ -142,7 +145,9 @@
 			}
 			w.serve(a, f)
 		case Cancel:
-			w.at(500*time.Microsecond, AttemptFailed{Attempt: a.Attempt, Failure: FailureCancelled, Written: true})
+			if w.random.IntN(2) == 0 { // otherwise its reply ends it
+				w.at(500*time.Microsecond, AttemptFailed{Attempt: a.Attempt, Failure: FailureCancelled, Written: true})
+			}
 		case Probe:
 			w.at(time.Millisecond, UpstreamSeen{Service: a.Service, Reply: w.report(a.Upstream)})
 		case AnswerSearch:
