Tell a crashing request from outages and from requests beside it

Now an answer from any upstream vouches for a signature, crashes of a failure domain that no request explains count as an outage, and a signature that was present at many more crashes explains away the others, on this VM or as told by a peer. A reset makes its signature suspicious at once, before the crash is known, and this ends within milliseconds when the upstream works or the crash is explained otherwise.

--- a/core/coordination/quarantiner/evidence.go
+++ b/core/coordination/quarantiner/evidence.go
@@ -1,12 +1,9 @@
 package quarantiner
 
-import "time"
-
-// anyGroup stands for a probe in whichever group.
-const anyGroup = -1
-
-// repliesTracked is the size of the table of signatures that were answered lately.
-const repliesTracked = 4096
+import (
+	"slices"
+	"time"
+)
 
 // placeKey names an upstream.
 type placeKey struct{ service, upstream string }
@@ -18,14 +15,15 @@
 	domain      string
 	incarnation uint64 // last seen
 	down        bool
-	resets      []resetEvent // not yet explained
+	faultAt     time.Time    // last reset or refused connection
+	resets      []resetEvent // not explained yet
 }
 
 // resetEvent is an attempt that was reset.
 type resetEvent struct {
-	signature   uint64
-	at          time.Time
-	incarnation uint64
+	signature uint64
+	at        time.Time
+	held      bool // counts in suspect.unexplained
 }
 
 // attempt is a running sub-request.
@@ -33,20 +31,7 @@
 	signature   uint64
 	place       *place
 	incarnation uint64
-}
-
-// trail is what happened to the attempts of a signature lately.
-type trail struct {
-	service string
-	open    int
-	held    time.Time // until when a reset without explanation holds the signature back
-	last    time.Time // last reset
-}
-
-// reply records that a signature was answered.
-type reply struct {
-	signature uint64
-	at        time.Time
+	sent        time.Time
 }
 
 // crash is one upstream that went down, with the signatures that were reset on it.
@@ -54,31 +39,38 @@
 	place      *place
 	at         time.Time
 	signatures []uint64
+	outage     bool
 }
 
+func (c *crash) has(signature uint64) bool { return slices.Contains(c.signatures, signature) }
+
 // Sent records that an attempt is being sent.
 func (m *Machine) Sent(now time.Time, signature uint64, service string, group int, upstream, failureDomain string, incarnation, id uint64) {
 	m.advance(now)
 	if m.attempts == nil {
 		m.attempts = make(map[uint64]attempt)
-		m.trails = make(map[uint64]*trail)
 		m.places = make(map[placeKey]*place)
 	}
-	key := placeKey{service, upstream}
-	p := m.places[key]
+	p := m.places[placeKey{service, upstream}]
 	if p == nil {
-		p = &place{key: key}
-		m.places[key] = p
+		if len(m.places) >= maxPlaces {
+			m.forgetPlaces()
+		}
+		p = &place{key: placeKey{service, upstream}}
+		m.places[p.key] = p
 	}
 	p.group, p.domain = group, failureDomain
 	p.incarnation = max(p.incarnation, incarnation)
-	t := m.trails[signature]
-	if t == nil {
-		t = &trail{service: service}
-		m.trails[signature] = t
+	m.attempts[id] = attempt{signature: signature, place: p, incarnation: incarnation, sent: now}
+}
+
+// forgetPlaces drops the upstreams without open evidence; those still in use are added again.
+func (m *Machine) forgetPlaces() {
+	for key, p := range m.places {
+		if !p.down && len(p.resets) == 0 {
+			delete(m.places, key)
+		}
 	}
-	t.open++
-	m.attempts[id] = attempt{signature: signature, place: p, incarnation: incarnation}
 }
 
 // Ended records how an attempt ended.
@@ -89,19 +81,45 @@
 		return
 	}
 	delete(m.attempts, id)
-	t := m.trails[a.signature]
-	t.open--
 	switch how {
 	case Replied:
-		m.remember(now, a.signature)
-		m.up(a.place)
-		m.judge(now)
+		m.replied(now, a)
 	case Reset:
-		m.reset(now, a, t)
+		m.reset(now, a)
 	case Other:
 	}
-	if t.open <= 0 && !t.held.After(now) {
-		delete(m.trails, a.signature)
+}
+
+func (m *Machine) replied(now time.Time, a attempt) {
+	m.remember(now, a.signature, anyGroup)
+	m.remember(now, a.signature, a.place.group)
+	if a.sent.After(a.place.faultAt) {
+		m.up(now, a.place)
+	}
+	s := m.suspects[a.signature]
+	switch {
+	case s == nil || s.Confirmed:
+	case !s.probeAt.IsZero() && !a.sent.Before(s.probeAt):
+		m.clear(now, s)
+	case s.own && s.Crashes == 0, !s.own && s.Crashes <= 1:
+		// One crash and an answer from another upstream: the request does not crash every upstream that runs it.
+		m.clear(now, s)
+	case s.own:
+		m.judge(now)
+	}
+}
+
+func (m *Machine) reset(now time.Time, a attempt) {
+	p := a.place
+	p.faultAt = now
+	held := !m.answeredSince(a.signature, now.Add(-runTime))
+	if held {
+		m.hold(now, p.key.service, a.signature)
+	}
+	p.resets = slices.DeleteFunc(p.resets, func(r resetEvent) bool { return now.Sub(r.at) > evidenceWindow })
+	p.resets = append(p.resets, resetEvent{signature: a.signature, at: now, held: held})
+	if p.down || a.incarnation != 0 && a.incarnation < p.incarnation {
+		m.crashed(now, p)
 	}
 }
 
@@ -112,11 +130,12 @@
 	if p == nil || p.down {
 		return
 	}
+	p.down, p.faultAt = true, now
 	m.crashed(now, p)
-	p.down = true
 }
 
-// Restarted records an incarnation that an upstream reported. One that was not seen before tells that the previous one ended.
+// Restarted records an incarnation that an upstream reported. A new one after a reset tells that the upstream crashed, the
+// known one that it did not.
 func (m *Machine) Restarted(now time.Time, service, upstream string, incarnation uint64) {
 	m.advance(now)
 	p := m.places[placeKey{service, upstream}]
@@ -124,73 +143,58 @@
 		return
 	}
 	if incarnation > p.incarnation {
-		if p.incarnation != 0 && !p.down {
+		known := p.incarnation != 0
+		p.incarnation = incarnation
+		if known && len(p.resets) > 0 {
 			m.crashed(now, p)
 		}
-		p.incarnation = incarnation
 	}
-	m.up(p)
+	m.up(now, p)
 }
 
 // up records that an upstream works, so that unexplained resets on it were not crashes.
-func (m *Machine) up(p *place) {
+func (m *Machine) up(now time.Time, p *place) {
 	p.down = false
 	for _, r := range p.resets {
-		m.release(r.signature)
+		m.explain(now, r, true)
 	}
 	p.resets = p.resets[:0]
 }
 
-func (m *Machine) release(signature uint64) {
-	if t := m.trails[signature]; t != nil {
-		t.held = time.Time{}
-		if t.open <= 0 {
-			delete(m.trails, signature)
-		}
-	}
-}
-
-func (m *Machine) remember(now time.Time, signature uint64) {
-	if m.replies == nil {
-		m.replies = make([]reply, repliesTracked)
-	}
-	m.replies[signature%repliesTracked] = reply{signature: signature, at: now}
-}
-
-// vouched tells whether a signature was answered lately. A request that crashes every upstream that runs it never is.
-func (m *Machine) vouched(now time.Time, signature uint64) bool {
-	if m.replies == nil {
-		return false
-	}
-	r := m.replies[signature%repliesTracked]
-	return r.signature == signature && !r.at.IsZero() && now.Sub(r.at) <= replyMemory
-}
-
-func (m *Machine) reset(now time.Time, a attempt, t *trail) {
-	t.last = now
-	if !m.vouched(now, a.signature) {
-		t.held = now.Add(settleTime)
+// explain counts a reset as explained. A suspect without crashes is cleared with its last one if the upstream works.
+func (m *Machine) explain(now time.Time, r resetEvent, works bool) {
+	s := m.suspects[r.signature]
+	if s == nil || !r.held {
+		return
 	}
-	a.place.resets = append(a.place.resets, resetEvent{signature: a.signature, at: now, incarnation: a.incarnation})
-	if a.place.down || a.incarnation < a.place.incarnation {
-		m.crashed(now, a.place)
+	s.unexplained = max(0, s.unexplained-1)
+	if works && s.unexplained == 0 && s.Crashes == 0 {
+		m.clear(now, s)
 	}
 }
 
-// crashed turns the resets of an upstream into evidence against their signatures.
+// crashed turns the resets on an upstream into evidence against their signatures.
 func (m *Machine) crashed(now time.Time, p *place) {
-	var c *crash
-	for _, o := range m.crashes {
-		if o.place == p {
-			c = o
+	i := slices.IndexFunc(m.crashes, func(c *crash) bool { return c.place == p && now.Sub(c.at) <= evidenceWindow })
+	if i < 0 {
+		if len(m.crashes) >= maxCrashes {
+			m.crashes = slices.Delete(m.crashes, 0, 1)
 		}
+		m.crashes = append(m.crashes, &crash{place: p, at: now})
+		i = len(m.crashes) - 1
 	}
-	if c == nil {
-		c = &crash{place: p, at: now}
-		m.crashes = append(m.crashes, c)
-	}
+	c := m.crashes[i]
 	for _, r := range p.resets {
-		c.signatures = append(c.signatures, r.signature)
+		if now.Sub(r.at) > evidenceWindow {
+			continue
+		}
+		if !c.has(r.signature) {
+			c.signatures = append(c.signatures, r.signature)
+		}
+		m.explain(now, r, false)
+		if s := m.suspects[r.signature]; s != nil && !s.probeAt.IsZero() && !r.at.Before(s.probeAt) {
+			m.confirm(now, s)
+		}
 	}
 	p.resets = p.resets[:0]
 	m.judge(now)
--- a/core/coordination/quarantiner/judge.go
+++ b/core/coordination/quarantiner/judge.go
@@ -1,75 +1,90 @@
 package quarantiner
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
 
-// advance drops what is out of date.
-func (m *Machine) advance(now time.Time) {
-	if now.After(m.now) {
-		m.now = now
+// tally counts the crashes at which a signature was present.
+type tally struct {
+	service string
+	first   time.Time
+	total   int
+	recent  int         // within the window
+	groups  map[int]int // total by group
+}
+
+// judge derives the suspects of this VM from the crashes that it saw.
+//
+// A signature is accused when it was present at a crash and was not answered by any upstream lately. When other groups
+// answer it, only two crashes in one group accuse it: it may crash the upstreams of one group only. Crashes of an outage
+// do not count, and neither does a crash at which a signature was present that explains many more.
+func (m *Machine) judge(now time.Time) {
+	if len(m.crashes) == 0 {
+		return
 	}
-	for signature, s := range m.suspects {
-		if s.Expires.After(now) {
-			continue
+	m.crashes = slices.DeleteFunc(m.crashes, func(c *crash) bool { return now.Sub(c.at) > m.settings.life() })
+	m.markOutages(now)
+	tallies := m.tallies(now)
+	maps.DeleteFunc(tallies, func(signature uint64, t *tally) bool { return !m.accusable(now, signature, t) })
+	var accused, innocent []uint64
+	for signature, t := range tallies {
+		if !m.dominated(now, signature, t, tallies) {
+			accused = append(accused, signature)
 		}
-		if !s.Confirmed {
-			delete(m.suspects, signature)
-			continue
+	}
+	for signature, s := range m.suspects {
+		if s.revocable(now) && !slices.Contains(accused, signature) {
+			innocent = append(innocent, signature)
 		}
-		s.Confirmed = false
-		s.Expires = now.Add(m.settings.withDefaults().Life)
-		s.NextProbe = now
 	}
-	for len(m.crashes) > 0 && now.Sub(m.crashes[0].at) > evidenceWindow {
-		m.crashes = slices.Delete(m.crashes, 0, 1)
+	// In a fixed order, so that a replayed trace gives the same actions.
+	slices.Sort(accused)
+	slices.Sort(innocent)
+	for _, signature := range accused {
+		m.accuse(now, tallies[signature].service, signature, tallies[signature].recent)
+	}
+	for _, signature := range innocent {
+		m.clear(now, m.suspects[signature])
 	}
 }
 
-// judge derives the suspects from the crashes within the window.
-func (m *Machine) judge(now time.Time) {
-	counts := make(map[uint64]int)
-	for _, c := range m.crashes {
-		if m.outage(now, c.place.domain) {
-			continue
-		}
-		for _, signature := range c.signatures {
-			if !m.vouched(now, signature) {
-				counts[signature]++
-			}
-		}
+// revocable tells whether a suspicion rests on nothing but crashes that this VM saw within the window.
+func (s *suspect) revocable(now time.Time) bool {
+	if !s.own || s.Confirmed || s.unexplained > 0 || !s.probeAt.IsZero() || s.Crashes > s.ownCrashes {
+		return false
 	}
-	for signature, n := range counts {
-		s, ok := m.suspects[signature]
-		if ok && s.Crashes >= n {
+	return s.Crashes == 0 || now.Sub(s.evidence) <= evidenceWindow
+}
+
+// markOutages marks the crashes of each failure domain whose upstreams failed together without a request that explains it.
+func (m *Machine) markOutages(now time.Time) {
+	outages := make(map[string]bool)
+	for _, c := range m.crashes {
+		if now.Sub(c.at) > evidenceWindow {
 			continue
 		}
-		if !ok {
-			t := m.trails[signature]
-			service := ""
-			if t != nil {
-				service = t.service
-			}
-			s = m.add(now, Suspicion{Signature: signature, Service: service, NextProbe: now.Add(m.settings.withDefaults().Interval)})
+		d := c.place.domain
+		if _, ok := outages[d]; !ok {
+			outages[d] = m.outage(now, d)
 		}
-		s.Crashes = n
-		s.Expires = now.Add(m.settings.withDefaults().Life)
-		m.spread(s)
+		c.outage = outages[d]
 	}
 }
 
-// outage tells whether the upstreams of a failure domain failed together without a request that explains it.
+// outage tells whether the upstreams of a failure domain failed together and no request explains it: none was present at
+// most of the crashes without an answer from elsewhere, or too many were.
 func (m *Machine) outage(now time.Time, domain string) bool {
 	failed := 0
 	present := make(map[uint64]int)
 	for _, c := range m.crashes {
-		if c.place.domain != domain {
+		if c.place.domain != domain || now.Sub(c.at) > evidenceWindow {
 			continue
 		}
 		failed++
 		for _, signature := range c.signatures {
-			if !m.vouched(now, signature) {
+			if !m.answeredSince(signature, now.Add(-evidenceWindow)) {
 				present[signature]++
 			}
 		}
@@ -86,19 +101,72 @@
 	return explaining == 0 || explaining >= unrelatedSignatures
 }
 
-// probeGroup returns a group for a probe in which no upstream is known to be down.
-func (m *Machine) probeGroup(s *suspect) (int, bool) {
-	down := make(map[int]bool)
-	for key, p := range m.places {
-		if key.service == s.Service {
-			down[p.group] = down[p.group] || p.down
+// tallies counts the crashes for each signature. A signature that the same group answered afterwards is struck off a crash.
+func (m *Machine) tallies(now time.Time) map[uint64]*tally {
+	out := make(map[uint64]*tally)
+	for _, c := range m.crashes {
+		if c.outage {
+			continue
+		}
+		c.signatures = slices.DeleteFunc(c.signatures, func(signature uint64) bool {
+			at, ok := m.lastReply(signature, c.place.group)
+			return ok && at.After(c.at)
+		})
+		for _, signature := range c.signatures {
+			t := out[signature]
+			if t == nil {
+				t = &tally{service: c.place.key.service, first: c.at, groups: make(map[int]int)}
+				out[signature] = t
+			}
+			t.total++
+			t.groups[c.place.group]++
+			if now.Sub(c.at) <= evidenceWindow {
+				t.recent++
+			}
 		}
 	}
-	best := anyGroup
-	for group, d := range down {
-		if !d && (best == anyGroup || group < best) {
-			best = group
+	return out
+}
+
+func (m *Machine) accusable(now time.Time, signature uint64, t *tally) bool {
+	if t.recent == 0 {
+		return false
+	}
+	since := t.first.Add(-runTime)
+	if t.total == 1 {
+		since = now.Add(-replyMemory)
+	}
+	if !m.answeredSince(signature, since) {
+		return true
+	}
+	for _, n := range t.groups {
+		if n >= 2 {
+			return true
+		}
+	}
+	return false
+}
+
+// dominated tells whether another signature explains the crashes at which a signature was present: one known from a peer,
+// or one that was present at all of them and at many more.
+func (m *Machine) dominated(now time.Time, signature uint64, t *tally, tallies map[uint64]*tally) bool {
+	for other, s := range m.suspects {
+		if other != signature && s.Service == t.service && now.Sub(s.evidence) <= evidenceWindow &&
+			(s.Confirmed || s.Crashes >= dominance*t.recent) {
+			return true
+		}
+	}
+	for _, c := range m.crashes {
+		if c.outage || now.Sub(c.at) > evidenceWindow || !c.has(signature) {
+			continue
+		}
+		explained := slices.ContainsFunc(c.signatures, func(other uint64) bool {
+			o := tallies[other]
+			return o != nil && other != signature && o.recent >= dominance*t.recent
+		})
+		if !explained {
+			return false
 		}
 	}
-	return best, len(down) == 0 || best != anyGroup
+	return true
 }
--- a/core/coordination/quarantiner/settings.go
+++ b/core/coordination/quarantiner/settings.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// evidenceWindow is how long a reset and the refused connection or new incarnation that explains it may lie apart, and
-	// how long crashes are compared with each other.
+	// evidenceWindow is how far a reset and the refused connection or new incarnation that explains it may lie apart, and
+	// how far crashes may lie apart that are compared with each other.
 	evidenceWindow = 5 * time.Second
 	// settleTime is how long a reset without an explanation holds back its signature.
 	settleTime = time.Second
@@ -21,10 +21,23 @@
 	explainedShare = 0.75
 	// unrelatedSignatures is how many signatures that each explain the failures are too many for a coincidence.
 	unrelatedSignatures = 3
-	// replyMemory is how long a reply vouches for its signature.
+	// dominance is how many times more crashes a signature needs to explain away another one that was present at them.
+	dominance = 2
+	// replyMemory is how long a reply vouches for a signature that was present at one crash.
 	replyMemory = time.Minute
-	// nonOwnerRetry is the least retry hint for a probe that this VM does not run.
-	nonOwnerRetry = time.Second
+	// runTime bounds the time of one run of a request. A signature that was present at several crashes is vouched for only
+	// by a reply of the same run or later: a request may begin to crash upstreams with a new index version.
+	runTime = time.Second
+	// repliesTracked is the size of the table of replies; a newer reply replaces an older one in the same place.
+	repliesTracked = 32 << 10
+	// restartTime is how long an upstream that went down counts as restarting, so that no probe is sent to its group.
+	// One that is down for longer is lost for other reasons and must not block probes.
+	restartTime = 2 * time.Minute
+	// minRetry is the least retry hint of a rejected suspect.
+	minRetry = time.Second
+	// maxCrashes and maxPlaces bound the crashes and upstreams that are remembered.
+	maxCrashes = 128
+	maxPlaces  = 32 << 10
 )
 
 // Settings bound the quarantine. Zero fields take the defaults.
@@ -34,15 +47,23 @@
 	Tracked  int           // signatures tracked at most
 }
 
-func (s Settings) withDefaults() Settings {
+func (s Settings) interval() time.Duration {
 	if s.Interval <= 0 {
-		s.Interval = DefaultInterval
+		return DefaultInterval
 	}
+	return s.Interval
+}
+
+func (s Settings) life() time.Duration {
 	if s.Life <= 0 {
-		s.Life = DefaultLife
+		return DefaultLife
 	}
+	return s.Life
+}
+
+func (s Settings) tracked() int {
 	if s.Tracked <= 0 {
-		s.Tracked = DefaultTracked
+		return DefaultTracked
 	}
-	return s
+	return s.Tracked
 }
--- a/core/coordination/quarantiner/verdict.go
+++ b/core/coordination/quarantiner/verdict.go
@@ -37,7 +37,11 @@
 	Group      int
 }
 
-// Suspicion is what VMs tell each other about a signature. One whose Expires is not in the future clears the signature.
+// anyGroup stands for a probe in whichever group.
+const anyGroup = -1
+
+// Suspicion is what VMs tell each other about a signature. Crashes is the number of distinct upstreams that crashed, 0
+// while a reset has no explanation yet. One without crashes whose Expires is not in the future clears the signature.
 type Suspicion struct {
 	Signature uint64
 	Service   string
