Leave refused connections out of the evidence for a dark failure domain

The router reports a refused new connection as a sub-request that started and ended. Its start stayed in the record of its failure domain, so that three restarting upstreams made the whole domain look dark. The new test fails without the change.

--- a/core/coordination/selector/selector_test.go
+++ b/core/coordination/selector/selector_test.go
@@ -278,6 +278,21 @@
 	}
 }
 
+// TestRefusalsAreNotDark guards against a failure domain that is avoided because some of its upstreams restart.
+func TestRefusalsAreNotDark(t *testing.T) {
+	s := newSet(4, 3, 3)
+	answer(s, 0, 4)
+	for i := range 9 {
+		s.Started(at(100), i)
+		s.Finished(at(100), i, Result{Kind: Refused})
+	}
+	for i := 9; i < 12; i++ {
+		if s.avoided(at(200), s.At(i)) {
+			t.Errorf("upstream %d is avoided because others refused connections", i)
+		}
+	}
+}
+
 func deleteEnded[T any](in []T, ended func(T) bool) []T {
 	out := in[:0]
 	for _, x := range in {
--- a/core/coordination/selector/set.go
+++ b/core/coordination/selector/set.go
@@ -144,6 +144,8 @@
 		u.shedUntil = later(u.shedUntil, now.Add(minShedPause))
 		u.limit.Overloaded(now)
 	case Refused, Reset:
+		// Its host answered, so that this says nothing about the failure domain.
+		u.domain.withdrawn(start, u.serial)
 		u.erred(now)
 		if unanswered {
 			u.fail(now)
