--- a/core/coordination/admitter/share.go
+++ b/core/coordination/admitter/share.go
@@ -1,119 +1,111 @@
 package admitter
 
-import (
-	"time"
-
-	"comfreyroute/core/state/tabler"
+const (
+	// maxCallers bounds the callers tracked; the callers above it share one place.
+	maxCallers = 1024
+	// overflowCaller is the place of the callers above maxCallers.
+	overflowCaller = ""
 )
 
-func (q *Queue) weight(name string) float64 {
-	for i := range q.row.Callers {
-		if q.row.Callers[i].Caller == name {
-			return float64(max(1, q.row.Callers[i].Weight))
-		}
-	}
-	return 1
+// caller is the queue of one caller in start-time fair queueing: each entry takes 1/weight of virtual time, and the entry
+// with the earliest start runs next.
+type caller struct {
+	name    string
+	weight  float64
+	finish  float64 // virtual finish time of the newest entry
+	entries []waiter
 }
 
-// lookup returns the queue of a caller, nil when it has none, and the name under which it is tracked.
-func (q *Queue) lookup(name string) (*caller, string) {
-	if c := q.callers[name]; c != nil {
-		return c, name
-	}
-	if len(q.callers) >= maxCallers {
-		return q.callers[overflowCaller], overflowCaller
-	}
-	return nil, name
+func (c *caller) push(w waiter, virtual float64) {
+	w.start = max(virtual, c.finish)
+	c.finish = w.start + 1/c.weight
+	c.entries = append(c.entries, w)
+}
+
+func (c *caller) pop() waiter {
+	w := c.entries[0]
+	c.entries = append(c.entries[:0], c.entries[1:]...)
+	return w
 }
 
-func (q *Queue) track(name string) *caller {
-	if q.callers == nil {
-		q.callers = make(map[string]*caller)
+// use is the length of the queue relative to the caller's weight.
+func (c *caller) use() float64 { return float64(len(c.entries)) / c.weight }
+
+// callers holds the queues of the callers in the order in which they were first seen, so that a replayed trace gives the
+// same decisions.
+type callers struct {
+	list  []*caller
+	names map[string]*caller
+}
+
+// find returns the queue of a caller, nil when it has none.
+func (s *callers) find(name string) *caller {
+	if c := s.names[name]; c != nil || len(s.list) < maxCallers {
+		return c
 	}
-	c := &caller{weight: q.weight(name)}
-	q.callers[name] = c
-	return c
+	return s.names[overflowCaller]
 }
 
-// forget drops the callers that have nothing waiting and no virtual time ahead of the others.
-func (q *Queue) forget() {
-	for name, c := range q.callers {
-		if len(c.entries) == 0 && (q.waiting == 0 || c.finish <= q.virtual) {
-			delete(q.callers, name)
+// track adds a caller. When the bound is reached, callers without entries and without virtual time ahead are forgotten;
+// if that makes no room, the new one shares the common place.
+func (s *callers) track(name string, weight, virtual float64) *caller {
+	if len(s.list) >= maxCallers {
+		s.forget(virtual)
+	}
+	if len(s.list) >= maxCallers {
+		name, weight = overflowCaller, 1
+		if c := s.names[name]; c != nil {
+			return c
 		}
 	}
-	if q.waiting == 0 {
-		q.virtual = 0
+	if s.names == nil {
+		s.names = make(map[string]*caller)
 	}
+	c := &caller{name: name, weight: weight}
+	s.list = append(s.list, c)
+	s.names[name] = c
+	return c
 }
 
-func (q *Queue) length() int {
-	if q.row.Queue > 0 {
-		return q.row.Queue
+func (s *callers) forget(virtual float64) {
+	kept := s.list[:0]
+	for _, c := range s.list {
+		if len(c.entries) == 0 && c.finish <= virtual {
+			delete(s.names, c.name)
+			continue
+		}
+		kept = append(kept, c)
 	}
-	return tabler.DefaultQueue
+	clear(s.list[len(kept):])
+	s.list = kept
 }
 
-func (q *Queue) concurrency() int {
-	switch {
-	case q.limit == 0:
-		return q.capacity
-	case q.capacity == 0:
-		return q.limit
-	default:
-		return min(q.limit, q.capacity)
+// reset forgets all callers; nothing waits.
+func (s *callers) reset() {
+	if len(s.list) > 0 {
+		*s = callers{}
 	}
 }
 
-func (q *Queue) free() bool {
-	n := q.concurrency()
-	return n == 0 || q.inFlight < n
+// next returns the caller whose first entry runs next. At least one entry must wait.
+func (s *callers) next() *caller {
+	var best *caller
+	for _, c := range s.list {
+		if len(c.entries) > 0 && (best == nil || c.entries[0].start < best.entries[0].start ||
+			c.entries[0].start == best.entries[0].start && c.entries[0].order < best.entries[0].order) {
+			best = c
+		}
+	}
+	return best
 }
 
-// makeRoom keeps the queue within its bound. A full queue takes an entry only from a caller below its share, by
-// displacing the newest entry of the caller that is furthest above its own.
-func (q *Queue) makeRoom(c *caller, wait time.Duration) (Verdict, bool) {
-	if q.waiting < q.length() {
-		return Verdict{}, false
-	}
-	own := 1.0
-	if c != nil {
-		own = float64(len(c.entries)+1) / c.weight
-	}
+// most returns the caller other than c with the longest queue relative to its weight.
+func (s *callers) most(c *caller) *caller {
 	var most *caller
-	for _, o := range q.callers {
+	for _, o := range s.list {
 		if o != c && len(o.entries) > 0 && (most == nil || o.use() > most.use()) {
 			most = o
 		}
 	}
-	if most == nil || most.use() <= own {
-		return reject(ReasonQueueFull, wait), true
-	}
-	last := len(most.entries) - 1
-	q.displaced = append(q.displaced, most.entries[last].Entry)
-	most.entries = most.entries[:last]
-	most.finish -= 1 / most.weight
-	q.waiting--
-	return Verdict{}, false
-}
-
-func (c *caller) use() float64 { return float64(len(c.entries)) / c.weight }
-
-// wait estimates how long a new entry of a caller waits: each other caller runs at most its own share before it.
-func (q *Queue) wait(now time.Time, c *caller) time.Duration {
-	n := q.concurrency()
-	if n == 0 || q.waiting == 0 && q.inFlight < n {
-		return 0
-	}
-	weight, own := 1.0, 0
-	if c != nil {
-		weight, own = c.weight, len(c.entries)
-	}
-	ahead := float64(own + 1)
-	for _, o := range q.callers {
-		if o != c {
-			ahead += min(float64(len(o.entries)), float64(own+1)*o.weight/weight)
-		}
-	}
-	return time.Duration(ahead / float64(n) * float64(q.estimate.mean(now)))
+	return most
 }
