--- a/core/coordination/limiter/rate.go
+++ b/core/coordination/limiter/rate.go
@@ -16,11 +16,16 @@
 
 // Configure sets the fleet limit in requests per second, 0 for none, and the most VMs that may share it.
 func (l *Rate) Configure(limit float64, fleetMax int) {
-	if limit <= 0 {
+	l.SetShare(limit / float64(max(1, fleetMax)))
+}
+
+// SetShare sets this VM's own limit in requests per second, 0 for none.
+func (l *Rate) SetShare(share float64) {
+	if share <= 0 {
 		*l = Rate{}
 		return
 	}
-	l.interval = time.Duration(float64(time.Second) * float64(max(1, fleetMax)) / limit)
+	l.interval = max(1, time.Duration(float64(time.Second)/share))
 }
 
 // Allow tells whether a request may run now, and counts it when it may.
@@ -28,6 +33,10 @@
 	if l.interval == 0 {
 		return true
 	}
+	// The next time lies further ahead only when it was set under a lower limit.
+	if furthest := now.Add(max(rateBurst, l.interval)); l.next.After(furthest) {
+		l.next = furthest
+	}
 	if l.RetryAfter(now) > 0 {
 		return false
 	}
@@ -40,7 +49,8 @@
 
 // RetryAfter returns how long to wait until a request is allowed, 0 when it is allowed now.
 func (l *Rate) RetryAfter(now time.Time) time.Duration {
-	if l.interval == 0 {
+	// The second condition also keeps the difference to the zero time, which saturates, out of the arithmetic below.
+	if l.interval == 0 || !l.next.After(now) {
 		return 0
 	}
 	return max(0, l.next.Sub(now)-max(0, rateBurst-l.interval))
