Report shed sub-requests and the connections of the tested service

Shed sub-requests tell whether extra load comes from repeated shed work or from hedges. The median of an even number of block pairs is the mean of the middle two.

--- a/bench/experiment.go
+++ b/bench/experiment.go
@@ -113,8 +113,8 @@
 	fmt.Fprintf(&table, "\nRatio of %s to %s over the paired blocks, median (lowest to highest): p50 %s, p99 %s.\n\n",
 		results[0].Policy, results[1].Policy, ratios(results, 50), ratios(results, 99))
 	for _, r := range results {
-		fmt.Fprintf(&table, "* %s: most connections to one upstream %d, above its limit %d; platform calls: %d reads, %d writes, %d watches, %d lists.\n",
-			r.Policy, r.MaxConnections, r.Violations, r.Calls.Reads, r.Calls.Writes, r.Calls.Watches, r.Calls.Lists)
+		fmt.Fprintf(&table, "* %s: most connections to one upstream of %s %d of %d; connections above the limit of any upstream %d; platform calls: %d reads, %d writes, %d watches, %d lists.\n",
+			r.Policy, e.Service, r.MaxConnections, e.Deployment.Find(e.Service).Connections, r.Violations, r.Calls.Reads, r.Calls.Writes, r.Calls.Watches, r.Calls.Lists)
 	}
 	if err := plotter.CSV(&values, append(rows, blocks(results)...)); err != nil {
 		return err
@@ -140,7 +140,8 @@
 		return "none"
 	}
 	slices.Sort(r)
-	return fmt.Sprintf("%.3f (%.3f to %.3f)", r[len(r)/2], r[0], r[len(r)-1])
+	median := (r[(len(r)-1)/2] + r[len(r)/2]) / 2
+	return fmt.Sprintf("%.3f (%.3f to %.3f)", median, r[0], r[len(r)-1])
 }
 
 func blocks(results [2]*runner.Result) []plotter.Row {
--- a/bench/internal/controller/controller.go
+++ b/bench/internal/controller/controller.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -69,6 +70,24 @@
 	return s, c.call(ctx, http.MethodGet, "/control/stats", nil, &s)
 }
 
+// Total reads the counts of all servers of some services, added up.
+func (c Client) Total(ctx context.Context, services ...string) (Stats, error) {
+	all, err := c.Stats(ctx)
+	var t Stats
+	for _, s := range all {
+		if !slices.Contains(services, s.Service) {
+			continue
+		}
+		t.Received += s.Received
+		t.Shed += s.Shed
+		t.Cancelled += s.Cancelled
+		t.Expired += s.Expired
+		t.Violations += s.Violations
+		t.MaxConnections = max(t.MaxConnections, s.MaxConnections)
+	}
+	return t, err
+}
+
 // Held reads the index versions that each server holds, by its name.
 func (c Client) Held(ctx context.Context) (map[string][]encoder.HeldVersion, error) {
 	var h map[string][]encoder.HeldVersion
--- a/bench/internal/loader/report.go
+++ b/bench/internal/loader/report.go
@@ -33,6 +33,7 @@
 	Shards   uint64 // covered and missing shards
 	Needed   uint64 // sub-requests that all sent requests need, warm-up included, without refused ones
 	Received uint64 // sub-requests that the upstreams received, warm-up included
+	Shed     uint64 // those that the upstreams shed
 
 	Examples []string // of wrong answers and failures
 	Outcomes map[string]map[string]encoder.Outcome
@@ -64,6 +65,7 @@
 	r.Shards += o.Shards
 	r.Needed += o.Needed
 	r.Received += o.Received
+	r.Shed += o.Shed
 	for _, e := range o.Examples {
 		r.example(e)
 	}
--- a/bench/internal/plotter/table.go
+++ b/bench/internal/plotter/table.go
@@ -38,6 +38,7 @@
 	{"failed", count(func(r *loader.Report) uint64 { return r.Failed })},
 	{"wrong", count(func(r *loader.Report) uint64 { return r.Wrong })},
 	{"extra load", share((*loader.Report).ExtraLoad)},
+	{"shed", count(func(r *loader.Report) uint64 { return r.Shed })},
 	{"lag p99 ms", func(r *loader.Report) string { return milliseconds(r.Lag.ValueAtQuantile(99)) }},
 }
 
--- a/bench/internal/runner/run.go
+++ b/bench/internal/runner/run.go
@@ -21,7 +21,7 @@
 	Report         *loader.Report
 	Blocks         []*loader.Report
 	Violations     uint64 // connections above the limit of an upstream
-	MaxConnections int    // to one upstream
+	MaxConnections int    // to one upstream of the service
 	Calls          encoder.CallCounts
 }
 
@@ -52,7 +52,7 @@
 		}
 	}
 	for i, s := range stacks {
-		if err := s.finish(ctx, results[i]); err != nil {
+		if err := s.finish(ctx, e, results[i]); err != nil {
 			return results, err
 		}
 	}
@@ -65,7 +65,7 @@
 	if v != nil {
 		s.checker.Learn(e.Service, v.number, v.layout, v.shards)
 	}
-	before, err := s.received(ctx, e.Service)
+	before, err := s.upstreams.Total(ctx, e.Service)
 	if err != nil {
 		return nil, err
 	}
@@ -83,8 +83,8 @@
 	if !pause(ctx, time.Now().Add(settle)) {
 		return nil, ctx.Err()
 	}
-	after, err := s.received(ctx, e.Service)
-	r.Received = after - before
+	after, err := s.upstreams.Total(ctx, e.Service)
+	r.Received, r.Shed = after.Received-before.Received, after.Shed-before.Shed
 	return r, err
 }
 
@@ -101,27 +101,19 @@
 	return nil
 }
 
-// received returns the sub-requests that the servers of a service have received.
-func (s *stack) received(ctx context.Context, service string) (uint64, error) {
-	stats, err := s.upstreams.Stats(ctx)
-	n := uint64(0)
-	for _, x := range stats {
-		if x.Service == service {
-			n += x.Received
-		}
-	}
-	return n, err
-}
-
-func (s *stack) finish(ctx context.Context, r *Result) error {
-	stats, err := s.upstreams.Stats(ctx)
+func (s *stack) finish(ctx context.Context, e *Experiment, r *Result) error {
+	all, err := s.upstreams.Stats(ctx)
 	if err != nil {
 		return err
 	}
-	for _, x := range stats {
+	for _, x := range all { // the limit holds in every service, also in those without load
 		r.Violations += x.Violations
-		r.MaxConnections = max(r.MaxConnections, x.MaxConnections)
 	}
+	t, err := s.upstreams.Total(ctx, e.Service)
+	if err != nil {
+		return err
+	}
+	r.MaxConnections = t.MaxConnections
 	r.Calls, err = s.platform.Calls(ctx)
 	return err
 }
--- a/bench/load.go
+++ b/bench/load.go
@@ -104,7 +104,7 @@
 }
 
 func (c *loadCommand) measure(ctx context.Context, check *checker.Checker, control *controller.Client) (bool, error) {
-	before, err := received(ctx, control, c.config.Mix)
+	before, err := total(ctx, control, c.config.Mix)
 	if err != nil {
 		return false, err
 	}
@@ -113,11 +113,11 @@
 	r := l.Run(ctx, c.config)
 	if control != nil {
 		time.Sleep(settleTime)
-		after, err := received(ctx, control, c.config.Mix)
+		after, err := total(ctx, control, c.config.Mix)
 		if err != nil {
 			return false, err
 		}
-		r.Received = after - before
+		r.Received, r.Shed = after.Received-before.Received, after.Shed-before.Shed
 		executed, err := control.Executed(ctx)
 		if err != nil {
 			return false, err
@@ -136,26 +136,16 @@
 	return r.Wrong > 0, plotter.Markdown(os.Stdout, []plotter.Row{{Name: "load", Report: r}})
 }
 
-// received returns the sub-requests that the servers of the services in a mix have received.
-func received(ctx context.Context, control *controller.Client, mix []loader.Share) (uint64, error) {
+// total returns the counts of the services in a mix.
+func total(ctx context.Context, control *controller.Client, mix []loader.Share) (controller.Stats, error) {
 	if control == nil {
-		return 0, nil
+		return controller.Stats{}, nil
 	}
-	stats, err := control.Stats(ctx)
-	if err != nil {
-		return 0, err
-	}
-	services := make(map[string]bool)
+	var services []string
 	for _, m := range mix {
-		services[m.Service] = true
-	}
-	n := uint64(0)
-	for _, s := range stats {
-		if services[s.Service] {
-			n += s.Received
-		}
+		services = append(services, m.Service)
 	}
-	return n, nil
+	return control.Total(ctx, services...)
 }
 
 // learn tells the checker the index versions that the upstreams hold. A version that comes during the load is not known to it.
