Keep late requests until they are given up

The connector closed a connection as soon as a ping on another one was answered while its request was late. A request that waits for a slot of a busy upstream looks the same, because pings wait for no slot, so an overload would have closed every busy connection. Early closing gains nothing: the router needs a token of the same budget for the retry as for a hedge. The late connection is now only noted, and closed when its request has passed its deadline or its cancellation was not answered. A new test keeps a slow reply on a connection that was noted.

Readiness of a starting VM waits at most 2 s for the first connections.

--- a/core/coordination/prober/prober.go
+++ b/core/coordination/prober/prober.go
@@ -1,8 +1,10 @@
 // Package prober decides which connections to an upstream are unresponsive.
 //
 // A connection can stop answering for good while new connections to the same upstream work. Such a failure says nothing
-// about the upstream, so it must be told apart from a slow or a dead upstream: a silent connection is given up only when
-// something that was sent later on another connection to the same upstream was answered.
+// about the upstream, so it must be told apart from a slow or a dead upstream: a connection counts as unresponsive only when
+// something that was sent on another connection to the same upstream, after the first one was late, was answered and the
+// late request still has no answer when it is given up. A late request is not given up early: a slow one may still be
+// answered, and giving it up would need a retry from the same budget as a hedge.
 package prober
 
 import (
@@ -34,8 +36,8 @@
 }
 
 // LateAt returns when a request that was sent at a time counts as late: after half of its allowed time, which leaves the
-// other half for a retry, but not before four times the recent mean reply time, so that a slow upstream keeps its
-// connections. It is never after the deadline.
+// other half to ask the upstream on another connection, but not before four times the recent mean reply time, so that a
+// slow upstream is not asked all the time. It is never after the deadline.
 func (p *Prober) LateAt(sent, deadline time.Time) time.Time {
 	late := sent.Add(max(MinLate, deadline.Sub(sent)/2, meanFactor*p.mean))
 	if late.After(deadline) {
@@ -57,7 +59,7 @@
 }
 
 // Answered records a reply on a connection to something that was sent at a time. It returns the connections that are
-// unresponsive: those that were late already when it was sent.
+// unresponsive unless they still answer: those that were late already when it was sent.
 func (p *Prober) Answered(now time.Time, c Connection, sent time.Time) []Connection {
 	p.Forget(c)
 	took := now.Sub(sent)
--- a/core/transport/connector/conn.go
+++ b/core/transport/connector/conn.go
@@ -38,6 +38,7 @@
 	// Guarded by the pool's lock.
 	conn      *conn
 	cancelled bool
+	silent    bool      // its connection was unresponsive when it was cancelled
 	writing   bool      // from before the first byte
 	until     time.Time // when a cancelled request is given up
 }
@@ -54,8 +55,8 @@
 
 	// Guarded by the pool's lock.
 	job          *job
-	retire       bool // close after the current request
-	unresponsive bool
+	retire       bool      // close after the current request
+	unresponsive bool      // the upstream answered on another connection while this one was late
 	heard        time.Time // last reply
 }
 
--- a/core/transport/connector/connector.go
+++ b/core/transport/connector/connector.go
@@ -186,6 +186,20 @@
 	return open, busy
 }
 
+// Warm reports whether there are pools and each of them has tried to open its first connection.
+func (c *Connector) Warm() bool {
+	pools := c.list()
+	for _, p := range pools {
+		p.mu.Lock()
+		tried := p.tried || p.limit == 0
+		p.mu.Unlock()
+		if !tried {
+			return false
+		}
+	}
+	return len(pools) > 0
+}
+
 func (c *Connector) list() []*pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/core/transport/connector/connector_test.go
+++ b/core/transport/connector/connector_test.go
@@ -45,6 +45,10 @@
 		{"oversized", func(nc net.Conn, _ *http.Request) bool { return text(nc, strings.Repeat(" ", encoder.MaxReplyBytes+1)) }, nil, failed(1, router.FailureInvalid, true), 3},
 		{"one connection silent", nil, func(n int) bool { return n == 1 }, failed(1, router.FailureUnresponsive, true), 3},
 		{"all old connections silent", nil, func(n int) bool { return n < 2 }, failed(1, router.FailureUnresponsive, true), 4},
+		{"slow reply on a suspect connection", func(nc net.Conn, r *http.Request) bool {
+			time.Sleep(900 * time.Millisecond)
+			return reply(nc, r.Header.Get(encoder.HeaderRequestID))
+		}, nil, arrived{1, encoder.StatusOK}, 2},
 		{"upstream silent", hold, func(int) bool { return true }, failed(1, router.FailureTimeout, true), -1},
 	}
 	for _, c := range cases {
--- a/core/transport/connector/pool.go
+++ b/core/transport/connector/pool.go
@@ -30,7 +30,7 @@
 	hurry   chan struct{} // ends the back-off of the opener
 	prober  prober.Prober
 	suspect time.Time // connections not heard since then are pinged before their next request
-	heard   time.Time
+	tried   bool      // the first attempt to open a connection has ended
 }
 
 func (p *pool) resize(a router.Pool) {
@@ -88,7 +88,11 @@
 		address := p.address
 		pace = p.pace
 		p.mu.Unlock()
-		if p.openOne(address) {
+		opened := p.openOne(address)
+		p.mu.Lock()
+		p.tried = true
+		p.mu.Unlock()
+		if opened {
 			backoff = minBackoff
 			p.owner.pause(pace, nil)
 			continue
@@ -144,19 +148,15 @@
 	p.owner.report(router.ConnectionsChanged{Service: p.key.service, Upstream: p.key.upstream, Open: open})
 }
 
-// answered records that the upstream answered something that was sent at a time, and closes the connections that turn
-// out to be unresponsive. The pool's lock is held.
+// answered records that the upstream answered something that was sent at a time, and notes which connections were silent
+// meanwhile. They are not closed yet: a slow request may still be answered, and closing it early would only lose it. The
+// pool's lock is held.
 func (p *pool) answered(c *conn, sent time.Time) {
 	now := time.Now()
-	p.heard, c.heard = now, now
+	c.heard, c.unresponsive = now, false
 	for _, n := range p.prober.Answered(now, c.number, sent) {
 		for o := range p.conns {
-			if o.number == n {
-				o.unresponsive = true
-				p.suspect = now
-				p.owner.counts.unresponsive.Add(1)
-				p.drop(o)
-			}
+			o.unresponsive = o.unresponsive || o.number == n
 		}
 	}
 }
--- a/core/transport/connector/send.go
+++ b/core/transport/connector/send.go
@@ -110,8 +110,13 @@
 func (p *pool) classify(c *conn, j *job, err error) router.Failure {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	silent := c.unresponsive && isTimeout(err)
+	if silent {
+		p.suspect = time.Now()
+		p.owner.counts.unresponsive.Add(1)
+	}
 	switch {
-	case c.unresponsive:
+	case silent && (!j.cancelled || j.silent):
 		return router.FailureUnresponsive
 	case errors.Is(err, errMismatched):
 		return router.FailureMismatched
@@ -164,7 +169,7 @@
 	if j.cancelled {
 		next = j.until
 	}
-	if !now.Before(next) || c.unresponsive {
+	if !now.Before(next) {
 		return false
 	}
 	if !j.cancelled && p.prober.Late(now, c.number) {
@@ -187,12 +192,14 @@
 	if j.cancelled || j.conn.job != j {
 		return // the reply arrived meanwhile
 	}
-	j.cancelled = true
+	j.cancelled, j.silent = true, j.conn.unresponsive
 	if !j.writing {
 		return
 	}
-	j.until = time.Now().Add(cancelGrace)
+	now := time.Now()
+	j.until = now.Add(cancelGrace)
 	_ = j.conn.nc.SetReadDeadline(j.until)
+	p.prober.Late(now, j.conn.number)
 	if !p.assign(&job{kind: jobCancel, target: c.attemptID(a)}) {
 		p.drop(j.conn)
 	}
--- a/entry/internal/runner/daemon.go
+++ b/entry/internal/runner/daemon.go
@@ -31,6 +31,9 @@
 	"comfreyroute/entry/internal/updater"
 )
 
+// warmLimit bounds how long the readiness of a starting VM waits for connections.
+const warmLimit = 2 * time.Second
+
 // daemon is one running entry daemon.
 type daemon struct {
 	settings    *settler.Settings
@@ -52,6 +55,7 @@
 	server      http.Server
 	counts      measurer.Actions
 	served      atomic.Pointer[tabler.Snapshot] // given to the router
+	warmBy      atomic.Int64                    // Unix ms until which readiness waits for connections, 0 before the first table
 }
 
 // start starts all parts. The VM becomes ready when it has the table and has passed the start gate.
@@ -175,9 +179,17 @@
 	if t == nil || !d.registrar.View().Admitted || d.served.Swap(t) == t {
 		return
 	}
+	d.warmBy.CompareAndSwap(0, time.Now().Add(warmLimit).UnixMilli())
 	d.loop.Post(router.TableAdopted{Table: t})
 }
 
+// warm tells whether connections to upstreams were tried, so that the first requests do not wait for them. An upstream
+// that cannot be reached delays the readiness only for a short time.
+func (d *daemon) warm() bool {
+	by := d.warmBy.Load()
+	return by != 0 && (d.connector.Warm() || time.Now().UnixMilli() > by)
+}
+
 // contacted tells the membership that the platform answered a call that was sent at a time.
 func (d *daemon) contacted(sent time.Time) { d.registrar.Post(tracker.PlatformContacted{Sent: sent}) }
 
@@ -212,7 +224,13 @@
 	if d.leaving.Load() {
 		return false, "leaving"
 	}
-	return d.accepts()
+	if ok, reason := d.accepts(); !ok {
+		return false, reason
+	}
+	if !d.warm() {
+		return false, "connecting"
+	}
+	return true, ""
 }
 
 func (d *daemon) idPrefix() string {
