--- /dev/null
+++ b/entry/internal/receiver/receiver_test.go
@@ -0,0 +1,161 @@
+package receiver
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"comfreyroute/core/coordination/claimer"
+	"comfreyroute/core/coordination/router"
+	"comfreyroute/core/protocol/encoder"
+	"comfreyroute/core/state/tabler"
+	"comfreyroute/entry/internal/booker"
+	"comfreyroute/entry/internal/looper"
+)
+
+// stub takes requests and answers those that it has an answer for.
+type stub struct {
+	taken  int
+	left   chan router.RequestID
+	full   bool
+	answer *looper.Answer
+}
+
+func (s *stub) Submit(router.RequestArrived) (router.RequestID, <-chan looper.Answer, bool) {
+	s.taken++
+	answers := make(chan looper.Answer, 1)
+	if s.answer != nil {
+		answers <- *s.answer
+	}
+	return 7, answers, !s.full
+}
+
+func (s *stub) Leave(r router.RequestID) { s.left <- r }
+
+func (s *stub) Call(context.Context, func(claimer.CallID) claimer.Event) (booker.Answer, bool) {
+	s.taken++
+	return booker.Answer{Call: &claimer.Answer{Outcome: encoder.OutcomeDone}}, !s.full
+}
+
+func table() *tabler.Snapshot {
+	var t *tabler.Snapshot
+	for _, s := range []tabler.ServiceRow{tabler.NewServiceRow("matching"), tabler.NewServiceRow("ledger")} {
+		if s.Service == "ledger" {
+			s.Kind = tabler.KindPoint
+		}
+		t = t.With(&tabler.Value{Revision: 1, Service: s, Upstreams: []tabler.UpstreamRow{
+			{Service: s.Service, Upstream: "u", Address: netip.MustParseAddrPort("127.0.0.1:7000"), Weight: 100, Connections: 1, Slots: 1},
+		}})
+	}
+	return t
+}
+
+func handler(t *testing.T, s *stub, r *Receiver) http.Handler {
+	t.Helper()
+	yes := func() (bool, string) { return true, "" }
+	r.Loop, r.Calls, r.Table, r.Ready = s, s, table, yes
+	if r.Accepts == nil {
+		r.Accepts = yes
+	}
+	r.BodyBytes, r.Requests = 200, 10
+	r.Measure = func(*tabler.ServiceRow, string, time.Duration, looper.Answer) {}
+	h, err := r.Handler()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+func post(h http.Handler, path, body, caller string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	q := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	q.Header.Set(encoder.HeaderCaller, caller)
+	h.ServeHTTP(w, q)
+	return w
+}
+
+const key = "0197a4b6-1111-7abc-8def-0123456789ab"
+
+// TestRejects guards against malformed or oversized requests that reach the routing loop or get a status other than 4xx.
+func TestRejects(t *testing.T) {
+	cases := []struct {
+		name, path, body, caller string
+		want                     int
+	}{
+		{"not JSON", "/v1/search", `{`, "", http.StatusBadRequest},
+		{"unknown field", "/v1/search", `{"service":"matching","limit":1}`, "", http.StatusBadRequest},
+		{"oversized", "/v1/search", `{"service":"matching","query":"` + strings.Repeat("q", 200) + `"}`, "", http.StatusRequestEntityTooLarge},
+		{"unknown service", "/v1/search", `{"service":"roster"}`, "", http.StatusNotFound},
+		{"search of a point service", "/v1/search", `{"service":"ledger"}`, "", http.StatusBadRequest},
+		{"coverage above 1", "/v1/search", `{"service":"matching","min_coverage":1.5}`, "", http.StatusBadRequest},
+		{"negative deadline", "/v1/search", `{"service":"matching","deadline_ms":-1}`, "", http.StatusBadRequest},
+		{"caller with a control character", "/v1/search", `{"service":"matching"}`, "a\x01b", http.StatusBadRequest},
+		{"lookup without key", "/v1/lookup", `{"service":"ledger"}`, "", http.StatusBadRequest},
+		{"call without key and ticket", "/v1/call", `{"service":"ledger","body":{}}`, "", http.StatusBadRequest},
+		{"call with key and ticket", "/v1/call", `{"service":"ledger","body":{},"key":"` + key + `","ticket":"a.1.b"}`, "", http.StatusBadRequest},
+		{"call with a random key", "/v1/call", `{"service":"ledger","body":{},"key":"7b0f4b4e-9d0f-4f4e-8f53-0123456789ab"}`, "", http.StatusBadRequest},
+		{"call without body", "/v1/call", `{"service":"ledger","key":"` + key + `"}`, "", http.StatusBadRequest},
+		{"too many tickets", "/v1/tickets", `{"service":"ledger","count":1000000}`, "", http.StatusBadRequest},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := &stub{}
+			w := post(handler(t, s, &Receiver{}), c.path, c.body, c.caller)
+			if diff := cmp.Diff(c.want, w.Code); diff != "" {
+				t.Errorf("status (-want +got):\n%s\n%s", diff, w.Body)
+			}
+			if s.taken > 0 {
+				t.Error("the request was passed on")
+			}
+		})
+	}
+}
+
+// TestRefusals guards against a refusal of a call that says "not run" although an earlier attempt may have run elsewhere,
+// and against a refusal without a retry hint.
+func TestRefusals(t *testing.T) {
+	search, call := `{"service":"matching"}`, `{"service":"ledger","body":{},"key":"`+key+`"}`
+	isolated := func() (bool, string) { return false, "isolated" }
+	cases := []struct {
+		name, path, body string
+		accepts          func() (bool, string)
+		full             bool
+		want             string
+	}{
+		{"search while isolated", "/v1/search", search, isolated, false, `"outcome":"not_run","reason":"isolated"`},
+		{"call while isolated", "/v1/call", call, isolated, false, `"outcome":"unknown","reason":"isolated"`},
+		{"search while full", "/v1/search", search, nil, true, `"outcome":"not_run","reason":"overloaded"`},
+		{"call while full", "/v1/call", call, nil, true, `"outcome":"unknown","reason":"overloaded"`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := post(handler(t, &stub{full: c.full}, &Receiver{Accepts: c.accepts}), c.path, c.body, "")
+			if w.Code != http.StatusServiceUnavailable || !strings.Contains(w.Body.String(), c.want) || w.Header().Get("Retry-After") == "" {
+				t.Errorf("got status %d, Retry-After %q, %s; want 503 with %s", w.Code, w.Header().Get("Retry-After"), w.Body, c.want)
+			}
+		})
+	}
+}
+
+// TestCallerGone guards against a request that stays in the loop after its caller has disconnected.
+func TestCallerGone(t *testing.T) {
+	s := &stub{left: make(chan router.RequestID, 1)}
+	r := &Receiver{}
+	h := handler(t, s, r)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	q := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/search", strings.NewReader(`{"service":"matching"}`))
+	h.ServeHTTP(httptest.NewRecorder(), q)
+	if diff := cmp.Diff(router.RequestID(7), <-s.left); diff != "" {
+		t.Errorf("left request (-want +got):\n%s", diff)
+	}
+	if n := r.Running(); len(n) > 0 {
+		t.Errorf("requests %v are still counted", n)
+	}
+}
--- a/entry/internal/runner/daemon.go
+++ b/entry/internal/runner/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"slices"
 	"strconv"
@@ -53,6 +54,7 @@
 	reporting   measurer.Reporting
 	receiver    receiver.Receiver
 	server      http.Server
+	callers     netip.AddrPort // that the HTTP listener has
 	counts      measurer.Actions
 	served      atomic.Pointer[tabler.Snapshot] // given to the router
 	warmBy      atomic.Int64                    // Unix ms until which readiness waits for connections, 0 before the first table
--- a/entry/internal/runner/listen.go
+++ b/entry/internal/runner/listen.go
@@ -36,6 +36,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers on %s", address)
 	}
+	d.callers = listener.Addr().(*net.TCPAddr).AddrPort()
 	d.server = http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 	go func() {
 		if err := d.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- /dev/null
+++ b/entry/internal/runner/runner_test.go
@@ -0,0 +1,99 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/goleak"
+
+	"comfreyroute/core/state/settler"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const search = `{"service":"matching","query":"q"}`
+
+func call(t *testing.T) string {
+	t.Helper()
+	key, err := uuid.NewV7()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return `{"service":"ledger","body":{},"key":"` + key.String() + `"}`
+}
+
+// TestShutdownInFlight guards against a graceful shutdown that interrupts a request, at each step that a request can be in.
+func TestShutdownInFlight(t *testing.T) {
+	cases := []struct {
+		name string
+		path string
+		body func(*testing.T) string
+		hold func(*platform) // before the request
+		want string
+	}{
+		{"search at an upstream", "/v1/search", func(*testing.T) string { return search }, func(*platform) {}, `"outcome":"done"`},
+		{"call at an upstream", "/v1/call", call, func(*platform) {}, `"result":"booked"`},
+		{"call without its claim", "/v1/call", call, func(p *platform) {
+			p.gate, p.writing = make(chan struct{}), make(chan struct{}, 10)
+		}, `"result":"booked"`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := startSite(t, nil)
+			c.hold(s.platform)
+			answers := s.post(context.Background(), c.path, c.body(t))
+			if s.platform.gate != nil {
+				<-s.platform.writing
+			} else {
+				<-s.upstream.running
+			}
+			s.signals <- os.Interrupt
+			for s.status("/readyz") == http.StatusOK || !s.refusing.Load() {
+				time.Sleep(time.Millisecond)
+			}
+			if refused := <-s.post(context.Background(), "/v1/search", search); !strings.Contains(refused, `"reason":"leaving"`) {
+				t.Errorf("a new request is answered %s, want leaving", refused)
+			}
+			if s.platform.gate != nil {
+				close(s.platform.gate)
+			}
+			close(s.upstream.gate)
+			if a := <-answers; !strings.Contains(a, c.want) {
+				t.Errorf("the request in flight is answered %s, want %s", a, c.want)
+			}
+			if err := <-s.ended; err != nil {
+				t.Errorf("end: %v", err)
+			}
+		})
+	}
+}
+
+// TestShutdownForced guards against a shutdown that a second signal does not end, or that hides what was lost.
+func TestShutdownForced(t *testing.T) {
+	s := startSite(t, func(x *settler.Settings) { x.Shutdown.BalancerWait = time.Hour / 2 })
+	answers := s.post(context.Background(), "/v1/search", search)
+	<-s.upstream.running
+	s.signals <- os.Interrupt
+	s.signals <- os.Interrupt
+	if err := <-s.ended; err == nil || !strings.Contains(err.Error(), "second signal") {
+		t.Errorf("end: %v, want an error that names the second signal", err)
+	}
+	<-answers
+}
+
+// TestCallerGone guards against a sub-request that goes on after the caller has disconnected.
+func TestCallerGone(t *testing.T) {
+	s := startSite(t, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	answers := s.post(ctx, "/v1/search", search)
+	<-s.upstream.running
+	cancel()
+	<-answers
+	<-s.upstream.ended
+	s.stop(t)
+}
