--- a/core/coordination/adopter/event.go
+++ b/core/coordination/adopter/event.go
@@ -63,7 +63,8 @@
 }
 
 // ContactHeard brings the age of the freshest platform contact that a peer knows of. Sent is when this VM sent the request
-// that the peer answered: a message that this VM did not ask for may be old when it is read and proves nothing.
+// that the peer answered. For a message that this VM did not ask for it is the time of receipt; such a message may be old when
+// it is read, which can delay this VM's own contact attempt by up to StaleAfter.
 type ContactHeard struct {
 	Sent time.Time
 	Age  time.Duration
--- a/core/coordination/adopter/machine.go
+++ b/core/coordination/adopter/machine.go
@@ -15,11 +15,15 @@
 	TickInterval   = 100 * time.Millisecond
 	WatchWait      = time.Second            // a platform that answers each wait is known to be in contact
 	StaleAfter     = time.Second            // a VM that hears of no platform contact for this time makes its own
+	staleRound     = 500 * time.Millisecond // added to StaleAfter for each doubling of the fleet above smallFleet peers
 	DefaultTimeout = 500 * time.Millisecond // of a platform call, beyond its wait
 	FetchTimeout   = 300 * time.Millisecond
 	WatchCap       = time.Second // back-off of a watcher; longer ones delay a change that is accepted just after an outage
 )
 
+// smallFleet is the number of peers from which StaleAfter grows.
+const smallFleet = 8
+
 // Bounds of the messages to peers.
 const (
 	PushAll = 16 // peers told about a revision that was read from the platform
@@ -48,7 +52,7 @@
 	call    platformCall
 	watcher pacer.Pacer
 	prober  pacer.Pacer
-	watches bool
+	follows bool // other VMs of the failure domain watch the platform
 	fetcher fetcher
 }
 
@@ -67,12 +71,12 @@
 // answer. A VM is not ready before.
 func (m *Machine) Complete() bool { return m.read || m.offline && m.fetcher.whole }
 
-// Contact returns the latest moment at which the platform is known to have answered this VM or one that it heard from; zero
-// means none.
+// Contact returns about the latest moment at which the platform is known to have answered this VM or one that it heard from;
+// zero means none. It decides when to call the platform and is no proof of contact: tracker decides whether a VM is isolated.
 func (m *Machine) Contact() time.Time { return m.contact }
 
 // Watching reports whether this VM is one of the watchers of its failure domain, in its own view.
-func (m *Machine) Watching() bool { return m.watches }
+func (m *Machine) Watching() bool { return !m.follows }
 
 // Revisions returns the revisions in effect, in order of the services.
 func (m *Machine) Revisions() []Revision {
@@ -145,6 +149,7 @@
 func (m *Machine) setMembers(members []Member) {
 	m.peers = slices.DeleteFunc(slices.Clone(members), func(x Member) bool { return x.ID == m.Self.ID })
 	slices.SortFunc(m.peers, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	m.follows = !m.chosen()
 }
 
 // adopt checks values and puts those with a higher revision into effect. Up to pushes peers are told.
--- a/core/coordination/adopter/machine_test.go
+++ b/core/coordination/adopter/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -117,3 +118,82 @@
 		})
 	}
 }
+
+// follower returns a machine with a complete table whose failure domain has other watchers.
+func follower(t *testing.T) *Machine {
+	members := []Member{{"a", "d1"}, {"b", "d1"}, {"c", "d1"}}
+	for _, self := range members {
+		m := &Machine{Self: self}
+		m.Step(start, MembersChanged{members})
+		if !m.Watching() {
+			m.Step(start, TableRead{1, nil, 7})
+			m.Step(start, ContactHeard{start, 0})
+			return m
+		}
+	}
+	t.Fatal("all three VMs of a failure domain watch")
+	return nil
+}
+
+// TestWatchers guards against a failure domain with another number of watchers than two, and against one that loses a watcher
+// and chooses no other.
+func TestWatchers(t *testing.T) {
+	var members []Member
+	for i := range 12 {
+		members = append(members, Member{fmt.Sprint("vm", i), fmt.Sprint("d", i%3)})
+	}
+	for range 3 {
+		watchers := map[string]int{}
+		gone := ""
+		for _, self := range members {
+			m := &Machine{Self: self}
+			m.Step(start, MembersChanged{members})
+			if m.Watching() {
+				watchers[self.FailureDomain]++
+				gone = self.ID
+			}
+		}
+		if diff := cmp.Diff(map[string]int{"d0": 2, "d1": 2, "d2": 2}, watchers); diff != "" {
+			t.Errorf("watchers of %d VMs (-want +got):\n%s", len(members), diff)
+		}
+		members = slices.DeleteFunc(members, func(x Member) bool { return x.ID == gone })
+	}
+}
+
+// TestStale guards against a VM that hears of no platform contact and makes none itself, and against one that calls the
+// platform although it hears of contacts.
+func TestStale(t *testing.T) {
+	m := follower(t)
+	var at []time.Duration
+	for now := time.Duration(0); now < 6*time.Second; now += TickInterval {
+		if now < 3*time.Second {
+			m.Step(start.Add(now), ContactHeard{start.Add(now), 500 * time.Millisecond})
+		}
+		if got := names(m.Step(start.Add(now), Ticked{})); len(got) > 0 {
+			at = append(at, now)
+		}
+	}
+	// The last contact known is that of 2.4 s; without random numbers StaleAfter takes 1.25 s.
+	if len(at) < 2 || at[0] != 3700*time.Millisecond {
+		t.Errorf("calls at %v, the first one is due at 3.7s", at)
+	}
+}
+
+// TestFetchWithoutReport guards against a value that is never fetched again after a request of which nothing was heard.
+func TestFetchWithoutReport(t *testing.T) {
+	m := follower(t)
+	var got []string
+	for now := time.Duration(0); now < time.Second; now += TickInterval {
+		ev := Event(Ticked{})
+		if now == 0 {
+			ev = RevisionsHeard{"z", []Revision{{"roster", 9}}}
+		}
+		for _, s := range names(m.Step(start.Add(now), ev)) {
+			got = append(got, fmt.Sprint(now, " ", s))
+		}
+	}
+	want := []string{"0s fetch 3 from z [roster]", "500ms fetch 4 from " + m.peers[0].ID + " [roster]"}
+	if diff := cmp.Diff(want, got[:min(2, len(got))]); diff != "" {
+		t.Errorf("calls (-want +got):\n%s", diff)
+	}
+}
--- a/core/coordination/adopter/watch.go
+++ b/core/coordination/adopter/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -13,9 +14,9 @@
 // Watchers is the number of VMs of each failure domain that watch the platform.
 const Watchers = 2
 
-// isWatcher reports whether this VM has one of the highest hashes of its failure domain in its own view. Two VMs with
-// different views may both watch or both not watch; the second case is covered by StaleAfter.
-func (m *Machine) isWatcher() bool {
+// chosen reports whether this VM has one of the highest hashes of its failure domain in its own view. Two VMs with different
+// views may both watch or both not watch; the second case is covered by StaleAfter.
+func (m *Machine) chosen() bool {
 	own, higher := xxhash.Sum64String(m.Self.ID), 0
 	for _, p := range m.peers {
 		if p.FailureDomain != m.Self.FailureDomain {
@@ -34,14 +35,13 @@
 	if m.call.id != 0 && now.After(m.call.deadline) {
 		m.platformFailed(now, m.call.id)
 	}
-	m.watches = m.isWatcher()
 	if m.call.id != 0 {
 		return nil
 	}
 	m.watcher.Cap, m.watcher.Random, m.prober.Random = WatchCap, m.Random, m.Random
 	wait := WatchWait
 	switch {
-	case m.watches || !m.Complete():
+	case !m.follows || !m.Complete():
 		// While calls fail, short ones find the return of the platform sooner than a long poll that may hang.
 		if m.watcher.Failing() {
 			wait = 0
@@ -72,10 +72,12 @@
 func (m *Machine) timeout() time.Duration { return cmp.Or(m.Timeout, DefaultTimeout) }
 
 // isStale reports whether no platform contact is known within about StaleAfter. The jitter, chosen again after each contact,
-// keeps VMs that lose contact together from calling together.
+// keeps VMs that lose contact together from calling together. News of a contact needs one more round of exchanges for each
+// doubling of the fleet, so a fixed time would make most VMs of a large fleet call the platform.
 func (m *Machine) isStale(now time.Time) bool {
 	if m.stale == 0 {
-		m.stale = StaleAfter*3/4 + pacer.Jitter(m.Random, StaleAfter/2)
+		limit := StaleAfter + staleRound*time.Duration(bits.Len(uint(len(m.peers))/smallFleet))
+		m.stale = limit*3/4 + pacer.Jitter(m.Random, limit/2)
 	}
 	return now.Sub(m.contact) > m.stale
 }
