--- a/core/coordination/adopter/machine.go
+++ b/core/coordination/adopter/machine.go
@@ -15,11 +15,15 @@
 	TickInterval   = 100 * time.Millisecond
 	WatchWait      = time.Second            // a platform that answers each wait is known to be in contact
 	StaleAfter     = time.Second            // a VM that hears of no platform contact for this time makes its own
+	staleRound     = 500 * time.Millisecond // added to StaleAfter for each doubling of the fleet above smallFleet peers
 	DefaultTimeout = 500 * time.Millisecond // of a platform call, beyond its wait
 	FetchTimeout   = 300 * time.Millisecond
 	WatchCap       = time.Second // back-off of a watcher; longer ones delay a change that is accepted just after an outage
 )
 
+// smallFleet is the number of peers from which StaleAfter grows.
+const smallFleet = 8
+
 // Bounds of the messages to peers.
 const (
 	PushAll = 16 // peers told about a revision that was read from the platform
@@ -31,6 +35,7 @@
 type Machine struct {
 	Self    Member
 	Timeout time.Duration // of a platform call; 0 takes DefaultTimeout
+	Calls   float64       // budget of table calls to the platform, per second; 0 takes the pacer's default
 	Random  *rand.Rand
 
 	table   *tabler.Snapshot
@@ -41,6 +46,7 @@
 	synced  bool              // the changes after seen are all that this VM lacks
 	probe   bool              // a value that peers did not give is wanted from the platform
 	offline bool              // the platform did not answer before the table was complete
+	told    int               // rotates RevisionsFor
 	peers   []Member
 	last    CallID
 	contact time.Time // latest moment at which the platform is known to have answered somebody
@@ -48,7 +54,7 @@
 	call    platformCall
 	watcher pacer.Pacer
 	prober  pacer.Pacer
-	watches bool
+	follows bool // other VMs of the failure domain watch the platform
 	fetcher fetcher
 }
 
@@ -67,12 +73,12 @@
 // answer. A VM is not ready before.
 func (m *Machine) Complete() bool { return m.read || m.offline && m.fetcher.whole }
 
-// Contact returns the latest moment at which the platform is known to have answered this VM or one that it heard from; zero
-// means none.
+// Contact returns about the latest moment at which the platform is known to have answered this VM or one that it heard from;
+// zero means none. It decides when to call the platform and is no proof of contact: tracker decides whether a VM is isolated.
 func (m *Machine) Contact() time.Time { return m.contact }
 
 // Watching reports whether this VM is one of the watchers of its failure domain, in its own view.
-func (m *Machine) Watching() bool { return m.watches }
+func (m *Machine) Watching() bool { return !m.follows }
 
 // Revisions returns the revisions in effect, in order of the services.
 func (m *Machine) Revisions() []Revision {
@@ -84,6 +90,23 @@
 	return list
 }
 
+// RevisionsFor returns up to n revisions for a message: the highest ones, which changed last, for half of it, and the others
+// in turn, so that a peer that missed an old change hears of it too.
+func (m *Machine) RevisionsFor(n int) []Revision {
+	list := m.Revisions()
+	if len(list) <= n {
+		return list
+	}
+	slices.SortFunc(list, func(a, b Revision) int { return cmp.Compare(b.Revision, a.Revision) })
+	newest, rest := list[:n/2], list[n/2:]
+	out := slices.Clone(newest)
+	for i := range n - n/2 {
+		out = append(out, rest[(m.told+i)%len(rest)])
+	}
+	m.told += n - n/2
+	return out
+}
+
 // Values returns the stored form of the values of some services, or of all when services is empty. It reports false when
 // the table is not complete, because the asker would take an incomplete table for a whole one.
 func (m *Machine) Values(services []string) ([]Stored, bool) {
@@ -145,6 +168,7 @@
 func (m *Machine) setMembers(members []Member) {
 	m.peers = slices.DeleteFunc(slices.Clone(members), func(x Member) bool { return x.ID == m.Self.ID })
 	slices.SortFunc(m.peers, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	m.follows = !m.chosen()
 }
 
 // adopt checks values and puts those with a higher revision into effect. Up to pushes peers are told.
