--- a/core/coordination/claimer/machine.go
+++ b/core/coordination/claimer/machine.go
@@ -106,6 +106,8 @@
 		s.forwardEnded(e)
 	case CallerGone:
 		s.callerGone(e)
+	case LookedUp:
+		s.lookedUp(e)
 	case Leaving:
 		m.leaving = true
 	case TimerFired:
--- a/entry/internal/booker/booker.go
+++ b/entry/internal/booker/booker.go
@@ -58,6 +58,7 @@
 type Answer struct {
 	Call    *claimer.Answer
 	Tickets *claimer.AnswerTickets
+	Known   *claimer.Known
 }
 
 // Prepare makes the channels, so that other concerns may use this one before it starts.
@@ -163,6 +164,8 @@
 		b.answer(a.Call, Answer{Call: &a})
 	case claimer.AnswerTickets:
 		b.answer(a.Call, Answer{Tickets: &a})
+	case claimer.Known:
+		b.answer(a.Call, Answer{Known: &a})
 	}
 }
 
--- a/entry/internal/runner/admin.go
+++ b/entry/internal/runner/admin.go
@@ -4,11 +4,9 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"sync"
 	"time"
 
 	"comfreyroute/core/coordination/router"
-	"comfreyroute/core/coordination/tracker"
 	"comfreyroute/core/protocol/exchanger"
 	"comfreyroute/core/state/reporter"
 	"comfreyroute/core/state/tabler"
@@ -18,8 +16,6 @@
 	"comfreyroute/entry/internal/measurer"
 )
 
-const burnTimeout = time.Second
-
 // status is the document of /admin/status.
 type status struct {
 	VM          string            `json:"vm"`
@@ -38,6 +34,9 @@
 	Router      router.Stats      `json:"router"`
 	Peers       messenger.Bytes   `json:"peers"`
 	Revisions   map[string]uint64 `json:"revisions"`
+	Out         []outOfUse        `json:"out"`
+	Suspicions  int               `json:"suspicions"`
+	Budgets     map[string]int    `json:"budgets"` // hedges and retries that each service may send now
 }
 
 type member struct {
@@ -53,6 +52,8 @@
 	return map[string]http.HandlerFunc{
 		"/admin/status":  func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, d.status()) },
 		"/admin/table":   func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, d.values()) },
+		"/admin/fleet":   func(w http.ResponseWriter, r *http.Request) { writeJSON(w, d.fleet(r.Context())) },
+		"/admin/outcome": d.lookUp,
 		"/admin/members": func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, d.members()) },
 		"/admin/burn":    func(w http.ResponseWriter, r *http.Request) { writeJSON(w, d.burn(r.Context())) },
 		"/burn": func(w http.ResponseWriter, r *http.Request) {
@@ -75,6 +76,7 @@
 		s.ContactMS = time.Since(v.Contact).Milliseconds()
 	}
 	d.loop.Inspect(func(looper.Machine) { s.Router = d.machine.Stats() })
+	s.overview(d.inspect())
 	for _, r := range v.Revisions {
 		s.Revisions[r.Service] = r.Revision
 	}
@@ -111,37 +113,20 @@
 
 // burn returns the burn report over all VMs that answer.
 func (d *daemon) burn(ctx context.Context) reporter.Report {
-	ctx, cancel := context.WithTimeout(ctx, burnTimeout)
-	defer cancel()
-	var (
-		mu          sync.Mutex
-		summaries   []reporter.Summary
-		unreachable []string
-		calls       sync.WaitGroup
-	)
+	var summaries []reporter.Summary
 	if s, ok := d.reporting.Summary(ctx); ok {
 		summaries = append(summaries, s)
 	}
-	for _, m := range d.registrar.View().Members {
-		if m.State == tracker.Gone || !m.Record.PeerAddress.IsValid() {
-			continue
-		}
-		calls.Go(func() {
-			var s reporter.Summary
-			reply, err := d.messenger.Peer(m.Record.PeerAddress).Burn(ctx, &exchanger.BurnRequest{})
-			if err == nil {
-				err = json.Unmarshal(reply.GetJson(), &s)
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				unreachable = append(unreachable, m.Record.ID)
-				return
-			}
+	documents, unreachable := d.ask(ctx, func(ctx context.Context, p exchanger.DRPCPeersClient) ([]byte, error) {
+		reply, err := p.Burn(ctx, &exchanger.BurnRequest{})
+		return reply.GetJson(), err
+	})
+	for _, data := range documents {
+		var s reporter.Summary
+		if err := json.Unmarshal(data, &s); err == nil {
 			summaries = append(summaries, s)
-		})
+		}
 	}
-	calls.Wait()
 	return reporter.Merge(time.Now(), d.table.Load(), summaries, unreachable)
 }
 
--- /dev/null
+++ b/entry/internal/runner/fleet.go
@@ -0,0 +1,158 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"comfreyroute/core/coordination/claimer"
+	"comfreyroute/core/coordination/router"
+	"comfreyroute/core/coordination/tracker"
+	"comfreyroute/core/protocol/exchanger"
+	"comfreyroute/core/transport/keeper"
+	"comfreyroute/entry/internal/looper"
+)
+
+const fleetTimeout = time.Second
+
+// fleet is the document of /admin/fleet: the status of every VM that answers.
+type fleet struct {
+	VMs         []json.RawMessage `json:"vms"`
+	Unreachable []string          `json:"unreachable"`
+}
+
+// ask calls every other known VM at once and returns the documents of those that answer, in order of the VM ids.
+func (d *daemon) ask(ctx context.Context, call func(context.Context, exchanger.DRPCPeersClient) ([]byte, error)) (documents [][]byte, unreachable []string) {
+	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
+	defer cancel()
+	var members []tracker.Member
+	for _, m := range d.registrar.View().Members {
+		if m.State != tracker.Gone && m.Record.PeerAddress.IsValid() {
+			members = append(members, m)
+		}
+	}
+	replies := make([][]byte, len(members))
+	var calls sync.WaitGroup
+	for i, m := range members {
+		calls.Go(func() {
+			if data, err := call(ctx, d.messenger.Peer(m.Record.PeerAddress)); err == nil {
+				replies[i] = data
+			}
+		})
+	}
+	calls.Wait()
+	for i, m := range members {
+		if replies[i] == nil {
+			unreachable = append(unreachable, m.Record.ID)
+			continue
+		}
+		documents = append(documents, replies[i])
+	}
+	slices.Sort(unreachable)
+	return documents, unreachable
+}
+
+func (d *daemon) fleet(ctx context.Context) fleet {
+	own, err := json.Marshal(d.status())
+	if err != nil {
+		// Every field of a status encodes.
+		panic(err)
+	}
+	f := fleet{VMs: []json.RawMessage{own}, Unreachable: []string{}}
+	documents, unreachable := d.ask(ctx, func(ctx context.Context, p exchanger.DRPCPeersClient) ([]byte, error) {
+		reply, err := p.Status(ctx, &exchanger.StatusRequest{})
+		return reply.GetJson(), err
+	})
+	for _, data := range documents {
+		f.VMs = append(f.VMs, data)
+	}
+	f.Unreachable = append(f.Unreachable, unreachable...)
+	return f
+}
+
+// outOfUse is an upstream that gets no new work from a VM.
+type outOfUse struct {
+	Service  string `json:"service"`
+	Upstream string `json:"upstream"`
+	Why      string `json:"why"`
+}
+
+// overview fills in what the routing loop knows.
+func (s *status) overview(o router.Overview) {
+	s.Suspicions = o.Suspicions
+	s.Budgets = map[string]int{}
+	s.Out = []outOfUse{}
+	for _, v := range o.Services {
+		s.Budgets[v.Service] = v.Tokens
+		for _, x := range v.Out {
+			s.Out = append(s.Out, outOfUse{v.Service, x.Upstream, x.Why})
+		}
+	}
+}
+
+// outcome is the document of /admin/outcome.
+type outcome struct {
+	ID     string          `json:"id"`
+	Here   *knowledge      `json:"here,omitempty"`   // what this VM knows
+	Claim  json.RawMessage `json:"claim,omitempty"`  // the record in the key-value service
+	Store  string          `json:"store,omitempty"`  // how the key-value service answered
+	Issuer string          `json:"issuer,omitempty"` // VM that issued the ticket
+	Gone   bool            `json:"gone,omitempty"`   // the issuing incarnation no longer exists: the ticket never runs any more
+}
+
+type knowledge struct {
+	Phase   string `json:"phase"`
+	Outcome string `json:"outcome,omitempty"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+// lookUp tells what became of the call with a key or ticket, without running it.
+func (d *daemon) lookUp(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), fleetTimeout)
+	defer cancel()
+	id := r.URL.Query().Get("id")
+	t, ticketErr := claimer.ParseTicket(id)
+	if claimer.CheckKey(id) != nil && ticketErr != nil {
+		http.Error(w, "id is neither a key (UUIDv7) nor a ticket", http.StatusBadRequest)
+		return
+	}
+	o := outcome{ID: id}
+	a, ok := d.booker.Call(ctx, func(c claimer.CallID) claimer.Event { return claimer.LookedUp{Call: c, ID: id} })
+	if ok && a.Known != nil && a.Known.Phase != "" {
+		o.Here = &knowledge{a.Known.Phase, a.Known.Outcome, a.Known.Reason}
+	}
+	if ticketErr == nil {
+		o.Issuer = t.VM
+		o.Gone = d.issuerGone(t)
+	} else {
+		read := d.keeper.Get(ctx, claimer.Prefix+id)
+		o.Store = read.Status.String()
+		if read.Status == keeper.OK && read.Item.Revision > 0 {
+			o.Claim = json.RawMessage(read.Item.Value)
+		}
+	}
+	writeJSON(w, o)
+}
+
+// issuerGone reports whether this VM knows that the incarnation that issued a ticket has ended.
+func (d *daemon) issuerGone(t claimer.Ticket) bool {
+	if t.VM == d.settings.VM.ID {
+		return t.Incarnation != d.incarnation
+	}
+	for _, m := range d.registrar.View().Members {
+		if m.Record.ID == t.VM {
+			return m.State == tracker.Gone || m.Record.Incarnation > t.Incarnation
+		}
+	}
+	return false
+}
+
+// inspect reads the overview in the routing loop.
+func (d *daemon) inspect() router.Overview {
+	var o router.Overview
+	d.loop.Inspect(func(looper.Machine) { o = d.machine.Overview() })
+	return o
+}
--- a/operator/internal/commander/fleet.go
+++ b/operator/internal/commander/fleet.go
@@ -46,7 +46,7 @@
 		Ready     bool              `json:"ready"`
 		Reason    string            `json:"reason"`
 		Requests  int               `json:"requests"`
-		Peers     int               `json:"peers"`
+		Members   []struct{}        `json:"members"`
 		Contact   int64             `json:"contact"` // ms since the freshest known contact with the platform, -1 for none
 		Revisions map[string]uint64 `json:"revisions"`
 		Out       []struct {
@@ -54,8 +54,8 @@
 			Upstream string `json:"upstream"`
 			Why      string `json:"why"`
 		} `json:"out"`
-		Suspicions int                `json:"suspicions"`
-		Budgets    map[string]float64 `json:"budgets"`
+		Suspicions int               `json:"suspicions"`
+		Budgets    map[string]uint64 `json:"budgets"`
 	} `json:"vms"`
 	Unreachable []string `json:"unreachable"`
 }
@@ -84,7 +84,7 @@
 		if v.Contact >= 0 {
 			contact = fmt.Sprintf("%d ms ago", v.Contact)
 		}
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%s\t%d\t%s\t%s\n", v.VM, v.Domain, ready, v.Requests, v.Peers, contact, v.Suspicions,
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%s\t%d\t%s\t%s\n", v.VM, v.Domain, ready, v.Requests, len(v.Members), contact, v.Suspicions,
 			pairs(v.Revisions), pairs(v.Budgets))
 	}
 	if err := t.Flush(); err != nil {
@@ -102,10 +102,10 @@
 }
 
 // pairs prints a map in the order of its keys.
-func pairs[V uint64 | float64](m map[string]V) string {
+func pairs(m map[string]uint64) string {
 	var parts []string
 	for k, v := range m {
-		parts = append(parts, fmt.Sprintf("%s=%.4v", k, v))
+		parts = append(parts, fmt.Sprintf("%s=%d", k, v))
 	}
 	slices.Sort(parts)
 	return strings.Join(parts, " ")
--- a/operator/internal/commander/table.go
+++ b/operator/internal/commander/table.go
@@ -56,16 +56,16 @@
 	return d, t, done, ExitDone
 }
 
-// only returns a table with one service, or the whole table when none is named.
-func only(t *tabler.Snapshot, services []string) (*tabler.Snapshot, error) {
+// only returns the value of the named service, or every value when none is named.
+func only(t *tabler.Snapshot, services []string) ([]*tabler.Value, error) {
 	if len(services) == 0 {
-		return t, nil
+		return t.All(), nil
 	}
-	v := editor.Find(t, services[0])
+	v := editor.Find(t.All(), services[0])
 	if v == nil {
 		return nil, eris.Errorf("service %q is not in the table", services[0])
 	}
-	return new(tabler.Snapshot).With(v), nil
+	return []*tabler.Value{v}, nil
 }
 
 func (e *environment) show(ctx context.Context, arguments []string) subcommands.ExitStatus {
@@ -74,14 +74,14 @@
 		return code
 	}
 	defer done()
-	t, err := only(t, arguments)
+	values, err := only(t, arguments)
 	if err != nil {
 		return e.fail(ExitUsage, err)
 	}
 	if e.json {
-		return e.printJSON(t)
+		return e.printJSON(values)
 	}
-	if err := tabler.WriteCSV(e.out, t); err != nil {
+	if err := tabler.WriteCSV(e.out, values); err != nil {
 		return e.fail(ExitUnavailable, err)
 	}
 	return ExitDone
@@ -94,16 +94,16 @@
 	Value    json.RawMessage `json:"value"`
 }
 
-func (e *environment) printJSON(t *tabler.Snapshot) subcommands.ExitStatus {
-	values := []shown{}
-	for _, v := range t.All() {
+func (e *environment) printJSON(values []*tabler.Value) subcommands.ExitStatus {
+	rows := []shown{}
+	for _, v := range values {
 		data, err := tabler.Encode(v)
 		if err != nil {
 			return e.fail(ExitFaults, err)
 		}
-		values = append(values, shown{Service: v.Service.Service, Revision: v.Revision, Value: data})
+		rows = append(rows, shown{Service: v.Service.Service, Revision: v.Revision, Value: data})
 	}
-	return e.print(values)
+	return e.print(rows)
 }
 
 func (e *environment) print(v any) subcommands.ExitStatus {
@@ -126,7 +126,7 @@
 	if err != nil {
 		return e.fail(ExitUsage, eris.Wrap(err, "export"))
 	}
-	err = tabler.WriteCSV(f, t)
+	err = tabler.WriteCSV(f, t.All())
 	if err = errors.Join(err, f.Close()); err != nil {
 		return e.fail(ExitUsage, eris.Wrap(err, "export"))
 	}
@@ -134,7 +134,7 @@
 }
 
 // load reads and checks a CSV file.
-func (e *environment) load(arguments []string) (*tabler.Snapshot, subcommands.ExitStatus) {
+func (e *environment) load(arguments []string) ([]*tabler.Value, subcommands.ExitStatus) {
 	if len(arguments) != 1 {
 		return nil, e.fail(ExitUsage, eris.New("one CSV file is needed"))
 	}
@@ -143,22 +143,22 @@
 		return nil, e.fail(ExitUsage, eris.Wrap(err, "table file"))
 	}
 	defer func() { _ = f.Close() }()
-	t, err := tabler.ReadCSV(arguments[0], f)
+	values, err := tabler.ReadCSV(f)
 	if err != nil {
-		return nil, e.fail(ExitFaults, err)
+		return nil, e.fail(ExitFaults, eris.Wrap(err, arguments[0]))
 	}
-	return t, ExitDone
+	return values, ExitDone
 }
 
 func (e *environment) check(_ context.Context, arguments []string) subcommands.ExitStatus {
-	t, code := e.load(arguments)
+	values, code := e.load(arguments)
 	if code != ExitDone {
 		return code
 	}
 	if e.json {
-		return e.print(map[string]any{"valid": true, "services": len(t.Values)})
+		return e.print(map[string]any{"valid": true, "values": len(values)})
 	}
-	_, _ = fmt.Fprintf(e.out, "%s is valid: %d services\n", arguments[0], len(t.Values))
+	_, _ = fmt.Fprintf(e.out, "%s is valid: %d values\n", arguments[0], len(values))
 	return ExitDone
 }
 
@@ -178,7 +178,7 @@
 	for _, service := range editor.Services(plan) {
 		r := result{Service: service, Changes: texts(plan[service]), Verdict: "differs"}
 		if !dry {
-			r.take(d.Edit(ctx, e.newEdit(plan[service]), service, editor.Find(t, service), plan[service]))
+			r.take(d.Edit(ctx, e.newEdit(plan[service]), service, editor.Find(t.All(), service), plan[service]))
 		}
 		results = append(results, r)
 	}
@@ -204,14 +204,25 @@
 	if len(changes) == 0 {
 		return e.fail(ExitUsage, eris.New("edit: a cell is needed, such as 'matching.deadline = 72ms'"))
 	}
-	d, done, err := e.editor()
-	if err != nil {
-		return e.fail(ExitUsage, err)
+	d, t, done, code := e.read(ctx)
+	if code != ExitDone {
+		return code
 	}
 	defer done()
 	service := changes[0].Service
+	base := editor.Find(t.All(), service)
+	if base == nil {
+		base = tabler.NewValue(service)
+	}
+	wanted, err := base.Apply(changes)
+	if err != nil {
+		return e.fail(ExitFaults, err)
+	}
+	if changes = tabler.Diff(base, wanted); len(changes) == 0 {
+		return e.report(nil)
+	}
 	r := result{Service: service, Changes: texts(changes)}
-	r.take(d.Edit(ctx, e.newEdit(changes), service, nil, changes))
+	r.take(d.Edit(ctx, e.newEdit(changes), service, base, changes))
 	return e.report([]result{r})
 }
 
@@ -313,7 +324,7 @@
 		return code
 	}
 	defer done()
-	t, err := only(t, arguments)
+	values, err := only(t, arguments)
 	if err != nil {
 		return e.fail(ExitUsage, err)
 	}
@@ -322,7 +333,7 @@
 		Edit    tabler.Edit `json:"edit"`
 	}
 	rows := []row{}
-	for _, v := range t.All() {
+	for _, v := range values {
 		for _, x := range v.Edits {
 			rows = append(rows, row{v.Service.Service, x})
 		}
--- a/operator/internal/editor/editor.go
+++ b/operator/internal/editor/editor.go
@@ -114,12 +114,12 @@
 	}
 }
 
-// Plan returns the changes that turn the table into the wanted one, by service. Services that only the table has are removed
+// Plan returns the changes that turn the table into the wanted values, by service. Services that only the table has are removed
 // when prune is set.
-func Plan(table, wanted *tabler.Snapshot, prune bool) map[string][]tabler.Change {
+func Plan(table *tabler.Snapshot, wanted []*tabler.Value, prune bool) map[string][]tabler.Change {
 	plan := map[string][]tabler.Change{}
-	for _, v := range wanted.All() {
-		if c := tabler.Diff(Find(table, v.Service.Service), v); len(c) > 0 {
+	for _, v := range wanted {
+		if c := tabler.Diff(Find(table.All(), v.Service.Service), v); len(c) > 0 {
 			plan[v.Service.Service] = c
 		}
 	}
@@ -136,8 +136,8 @@
 }
 
 // Find returns the value of a service or of the fleet row, also when it was removed, or nil.
-func Find(t *tabler.Snapshot, service string) *tabler.Value {
-	for _, v := range t.All() {
+func Find(values []*tabler.Value, service string) *tabler.Value {
+	for _, v := range values {
 		if v.Service.Service == service {
 			return v
 		}
--- a/operator/internal/editor/editor_test.go
+++ b/operator/internal/editor/editor_test.go
@@ -122,7 +122,7 @@
 					}
 				}}
 			}
-			f := editorOf(s).Edit(context.Background(), tabler.Edit{ID: "mine", Who: "test"}, "ledger", Find(base, "ledger"), changes(t, mine))
+			f := editorOf(s).Edit(context.Background(), tabler.Edit{ID: "mine", Who: "test"}, "ledger", Find(base.All(), "ledger"), changes(t, mine))
 			if f.Verdict != c.want {
 				t.Errorf("verdict %v (%v), want %v", f.Verdict, f.Err, c.want)
 			}
@@ -131,13 +131,13 @@
 				t.Fatal(err)
 			}
 			var got [2]int
-			for i, u := range Find(after, "ledger").Upstreams {
+			for i, u := range Find(after.All(), "ledger").Upstreams {
 				got[i] = u.Weight
 			}
 			if diff := cmp.Diff(c.weight, got); diff != "" {
 				t.Errorf("weights (-want +got):\n%s", diff)
 			}
-			if v := Find(after, "ledger"); v.HasEdit("mine") != (c.want == adopter.Accepted) {
+			if v := Find(after.All(), "ledger"); v.HasEdit("mine") != (c.want == adopter.Accepted) {
 				t.Errorf("history lists the edit: %v", v.HasEdit("mine"))
 			}
 		})
@@ -153,15 +153,16 @@
 	}
 	empty := new(tabler.Snapshot)
 	cases := []struct {
-		name         string
-		from, wanted *tabler.Snapshot
-		prune        bool
-		want         []string
+		name   string
+		from   *tabler.Snapshot
+		wanted []*tabler.Value
+		prune  bool
+		want   []string
 	}{
-		{"same", table, table, true, nil},
-		{"not named", table, empty, false, nil},
-		{"not named, prune", table, empty, true, []string{"ledger"}},
-		{"new", empty, table, false, []string{"ledger"}},
+		{"same", table, table.All(), true, nil},
+		{"not named", table, nil, false, nil},
+		{"not named, prune", table, nil, true, []string{"ledger"}},
+		{"new", empty, table.All(), false, []string{"ledger"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
