Restart searches when retries have no tokens left or all recorded latencies are timeouts

Found by requiring recovery in the random event test. After a burst of faults the budget was empty, and every group's first reply said that the version is gone, so the search failed although another version covered every group; it now restarts then as well. The other case: attempts that were cancelled at their deadline made the median latency longer than the time left, which ruled out every restart; a quarter of the deadline now bounds the time that a restart needs.

Restarting only at newer versions was ruled out: when the holders of the newest version crash, an older one is right. Missing shards are sorted.

--- a/core/coordination/router/dispatch.go
+++ b/core/coordination/router/dispatch.go
@@ -159,6 +159,7 @@
 	}
 	b.possiblyRun = b.possiblyRun || f.possiblyRun
 	b.reason, b.retryAfter = f.reason, f.retryAfter
+	b.notHeld = b.notHeld || f.reason == reasonVersionNotHeld
 	if r.probeGroup != noProbe && f.possiblyRun && f.reason == reasonReset {
 		m.probeReset(now, a)
 	}
--- a/core/coordination/router/property_test.go
+++ b/core/coordination/router/property_test.go
@@ -11,9 +11,37 @@
 	"pgregory.net/rapid"
 )
 
+// recovered requires that a search and a call are answered as done once the faults have ended.
+func recovered(t *rapid.T, w *world, id RequestID) {
+	w.draw = nil
+	w.step(TableAdopted{testTable(testGroups, testReplicas)})
+	for _, v := range w.checker.table.Values {
+		for _, u := range v.Upstreams {
+			w.step(UpstreamLeaving{Service: u.Service, Upstream: u.Upstream})
+		}
+	}
+	w.run(w.now.Add(20 * time.Second))
+	// The first searches may find that every version the machine knows is gone, because a search restarts only once.
+	for range 2 {
+		w.step(RequestArrived{Request: id, Service: "matching", Kind: encoder.SubSearch, Query: "before"})
+		w.run(w.now.Add(time.Second))
+		id++
+	}
+	w.step(RequestArrived{Request: id, Service: "matching", Kind: encoder.SubSearch, Query: "after"})
+	w.step(RequestArrived{Request: id + 1, Service: "profiles", Kind: encoder.SubCall, Body: []byte(`"after"`)})
+	w.run(w.now.Add(2 * time.Second))
+	if w.err != nil {
+		t.Fatal(w.err)
+	}
+	search, call := w.answers[id].(*encoder.SearchAnswer), w.answers[id+1].(*encoder.CallAnswer)
+	if search.Outcome != encoder.OutcomeDone || call.Outcome != encoder.OutcomeDone {
+		t.Fatalf("no recovery after the faults: %+v %+v", search, call)
+	}
+}
+
 // TestRandomEvents guards against any sequence of requests, faults, table changes and index versions that breaks an
 // invariant: one version for each answer, every shard listed once, one answer for each caller that waits, calls that run at
-// most once, the budget in every window, nothing for an upstream or a caller that is gone.
+// most once, the budget in every window, recovery after the faults, nothing for an upstream or a caller that is gone.
 func TestRandomEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"))
@@ -74,6 +102,7 @@
 		if w.err != nil {
 			t.Fatal(w.err)
 		}
+		recovered(t, w, last+1)
 		if n := len(w.machine.attempts.places) - len(w.machine.attempts.free); n != 0 {
 			t.Fatalf("%d attempts are never freed", n)
 		}
--- a/core/coordination/router/request.go
+++ b/core/coordination/router/request.go
@@ -69,6 +69,7 @@
 	state       subState
 	attempts    uint8
 	possiblyRun bool // an upstream may have run it
+	notHeld     bool // a replica did not hold the version
 	owing       bool // takes a token when it leaves the wait queue
 	live        [maxLive]AttemptID
 	tried       [maxAttempts]int // upstreams of the attempts, -1 for one that is gone
--- a/core/coordination/router/search.go
+++ b/core/coordination/router/search.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"comfreyroute/core/protocol/encoder"
@@ -93,6 +94,11 @@
 	if r.index == nil && m.choose(now, r) {
 		return
 	}
+	// The catalog may be old for every group at once. Then each group's first reply only tells that the version is gone, and
+	// without tokens no other replica can be asked.
+	if r.anyNotHeld() && m.restart(now, r) {
+		return
+	}
 	m.answerSearch(now, r)
 }
 
@@ -131,7 +137,10 @@
 	if x == nil || x == r.index || x.version == r.index.version && x.layout == r.index.layout {
 		return false
 	}
-	if left := r.until.Sub(now); left < r.service.latencies.Quantile(0.5) {
+	// Attempts that were cancelled at their deadline count in the distribution, so that its median alone would rule out
+	// every restart after a time of lost replies.
+	usual := min(r.service.latencies.Quantile(0.5), r.service.row.Deadline/firstDelayShare)
+	if r.until.Sub(now) < usual {
 		return false
 	}
 	r.restarted = true
@@ -238,6 +247,7 @@
 			a.Missing = append(a.Missing, encoder.MissingShard{Shard: s, Reason: unknown})
 		}
 	}
+	slices.SortFunc(a.Missing, func(x, y encoder.MissingShard) int { return x.Shard - y.Shard })
 }
 
 // unknownReason is the reason of a shard whose group is not known: the failure of the only group that may hold it, if there
@@ -259,6 +269,16 @@
 	return reason
 }
 
+// anyNotHeld tells whether a sub-request failed after a replica did not hold the version.
+func (r *request) anyNotHeld() bool {
+	for g := range r.subs {
+		if r.subs[g].state == subFailed && r.subs[g].notHeld {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *request) possiblyRun() bool {
 	for g := range r.subs {
 		if r.subs[g].possiblyRun {
--- a/core/coordination/router/world_test.go
+++ b/core/coordination/router/world_test.go
@@ -73,6 +73,7 @@
 	faultCallerGone
 	faultTable
 	faultLeaving
+	faultLost
 	faultCount
 )
 
@@ -248,6 +249,8 @@
 	case faultTimeout:
 		fail(left, FailureTimeout, true)
 		return
+	case faultLost:
+		return // the transport never reports an end
 	case faultShed:
 		refuse(encoder.StatusShed)
 	case faultDraining:
