--- a/core/coordination/quarantiner/fleet_test.go
+++ b/core/coordination/quarantiner/fleet_test.go
@@ -63,6 +63,7 @@
 	next     uint64
 	service  time.Duration
 	crashed  int
+	resets   int
 	worst    int // most replicas of one group down at once
 	probes   []time.Time
 	answered int
@@ -194,6 +195,7 @@
 	}
 	for _, x := range sorted(s.running) {
 		delete(s.running, x)
+		f.resets++
 		f.after(f.delay()/2, func() {
 			f.vms[x.vm].Ended(f.now, x.id, Reset)
 			f.retry(x, s.group, retry, 5)
--- a/core/coordination/quarantiner/quarantiner_test.go
+++ b/core/coordination/quarantiner/quarantiner_test.go
@@ -64,6 +64,9 @@
 			}
 			t.Logf("%s, seed %d: of %d innocent requests %d rejected (last %v after the outage), %d lost a group; %d suspicions left",
 				c.name, seed, f.answered+f.held, f.held, max(0, f.heldAt.Sub(outage)), f.lost, suspects)
+			if f.lost > f.resets || suspects > f.resets {
+				t.Errorf("%s, seed %d: only %d requests were on the upstreams that died", c.name, seed, f.resets)
+			}
 			if !c.probes && (f.heldAt.Sub(outage) > settleTime || f.lost > 0 || suspects > 0) {
 				t.Errorf("%s, seed %d: an outage held back innocent requests", c.name, seed)
 			}
