--- a/core/coordination/limiter/lender_test.go
+++ b/core/coordination/limiter/lender_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -72,11 +73,14 @@
 			rest := queue
 			queue = nil
 			for _, m := range rest {
-				w := find(fleet, func(v *vm) bool { return v.name == m.to })
+				i := slices.IndexFunc(fleet, func(v *vm) bool { return v.name == m.to })
+				if i < 0 {
+					continue // that VM was replaced
+				}
+				w := fleet[i]
 				switch {
-				case m.at.After(now) || w != nil && now.Before(w.paused):
+				case m.at.After(now) || now.Before(w.paused):
 					queue = append(queue, m)
-				case w == nil:
 				case m.ask.ID != 0:
 					if g, ok := w.Asked(clock(w), m.from, m.ask, 2); ok {
 						send(message{to: m.from, from: w.name, answer: g})
@@ -100,15 +104,6 @@
 	}
 }
 
-func find[T any](list []T, match func(T) bool) (none T) {
-	for _, x := range list {
-		if match(x) {
-			return x
-		}
-	}
-	return none
-}
-
 // TestLoan guards against a loan that reaches nobody: a VM that needs more gets what its peer does not use, for a bounded time.
 func TestLoan(t *testing.T) {
 	var a, b Lender
--- a/core/coordination/quarantiner/fleet_test.go
+++ b/core/coordination/quarantiner/fleet_test.go
@@ -1,31 +1,18 @@
 package quarantiner
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
 // task is something that happens at a time in the modelled fleet.
 type task struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-type tasks []task
-
-func (q tasks) Len() int { return len(q) }
-func (q tasks) Less(a, b int) bool {
-	return q[a].at.Before(q[b].at) || q[a].at.Equal(q[b].at) && q[a].order < q[b].order
-}
-func (q tasks) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
-func (q *tasks) Push(x any)   { *q = append(*q, x.(task)) }
-func (q *tasks) Pop() any {
-	x := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return x
+	at  time.Time
+	run func()
 }
 
 type server struct {
@@ -55,8 +42,7 @@
 type fleet struct {
 	r        *rand.Rand
 	now      time.Time
-	queue    tasks
-	order    int
+	queue    []task // in order of time
 	vms      []*Machine
 	servers  []*server
 	groups   int
@@ -93,14 +79,21 @@
 }
 
 func (f *fleet) after(d time.Duration, do func()) {
-	f.order++
-	heap.Push(&f.queue, task{f.now.Add(d), f.order, do})
+	at := f.now.Add(d)
+	i, _ := slices.BinarySearchFunc(f.queue, at, func(t task, at time.Time) int {
+		if t.at.After(at) {
+			return 1
+		}
+		return -1
+	})
+	f.queue = slices.Insert(f.queue, i, task{at, do})
 }
 
 func (f *fleet) until(d time.Duration) {
 	end := f.now.Add(d)
 	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
-		t := heap.Pop(&f.queue).(task)
+		t := f.queue[0]
+		f.queue = f.queue[1:]
 		f.now = t.at
 		t.run()
 		for v := range f.vms {
@@ -193,7 +186,7 @@
 	for v := range f.vms {
 		f.after(f.delay(), func() { f.vms[v].Refused(f.now, "booth", s.name) })
 	}
-	for _, x := range sorted(s.running) {
+	for _, x := range slices.SortedFunc(maps.Keys(s.running), func(a, b *run) int { return cmp.Compare(a.id, b.id) }) {
 		delete(s.running, x)
 		f.resets++
 		f.after(f.delay()/2, func() {
@@ -221,18 +214,6 @@
 	}
 }
 
-func sorted(in map[*run]bool) []*run {
-	var out []*run
-	for x := range in {
-		at := len(out)
-		for at > 0 && out[at-1].id > x.id {
-			at--
-		}
-		out = append(out[:at], append([]*run{x}, out[at:]...)...)
-	}
-	return out
-}
-
 // innocents lets requests arrive at all VMs at a total rate per second; of each ten, five are unique and five popular.
 func (f *fleet) innocents(rate float64, until time.Time) {
 	f.after(time.Duration(f.r.ExpFloat64()/rate*float64(time.Second)), func() {
--- a/core/coordination/selector/compare_test.go
+++ b/core/coordination/selector/compare_test.go
@@ -1,7 +1,6 @@
 package selector
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -18,16 +17,15 @@
 	since, sent time.Duration
 }
 
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(a, b int) bool { return e[a].at < e[b].at }
-func (e events) Swap(a, b int)      { e[a], e[b] = e[b], e[a] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	x := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return x
+// add keeps the events in order of time.
+func add(q []event, e event) []event {
+	i, _ := slices.BinarySearchFunc(q, e.at, func(o event, at time.Duration) int {
+		if o.at > at {
+			return 1
+		}
+		return -1
+	})
+	return slices.Insert(q, i, e)
 }
 
 // simulate runs an open loop of queries from several VMs over groups of replicas with slots and queues, and returns the
@@ -48,16 +46,12 @@
 	type upstream struct{ free [slots]time.Duration }
 	state := make([]upstream, groups*replicas)
 	gap := float64(mean) / (load * replicas * slots)
-	var q events
 	left := make([]int, queries)
 	out := make([]time.Duration, queries)
-	next := time.Duration(0)
-	for n := range queries {
-		next += time.Duration(r.ExpFloat64() * gap)
-		heap.Push(&q, event{at: next, vm: n % vms, i: n, query: -1})
-	}
-	for q.Len() > 0 {
-		e := heap.Pop(&q).(event)
+	q := []event{{query: -1}}
+	for len(q) > 0 {
+		e := q[0]
+		q = q[1:]
 		now, s := start.Add(e.at), sets[e.vm]
 		if e.query >= 0 {
 			busy := 0
@@ -74,6 +68,9 @@
 			}
 			continue
 		}
+		if n := e.i + 1; n < queries {
+			q = add(q, event{at: e.at + time.Duration(r.ExpFloat64()*gap), vm: n % vms, i: n, query: -1})
+		}
 		for g := range groups {
 			i, ok := s.Pick(now, pick, Query{Group: g, Policy: p})
 			if !ok {
@@ -92,7 +89,7 @@
 			}
 			state[i].free[slot] = max(state[i].free[slot], e.at) + service
 			left[e.i]++
-			heap.Push(&q, event{at: state[i].free[slot] + time.Millisecond, vm: e.vm, i: i, query: e.i, since: e.at, sent: e.at})
+			q = add(q, event{at: state[i].free[slot] + time.Millisecond, vm: e.vm, i: i, query: e.i, since: e.at, sent: e.at})
 		}
 	}
 	return out
--- a/core/coordination/selector/selector_test.go
+++ b/core/coordination/selector/selector_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -240,7 +241,7 @@
 	var running []open
 	late, trials, other := 0, 0, 0
 	for ms := 100; ms < 1100; ms++ {
-		running = deleteEnded(running, func(o open) bool {
+		running = slices.DeleteFunc(running, func(o open) bool {
 			if o.end > ms {
 				return false
 			}
@@ -293,16 +294,6 @@
 	}
 }
 
-func deleteEnded[T any](in []T, ended func(T) bool) []T {
-	out := in[:0]
-	for _, x := range in {
-		if !ended(x) {
-			out = append(out, x)
-		}
-	}
-	return out
-}
-
 // TestPickProperties guards, over random histories, against work for an upstream that must get none, against a limit that
 // is exceeded, and against a refusal while an upstream that did not fail has room.
 func TestPickProperties(t *testing.T) {
