--- a/core/coordination/quarantiner/judge.go
+++ b/core/coordination/quarantiner/evaluate.go
@@ -15,37 +15,37 @@
 	groups  map[int]int // total by group
 }
 
-// judge derives the suspects of this VM from the crashes that it saw.
+// evaluate derives the suspects of this VM from the crashes that it saw.
 //
-// A signature is accused when it was present at a crash and was not answered by any upstream lately. When other groups
-// answer it, only two crashes in one group accuse it: it may crash the upstreams of one group only. Crashes of an outage
+// A signature becomes suspect when it was present at a crash and no upstream answered it lately. When other groups answer
+// it, that takes two crashes in one group: it may crash the upstreams of one group only. Crashes of an outage
 // do not count, and neither does a crash at which a signature was present that explains many more.
-func (m *Machine) judge(now time.Time) {
+func (m *Machine) evaluate(now time.Time) {
 	if len(m.crashes) == 0 {
 		return
 	}
 	m.crashes = slices.DeleteFunc(m.crashes, func(c *crash) bool { return now.Sub(c.at) > m.settings.life() })
 	m.markOutages(now)
 	tallies := m.tallies(now)
-	maps.DeleteFunc(tallies, func(signature uint64, t *tally) bool { return !m.accusable(now, signature, t) })
-	var accused, innocent []uint64
+	maps.DeleteFunc(tallies, func(signature uint64, t *tally) bool { return !m.implicated(now, signature, t) })
+	var raised, unfounded []uint64
 	for signature, t := range tallies {
-		if !m.dominated(now, signature, t, tallies) {
-			accused = append(accused, signature)
+		if !m.explainedAway(now, signature, t, tallies) {
+			raised = append(raised, signature)
 		}
 	}
 	for signature, s := range m.suspects {
-		if s.revocable(now) && !slices.Contains(accused, signature) {
-			innocent = append(innocent, signature)
+		if s.revocable(now) && !slices.Contains(raised, signature) {
+			unfounded = append(unfounded, signature)
 		}
 	}
 	// In a fixed order, so that a replayed trace gives the same actions.
-	slices.Sort(accused)
-	slices.Sort(innocent)
-	for _, signature := range accused {
-		m.accuse(now, tallies[signature].service, signature, tallies[signature].recent)
+	slices.Sort(raised)
+	slices.Sort(unfounded)
+	for _, signature := range raised {
+		m.raise(now, tallies[signature].service, signature, tallies[signature].recent)
 	}
-	for _, signature := range innocent {
+	for _, signature := range unfounded {
 		m.clear(now, m.suspects[signature])
 	}
 }
@@ -65,7 +65,7 @@
 		if now.Sub(c.at) > evidenceWindow {
 			continue
 		}
-		d := c.place.domain
+		d := c.upstream.domain
 		if _, ok := outages[d]; !ok {
 			outages[d] = m.outage(now, d)
 		}
@@ -79,7 +79,7 @@
 	failed := 0
 	present := make(map[uint64]int)
 	for _, c := range m.crashes {
-		if c.place.domain != domain || now.Sub(c.at) > evidenceWindow {
+		if c.upstream.domain != domain || now.Sub(c.at) > evidenceWindow {
 			continue
 		}
 		failed++
@@ -109,17 +109,17 @@
 			continue
 		}
 		c.signatures = slices.DeleteFunc(c.signatures, func(signature uint64) bool {
-			at, ok := m.lastReply(signature, c.place.group)
+			at, ok := m.lastReply(signature, c.upstream.group)
 			return ok && at.After(c.at)
 		})
 		for _, signature := range c.signatures {
 			t := out[signature]
 			if t == nil {
-				t = &tally{service: c.place.key.service, first: c.at, groups: make(map[int]int)}
+				t = &tally{service: c.upstream.key.service, first: c.at, groups: make(map[int]int)}
 				out[signature] = t
 			}
 			t.total++
-			t.groups[c.place.group]++
+			t.groups[c.upstream.group]++
 			if now.Sub(c.at) <= evidenceWindow {
 				t.recent++
 			}
@@ -128,7 +128,7 @@
 	return out
 }
 
-func (m *Machine) accusable(now time.Time, signature uint64, t *tally) bool {
+func (m *Machine) implicated(now time.Time, signature uint64, t *tally) bool {
 	if t.recent == 0 {
 		return false
 	}
@@ -147,12 +147,12 @@
 	return false
 }
 
-// dominated tells whether another signature explains the crashes at which a signature was present: one known from a peer,
+// explainedAway tells whether another signature explains the crashes at which a signature was present: one known from a peer,
 // or one that was present at all of them and at many more.
-func (m *Machine) dominated(now time.Time, signature uint64, t *tally, tallies map[uint64]*tally) bool {
+func (m *Machine) explainedAway(now time.Time, signature uint64, t *tally, tallies map[uint64]*tally) bool {
 	for other, s := range m.suspects {
 		if other != signature && s.Service == t.service && now.Sub(s.evidence) <= evidenceWindow &&
-			(s.Confirmed || s.Crashes >= dominance*t.recent) {
+			(s.Confirmed || s.Crashes >= explainingFactor*t.recent) {
 			return true
 		}
 	}
@@ -162,7 +162,7 @@
 		}
 		explained := slices.ContainsFunc(c.signatures, func(other uint64) bool {
 			o := tallies[other]
-			return o != nil && other != signature && o.recent >= dominance*t.recent
+			return o != nil && other != signature && o.recent >= explainingFactor*t.recent
 		})
 		if !explained {
 			return false
--- a/core/coordination/quarantiner/evidence.go
+++ b/core/coordination/quarantiner/evidence.go
@@ -5,22 +5,22 @@
 	"time"
 )
 
-// placeKey names an upstream.
-type placeKey struct{ service, upstream string }
+// upstreamKey names an upstream.
+type upstreamKey struct{ service, upstream string }
 
-// place is an upstream as far as crashes are concerned.
-type place struct {
-	key         placeKey
+// upstreamState is what is known of an upstream as far as crashes are concerned.
+type upstreamState struct {
+	key         upstreamKey
 	group       int
 	domain      string
 	incarnation uint64 // last seen
 	down        bool
-	faultAt     time.Time    // last reset or refused connection
-	resets      []resetEvent // not explained yet
+	faultAt     time.Time          // last reset or refused connection
+	resets      []unexplainedReset // not explained yet
 }
 
-// resetEvent is an attempt that was reset.
-type resetEvent struct {
+// unexplainedReset is an attempt that was reset.
+type unexplainedReset struct {
 	signature uint64
 	at        time.Time
 	held      bool // counts in suspect.unexplained
@@ -29,14 +29,14 @@
 // attempt is a running sub-request.
 type attempt struct {
 	signature   uint64
-	place       *place
+	upstream    *upstreamState
 	incarnation uint64
 	sent        time.Time
 }
 
 // crash is one upstream that went down, with the signatures that were reset on it.
 type crash struct {
-	place      *place
+	upstream   *upstreamState
 	at         time.Time
 	signatures []uint64
 	outage     bool
@@ -49,26 +49,26 @@
 	m.advance(now)
 	if m.attempts == nil {
 		m.attempts = make(map[uint64]attempt)
-		m.places = make(map[placeKey]*place)
+		m.upstreams = make(map[upstreamKey]*upstreamState)
 	}
-	p := m.places[placeKey{service, upstream}]
+	p := m.upstreams[upstreamKey{service, upstream}]
 	if p == nil {
-		if len(m.places) >= maxPlaces {
-			m.forgetPlaces()
+		if len(m.upstreams) >= maxUpstreams {
+			m.forgetUpstreams()
 		}
-		p = &place{key: placeKey{service, upstream}}
-		m.places[p.key] = p
+		p = &upstreamState{key: upstreamKey{service, upstream}}
+		m.upstreams[p.key] = p
 	}
 	p.group, p.domain = group, failureDomain
 	p.incarnation = max(p.incarnation, incarnation)
-	m.attempts[id] = attempt{signature: signature, place: p, incarnation: incarnation, sent: now}
+	m.attempts[id] = attempt{signature: signature, upstream: p, incarnation: incarnation, sent: now}
 }
 
-// forgetPlaces drops the upstreams without open evidence; those still in use are added again.
-func (m *Machine) forgetPlaces() {
-	for key, p := range m.places {
+// forgetUpstreams drops the upstreams without open evidence; those still in use are added again.
+func (m *Machine) forgetUpstreams() {
+	for key, p := range m.upstreams {
 		if !p.down && len(p.resets) == 0 {
-			delete(m.places, key)
+			delete(m.upstreams, key)
 		}
 	}
 }
@@ -92,9 +92,9 @@
 
 func (m *Machine) replied(now time.Time, a attempt) {
 	m.remember(now, a.signature, anyGroup)
-	m.remember(now, a.signature, a.place.group)
-	if a.sent.After(a.place.faultAt) {
-		m.up(now, a.place)
+	m.remember(now, a.signature, a.upstream.group)
+	if a.sent.After(a.upstream.faultAt) {
+		m.up(now, a.upstream)
 	}
 	s := m.suspects[a.signature]
 	switch {
@@ -105,19 +105,19 @@
 		// One crash and an answer from another upstream: the request does not crash every upstream that runs it.
 		m.clear(now, s)
 	case s.own:
-		m.judge(now)
+		m.evaluate(now)
 	}
 }
 
 func (m *Machine) reset(now time.Time, a attempt) {
-	p := a.place
+	p := a.upstream
 	p.faultAt = now
 	held := !m.answeredSince(a.signature, now.Add(-runTime))
 	if held {
 		m.hold(now, p.key.service, a.signature)
 	}
-	p.resets = slices.DeleteFunc(p.resets, func(r resetEvent) bool { return now.Sub(r.at) > evidenceWindow })
-	p.resets = append(p.resets, resetEvent{signature: a.signature, at: now, held: held})
+	p.resets = slices.DeleteFunc(p.resets, func(r unexplainedReset) bool { return now.Sub(r.at) > evidenceWindow })
+	p.resets = append(p.resets, unexplainedReset{signature: a.signature, at: now, held: held})
 	if p.down || a.incarnation != 0 && a.incarnation < p.incarnation {
 		m.crashed(now, p)
 	}
@@ -126,7 +126,7 @@
 // Refused records that an upstream accepts no new connection.
 func (m *Machine) Refused(now time.Time, service, upstream string) {
 	m.advance(now)
-	p := m.places[placeKey{service, upstream}]
+	p := m.upstreams[upstreamKey{service, upstream}]
 	if p == nil || p.down {
 		return
 	}
@@ -138,7 +138,7 @@
 // known one that it did not.
 func (m *Machine) Restarted(now time.Time, service, upstream string, incarnation uint64) {
 	m.advance(now)
-	p := m.places[placeKey{service, upstream}]
+	p := m.upstreams[upstreamKey{service, upstream}]
 	if p == nil || incarnation < p.incarnation {
 		return
 	}
@@ -153,7 +153,7 @@
 }
 
 // up records that an upstream works, so that unexplained resets on it were not crashes.
-func (m *Machine) up(now time.Time, p *place) {
+func (m *Machine) up(now time.Time, p *upstreamState) {
 	p.down = false
 	for _, r := range p.resets {
 		m.explain(now, r, true)
@@ -162,7 +162,7 @@
 }
 
 // explain counts a reset as explained. A suspect without crashes is cleared with its last one if the upstream works.
-func (m *Machine) explain(now time.Time, r resetEvent, works bool) {
+func (m *Machine) explain(now time.Time, r unexplainedReset, works bool) {
 	s := m.suspects[r.signature]
 	if s == nil || !r.held {
 		return
@@ -174,13 +174,13 @@
 }
 
 // crashed turns the resets on an upstream into evidence against their signatures.
-func (m *Machine) crashed(now time.Time, p *place) {
-	i := slices.IndexFunc(m.crashes, func(c *crash) bool { return c.place == p && now.Sub(c.at) <= evidenceWindow })
+func (m *Machine) crashed(now time.Time, p *upstreamState) {
+	i := slices.IndexFunc(m.crashes, func(c *crash) bool { return c.upstream == p && now.Sub(c.at) <= evidenceWindow })
 	if i < 0 {
 		if len(m.crashes) >= maxCrashes {
 			m.crashes = slices.Delete(m.crashes, 0, 1)
 		}
-		m.crashes = append(m.crashes, &crash{place: p, at: now})
+		m.crashes = append(m.crashes, &crash{upstream: p, at: now})
 		i = len(m.crashes) - 1
 	}
 	c := m.crashes[i]
@@ -197,5 +197,5 @@
 		}
 	}
 	p.resets = p.resets[:0]
-	m.judge(now)
+	m.evaluate(now)
 }
--- a/core/coordination/quarantiner/machine.go
+++ b/core/coordination/quarantiner/machine.go
@@ -15,13 +15,13 @@
 
 	suspects map[uint64]*suspect
 	due      time.Time            // no suspect expires earlier
-	cleared  map[uint64]time.Time // expiry of the suspicion that was cleared
+	cleared  map[uint64]time.Time // when a signature was last cleared
 	outbox   []Suspicion
 
-	attempts map[uint64]attempt
-	places   map[placeKey]*place
-	crashes  []*crash // oldest first
-	replies  []reply  // in pairs
+	attempts  map[uint64]attempt
+	upstreams map[upstreamKey]*upstreamState
+	crashes   []*crash // oldest first
+	replies   []reply  // in pairs
 }
 
 // suspect is a signature linked to crashes.
--- a/core/coordination/quarantiner/owner.go
+++ b/core/coordination/quarantiner/owner.go
@@ -43,7 +43,7 @@
 // present at a crash. It returns false when every known group of the service has one.
 func (m *Machine) probeGroup(now time.Time, s *suspect) (int, bool) {
 	restarting := make(map[int]bool)
-	for key, p := range m.places {
+	for key, p := range m.upstreams {
 		if key.service == s.Service {
 			restarting[p.group] = restarting[p.group] || p.down && now.Sub(p.faultAt) < restartTime
 		}
@@ -60,7 +60,7 @@
 
 func (m *Machine) presentIn(signature uint64, group int) bool {
 	for _, c := range m.crashes {
-		if c.place.group == group && c.has(signature) {
+		if c.upstream.group == group && c.has(signature) {
 			return true
 		}
 	}
--- a/core/coordination/quarantiner/quarantiner_test.go
+++ b/core/coordination/quarantiner/quarantiner_test.go
@@ -31,7 +31,7 @@
 
 // TestOutage guards against quarantine of innocent requests when the upstreams of one failure domain die together, or when
 // one upstream dies. Resets without an explanation may hold back a request for settleTime at most. A lookup reaches one
-// upstream, so nothing else vouches for one that was on a single crashed upstream: it waits for a probe.
+// upstream, so nothing else clears one that was on a single crashed upstream: it waits for a probe.
 func TestOutage(t *testing.T) {
 	cases := []struct {
 		name             string
--- a/core/coordination/quarantiner/replies.go
+++ b/core/coordination/quarantiner/replies.go
@@ -6,10 +6,10 @@
 type reply struct {
 	signature uint64
 	group     int32
-	at        int64 // Unix time in ns; 0 for an empty place
+	at        int64 // Unix time in ns; 0 for an empty entry
 }
 
-// find returns the place of a reply, or else the older of the two places that it may take. A signature that is answered
+// find returns the entry of a reply, or else the older of the two entries that it may replace. A signature that is answered
 // often is thus not displaced by many that are answered once.
 func (m *Machine) find(signature uint64, group int) (*reply, bool) {
 	i := mix(signature+uint64(group+2)*0x9e3779b97f4a7c15) % repliesTracked
--- a/core/coordination/quarantiner/settings.go
+++ b/core/coordination/quarantiner/settings.go
@@ -21,23 +21,23 @@
 	explainedShare = 0.75
 	// unrelatedSignatures is how many signatures that each explain the failures are too many for a coincidence.
 	unrelatedSignatures = 3
-	// dominance is how many times more crashes a signature needs to explain away another one that was present at them.
-	dominance = 2
-	// replyMemory is how long a reply vouches for a signature that was present at one crash.
+	// explainingFactor is how many times more crashes a signature needs to explain away another one that was present at them.
+	explainingFactor = 2
+	// replyMemory is how long a reply counts for a signature that was present at one crash.
 	replyMemory = time.Minute
-	// runTime bounds the time of one run of a request. A signature that was present at several crashes is vouched for only
-	// by a reply of the same run or later: a request may begin to crash upstreams with a new index version.
+	// runTime bounds the time of one run of a request. For a signature that was present at several
+	// crashes, only a reply of the same run or later counts: a request may begin to crash upstreams with a new index version.
 	runTime = time.Second
-	// repliesTracked is the size of the table of replies; a newer reply replaces an older one in the same place.
+	// repliesTracked is the size of the table of replies; a newer reply replaces an older one.
 	repliesTracked = 32 << 10
 	// restartTime is how long an upstream that went down counts as restarting, so that no probe is sent to its group.
 	// One that is down for longer is lost for other reasons and must not block probes.
 	restartTime = 2 * time.Minute
 	// minRetry is the least retry hint of a rejected suspect.
 	minRetry = time.Second
-	// maxCrashes and maxPlaces bound the crashes and upstreams that are remembered.
-	maxCrashes = 128
-	maxPlaces  = 32 << 10
+	// maxCrashes and maxUpstreams bound the crashes and upstreams that are remembered.
+	maxCrashes   = 128
+	maxUpstreams = 32 << 10
 )
 
 // Settings bound the quarantine. Zero fields take the defaults.
--- a/core/coordination/quarantiner/suspect.go
+++ b/core/coordination/quarantiner/suspect.go
@@ -91,8 +91,8 @@
 	s.unexplained++
 }
 
-// accuse records that a signature was present at crashes that nothing else explains.
-func (m *Machine) accuse(now time.Time, service string, signature uint64, crashes int) {
+// raise records that a signature was present at crashes that nothing else explains.
+func (m *Machine) raise(now time.Time, service string, signature uint64, crashes int) {
 	s := m.suspects[signature]
 	if s != nil && s.ownCrashes >= crashes {
 		return
@@ -123,7 +123,7 @@
 	m.spread(s.Suspicion)
 }
 
-// clear drops a suspect that was found innocent and tells the peers.
+// clear drops a suspect that turned out to be unfounded and tells the peers.
 func (m *Machine) clear(now time.Time, s *suspect) {
 	m.drop(s.Signature, now)
 	m.spread(Suspicion{Signature: s.Signature, Service: s.Service, Expires: now})
@@ -174,7 +174,7 @@
 	default:
 		m.merge(now, s, h)
 	}
-	m.judge(now)
+	m.evaluate(now)
 }
 
 // merge combines what two VMs know: a confirmation, the most crashes, the latest times.
--- a/core/coordination/selector/average.go
+++ b/core/coordination/selector/average.go
@@ -38,9 +38,9 @@
 	a.at = now
 }
 
-// halved returns the weight that remains at an age. It falls hyperbolically, which costs a division where an exponential
+// decay returns the weight that remains at an age. It falls hyperbolically, which costs a division where an exponential
 // costs a library call for each candidate.
-func halved(age, halfLife time.Duration) float64 {
+func decay(age, halfLife time.Duration) float64 {
 	if age <= 0 {
 		return 1
 	}
--- a/core/coordination/selector/cost.go
+++ b/core/coordination/selector/cost.go
@@ -42,7 +42,7 @@
 	}
 	latency := usual
 	if u.latency.mean > 0 {
-		latency += (u.latency.mean - usual) * halved(now.Sub(u.latency.at), latencyHalfLife)
+		latency += (u.latency.mean - usual) * decay(now.Sub(u.latency.at), latencyHalfLife)
 	} else if u.Row.FailureDomain != s.own {
 		latency += float64(remotePenalty)
 	}
@@ -58,7 +58,7 @@
 func (u *Upstream) running(now time.Time) float64 {
 	n := float64(u.InFlight)
 	if u.othersAtLoad > 0 {
-		n += float64(u.othersAtLoad) * halved(now.Sub(u.loadAt), loadHalfLife)
+		n += float64(u.othersAtLoad) * decay(now.Sub(u.loadAt), loadHalfLife)
 	}
 	return n
 }
--- a/core/coordination/selector/domain.go
+++ b/core/coordination/selector/domain.go
@@ -59,13 +59,13 @@
 }
 
 // dark tells whether the domain answers nothing although enough answers are late.
-func (d *domain) dark(now time.Time, patience time.Duration) bool {
-	if d.kept < darkStarts || now.Sub(d.starts[darkStarts-1].at) <= patience {
+func (d *domain) dark(now time.Time, lateAfter time.Duration) bool {
+	if d.kept < darkStarts || now.Sub(d.starts[darkStarts-1].at) <= lateAfter {
 		return false
 	}
 	distinct := 0
 	for i, s := range d.starts[:d.kept] {
-		if now.Sub(s.at) <= patience {
+		if now.Sub(s.at) <= lateAfter {
 			break
 		}
 		if i == 0 || s.upstream != d.starts[0].upstream {
--- a/core/coordination/selector/selector_test.go
+++ b/core/coordination/selector/selector_test.go
@@ -228,7 +228,7 @@
 	}
 }
 
-// TestDarkDomain guards against queries that keep waiting for a failure domain that answers nothing: after the patience,
+// TestDarkDomain guards against queries that keep waiting for a failure domain that answers nothing: once answers are late,
 // long before the deadline of 72 ms, upstreams of the domain that were never tried are avoided too, and only one trial at
 // a time reaches the domain.
 func TestDarkDomain(t *testing.T) {
--- a/core/coordination/selector/set.go
+++ b/core/coordination/selector/set.go
@@ -113,7 +113,7 @@
 // Started records that a sub-request is being sent.
 func (s *Set) Started(now time.Time, i int) {
 	u := &s.upstreams[i]
-	if u.domain.dark(now, s.patience(nil)) {
+	if u.domain.dark(now, s.lateAfter(nil)) {
 		u.domain.postpone(now)
 	}
 	if s.avoided(now, u) {
@@ -126,37 +126,37 @@
 // Finished records the end of a sub-request.
 func (s *Set) Finished(now time.Time, i int, r Result) {
 	u := &s.upstreams[i]
-	inFlight, patience := u.InFlight, s.patience(u)
+	inFlight, lateAfter := u.InFlight, s.lateAfter(u)
 	start := u.end(now, r.Latency)
 	unanswered := u.lastReply.Before(start)
 	switch r.Kind {
 	case OK:
 		u.replied(now)
 		u.domain.replied()
-		u.succeeded(now)
+		u.recordSuccess(now)
 		u.latency.add(now, r.Latency)
 		s.latency.add(now, r.Latency)
 		u.limit.Succeeded(inFlight, u.Load.Queued)
 	case Shed:
 		u.replied(now)
 		u.domain.replied()
-		u.erred(now)
+		u.recordError(now)
 		u.shedUntil = later(u.shedUntil, now.Add(minShedPause))
 		u.limit.Overloaded(now)
 	case Refused, Reset:
 		// Its host answered, so that this says nothing about the failure domain.
 		u.domain.withdrawn(start, u.serial)
-		u.erred(now)
+		u.recordError(now)
 		if unanswered {
 			u.fail(now)
 			u.refused = r.Kind == Refused
 		}
 	case TimedOut:
-		u.erred(now)
+		u.recordError(now)
 		u.limit.Overloaded(now)
 		s.missed(now, u, unanswered)
 	case Cancelled:
-		if r.Latency <= patience {
+		if r.Latency <= lateAfter {
 			u.domain.withdrawn(start, u.serial)
 			return
 		}
@@ -173,7 +173,7 @@
 		return
 	}
 	u.missed++
-	if u.missed >= silentMissed || u.failed {
+	if u.missed >= unresponsiveMissed || u.failed {
 		u.fail(now)
 	}
 }
@@ -187,7 +187,7 @@
 	}
 	if r.Incarnation > u.Incarnation {
 		restarted = u.Incarnation != 0
-		s.incarnate(now, u, r.Incarnation)
+		s.setIncarnation(now, u, r.Incarnation)
 	}
 	draining := r.Draining || r.Status == encoder.StatusDraining
 	drainChanged = draining != u.Draining
@@ -208,8 +208,8 @@
 	return restarted, drainChanged
 }
 
-// incarnate records a new incarnation. What was said about the previous one ends.
-func (s *Set) incarnate(now time.Time, u *Upstream, incarnation uint64) {
+// setIncarnation records a new incarnation. What was said about the previous one ends.
+func (s *Set) setIncarnation(now time.Time, u *Upstream, incarnation uint64) {
 	if u.Incarnation != 0 {
 		u.rampFrom = now
 		u.Draining = false
@@ -229,7 +229,7 @@
 		return
 	}
 	if !leaving && incarnation > u.Incarnation {
-		s.incarnate(now, u, incarnation)
+		s.setIncarnation(now, u, incarnation)
 	}
 	u.Leaving = leaving
 	u.leavingIncarnation = incarnation
--- a/core/coordination/selector/upstream.go
+++ b/core/coordination/selector/upstream.go
@@ -96,14 +96,14 @@
 	u.trialAt = now.Add(u.pause)
 }
 
-// erred counts a failed result in the share of errors.
-func (u *Upstream) erred(now time.Time) {
+// recordError counts a failed result in the share of errors.
+func (u *Upstream) recordError(now time.Time) {
 	e := u.recentErrors(now)
 	u.errors, u.errorsAt = e+errorGain*(1-e), now
 }
 
-// succeeded counts a good result in the share of errors.
-func (u *Upstream) succeeded(now time.Time) {
+// recordSuccess counts a good result in the share of errors.
+func (u *Upstream) recordSuccess(now time.Time) {
 	u.errors, u.errorsAt = u.recentErrors(now)*(1-errorGain), now
 }
 
@@ -112,7 +112,7 @@
 	if u.errors == 0 {
 		return 0
 	}
-	return u.errors * halved(now.Sub(u.errorsAt), errorHalfLife)
+	return u.errors * decay(now.Sub(u.errorsAt), errorHalfLife)
 }
 
 // ramp returns the part of its share that a starting upstream gets, 0 to 1.
@@ -151,11 +151,11 @@
 	return start
 }
 
-// overdue counts the sub-requests without an answer for longer than patience.
-func (u *Upstream) overdue(now time.Time, patience time.Duration) int {
+// overdue counts the sub-requests without an answer for longer than lateAfter.
+func (u *Upstream) overdue(now time.Time, lateAfter time.Duration) int {
 	n := 0
 	for _, s := range u.starts {
-		if now.Sub(s) > patience {
+		if now.Sub(s) > lateAfter {
 			n++
 		}
 	}
