--- a/core/coordination/quarantiner/quarantiner_test.go
+++ b/core/coordination/quarantiner/quarantiner_test.go
@@ -31,7 +31,7 @@
 
 // TestOutage guards against quarantine of innocent requests when the upstreams of one failure domain die together, or when
 // one upstream dies. Resets without an explanation may hold back a request for settleTime at most. A lookup reaches one
-// upstream, so nothing else vouches for one that was on a single crashed upstream: it waits for a probe.
+// upstream, so nothing else clears one that was on a single crashed upstream: it waits for a probe.
 func TestOutage(t *testing.T) {
 	cases := []struct {
 		name             string
@@ -64,6 +64,9 @@
 			}
 			t.Logf("%s, seed %d: of %d innocent requests %d rejected (last %v after the outage), %d lost a group; %d suspicions left",
 				c.name, seed, f.answered+f.held, f.held, max(0, f.heldAt.Sub(outage)), f.lost, suspects)
+			if f.lost > f.resets || suspects > f.resets {
+				t.Errorf("%s, seed %d: only %d requests were on the upstreams that died", c.name, seed, f.resets)
+			}
 			if !c.probes && (f.heldAt.Sub(outage) > settleTime || f.lost > 0 || suspects > 0) {
 				t.Errorf("%s, seed %d: an outage held back innocent requests", c.name, seed)
 			}
