Let the upstreams fake stop while a server is dark

Cause: http.Server.Close waits for every Accept, and the Accept of a dark server waited for the end of the darkness. An interrupted dark experiment had to kill the process after 10 s. The listener now ends the wait when it is closed.

--- a/upstreams/internal/server/connection.go
+++ b/upstreams/internal/server/connection.go
@@ -10,13 +10,21 @@
 // listener applies the connection limit of a host and the cost of a new connection.
 type listener struct {
 	net.Listener
-	host *host
+	host   *host
+	once   sync.Once
+	closed chan struct{}
+}
+
+// Close also ends an Accept that waits for the end of the darkness: http.Server.Close waits for it.
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
 }
 
 // Accept closes connections above the limit at once, and accepts nothing while the host is dark.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		l.host.waitForLight(nil)
+		l.host.waitForLight(l.closed)
 		c, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
--- a/upstreams/internal/server/host.go
+++ b/upstreams/internal/server/host.go
@@ -76,15 +76,23 @@
 	if h.listener != nil {
 		return nil
 	}
-	l, err := net.Listen("tcp", h.server.Address.String())
-	if err != nil {
-		return eris.Wrapf(err, "upstream %s", h.server.Name)
+	if err := h.listen(); err != nil {
+		return err
 	}
-	h.listener = l
 	h.incarnation = max(h.incarnation+1, uint64(time.Now().UnixMilli()))
 	h.served = 0
 	h.life, h.end = context.WithCancel(context.Background())
-	go func() { _ = h.fleet.http.Serve(&listener{Listener: l, host: h}) }() // ends when the listener is closed
+	return nil
+}
+
+// listen opens the listener. The caller holds the lock.
+func (h *host) listen() error {
+	l, err := net.Listen("tcp", h.server.Address.String())
+	if err != nil {
+		return eris.Wrapf(err, "upstream %s", h.server.Name)
+	}
+	h.listener = &listener{Listener: l, host: h, closed: make(chan struct{})}
+	go func(l net.Listener) { _ = h.fleet.http.Serve(l) }(h.listener) // ends when the listener is closed
 	return nil
 }
 
@@ -120,13 +128,7 @@
 	if h.listener != nil {
 		return nil
 	}
-	l, err := net.Listen("tcp", h.server.Address.String())
-	if err != nil {
-		return eris.Wrapf(err, "upstream %s", h.server.Name)
-	}
-	h.listener = l
-	go func() { _ = h.fleet.http.Serve(&listener{Listener: l, host: h}) }()
-	return nil
+	return h.listen()
 }
 
 // crash resets all connections and comes back after a time with a new incarnation and a cold start.
--- a/upstreams/internal/server/server_test.go
+++ b/upstreams/internal/server/server_test.go
@@ -312,6 +312,28 @@
 	}
 }
 
+// TestCloseInDarkness guards against a fake that cannot be stopped while a server is dark: http.Server.Close waits for each
+// Accept to return.
+func TestCloseInDarkness(t *testing.T) {
+	f := fleet(t)
+	if _, err := newCaller(t, f.hosts[0]).search(10*time.Second, "r", 0, "q"); err != nil {
+		t.Fatal(err)
+	}
+	apply(t, f, `{"target":{"all":true},"action":"dark"}`)
+	// The next Accept waits for light only after the one that runs has returned.
+	for _, h := range f.hosts {
+		c, err := net.Dial("tcp", h.server.Address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+	}
+	for f.Stats()[len(f.hosts)-1].Accepted == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.Close() // the time limit of the test run reports a Close that hangs
+}
+
 // FuzzCommand guards against a command that makes the fake panic.
 func FuzzCommand(f *testing.F) {
 	f.Add([]byte(`{"target":{"all":true},"action":"hold","version":2,"layout":"l2","shards":7}`))
