Give each experiment its own loopback network

Cause: two experiments that ran at the same time had the same addresses. A run now claims a network by a listener that it holds until its processes have stopped, and a process that has ended is never taken as ready.

--- a/bench/internal/runner/process.go
+++ b/bench/internal/runner/process.go
@@ -48,13 +48,17 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for {
-		if probe(ctx, url) {
-			return nil
-		}
+		answered := probe(ctx, url)
 		select {
 		case err := <-p.done:
 			p.done <- err
 			return eris.Errorf("%s ended before it was ready: %v; see %s", p.name, err, p.log.Name())
+		default:
+		}
+		if answered {
+			return nil
+		}
+		select {
 		case <-ctx.Done():
 			return eris.Errorf("%s was not ready within %v; see %s", p.name, readyTimeout, p.log.Name())
 		case <-time.After(readyPoll):
--- a/bench/internal/runner/run.go
+++ b/bench/internal/runner/run.go
@@ -33,7 +33,12 @@
 	var stacks [2]*stack
 	for i := range stacks {
 		progress("starting " + e.Policies[i].Name)
-		s, startErr := startStack(ctx, bin, directory, e, i)
+		n, claimErr := claimNetwork()
+		if claimErr != nil {
+			return results, claimErr
+		}
+		defer func() { _ = n.lock.Close() }() // after the set has stopped
+		s, startErr := startStack(ctx, bin, directory, e, e.Policies[i], n.address)
 		defer func() { err = errors.Join(err, s.stop()) }()
 		if startErr != nil {
 			return results, startErr
--- a/bench/internal/runner/runner_test.go
+++ b/bench/internal/runner/runner_test.go
@@ -98,6 +98,23 @@
 	}
 }
 
+// TestClaimNetwork guards against two runs in one network, which would load each other's upstreams.
+func TestClaimNetwork(t *testing.T) {
+	a, err := claimNetwork()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = a.lock.Close() }()
+	b, err := claimNetwork()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = b.lock.Close() }()
+	if a.address == b.address {
+		t.Errorf("both runs have %v", a.address)
+	}
+}
+
 // TestFaults guards against a fault of an experiment file that is accepted or hides another one.
 func TestFaults(t *testing.T) {
 	const file = `
--- a/bench/internal/runner/stack.go
+++ b/bench/internal/runner/stack.go
@@ -28,7 +28,6 @@
 	upstreamsControl  = 7410
 	callersPort       = 8000
 	peersPort         = 8001
-	networkStep       = 100 // between the second bytes of the networks of the sets
 	directoryMode     = 0o755
 	settingsMode      = 0o600
 	balancerWait      = "100ms"
@@ -47,13 +46,13 @@
 	processes  []*process
 }
 
-// startStack starts a set. The number of the set selects its network. After an error, the caller still has to stop the set.
-func startStack(ctx context.Context, bin, directory string, e *Experiment, number int) (*stack, error) {
-	s := &stack{policy: e.Policies[number], directory: filepath.Join(directory, e.Policies[number].Name)}
+// startStack starts a set in a network. After an error, the caller still has to stop the set.
+func startStack(ctx context.Context, bin, directory string, e *Experiment, p Policy, network netip.Addr) (*stack, error) {
+	s := &stack{policy: p, directory: filepath.Join(directory, p.Name)}
 	if err := os.MkdirAll(s.directory, directoryMode); err != nil {
 		return s, eris.Wrap(err, "start set")
 	}
-	path, err := s.prepare(e, number)
+	path, err := s.prepare(e, network)
 	if err != nil {
 		return s, err
 	}
@@ -73,14 +72,12 @@
 }
 
 // prepare writes the deployment file of the set, in its own network.
-func (s *stack) prepare(e *Experiment, number int) (string, error) {
+func (s *stack) prepare(e *Experiment, network netip.Addr) (string, error) {
 	f, err := ini.Load(e.DeploymentPath)
 	if err != nil {
 		return "", eris.Wrap(err, "start set")
 	}
-	network := e.Deployment.Network.As4()
-	network[1] += byte(networkStep * (number + 1))
-	f.Section("deployment").Key("network").SetValue(netip.AddrFrom4(network).String())
+	f.Section("deployment").Key("network").SetValue(network.String())
 	path := filepath.Join(s.directory, "deployment.ini")
 	if err := f.SaveTo(path); err != nil {
 		return "", eris.Wrap(err, "start set")
