--- a/core/coordination/adopter/machine_test.go
+++ b/core/coordination/adopter/machine_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"comfreyroute/core/protocol/encoder"
 	"comfreyroute/core/state/tabler"
 )
 
@@ -117,3 +119,114 @@
 		})
 	}
 }
+
+// follower returns a machine with a complete table whose failure domain has other watchers.
+func follower(t *testing.T) *Machine {
+	members := []Member{{"a", "d1"}, {"b", "d1"}, {"c", "d1"}}
+	for _, self := range members {
+		m := &Machine{Self: self}
+		m.Step(start, MembersChanged{members})
+		if !m.Watching() {
+			m.Step(start, TableRead{1, nil, 7})
+			m.Step(start, ContactHeard{start, 0})
+			return m
+		}
+	}
+	t.Fatal("all three VMs of a failure domain watch")
+	return nil
+}
+
+// TestWatchers guards against a failure domain with another number of watchers than two, and against one that loses a watcher
+// and chooses no other.
+func TestWatchers(t *testing.T) {
+	var members []Member
+	for i := range 12 {
+		members = append(members, Member{fmt.Sprint("vm", i), fmt.Sprint("d", i%3)})
+	}
+	for range 3 {
+		watchers := map[string]int{}
+		gone := ""
+		for _, self := range members {
+			m := &Machine{Self: self}
+			m.Step(start, MembersChanged{members})
+			if m.Watching() {
+				watchers[self.FailureDomain]++
+				gone = self.ID
+			}
+		}
+		if diff := cmp.Diff(map[string]int{"d0": 2, "d1": 2, "d2": 2}, watchers); diff != "" {
+			t.Errorf("watchers of %d VMs (-want +got):\n%s", len(members), diff)
+		}
+		members = slices.DeleteFunc(members, func(x Member) bool { return x.ID == gone })
+	}
+}
+
+// TestStale guards against a VM that hears of no platform contact and makes none itself, and against one that calls the
+// platform although it hears of contacts.
+func TestStale(t *testing.T) {
+	m := follower(t)
+	var at []time.Duration
+	for now := time.Duration(0); now < 6*time.Second; now += TickInterval {
+		if now < 3*time.Second {
+			m.Step(start.Add(now), ContactHeard{start.Add(now), 500 * time.Millisecond})
+		}
+		if got := names(m.Step(start.Add(now), Ticked{})); len(got) > 0 {
+			at = append(at, now)
+		}
+	}
+	// The last contact known is that of 2.4 s; without random numbers StaleAfter takes 1.25 s.
+	if len(at) < 2 || at[0] != 3700*time.Millisecond {
+		t.Errorf("calls at %v, the first one is due at 3.7s", at)
+	}
+}
+
+// TestFetchWithoutReport guards against a value that is never fetched again after a request of which nothing was heard.
+func TestFetchWithoutReport(t *testing.T) {
+	m := follower(t)
+	var got []string
+	for now := time.Duration(0); now < time.Second; now += TickInterval {
+		ev := Event(Ticked{})
+		if now == 0 {
+			ev = RevisionsHeard{"z", []Revision{{"roster", 9}}}
+		}
+		for _, s := range names(m.Step(start.Add(now), ev)) {
+			got = append(got, fmt.Sprint(now, " ", s))
+		}
+	}
+	want := []string{"0s fetch 3 from z [roster]", "500ms fetch 4 from " + m.peers[0].ID + " [roster]"}
+	if diff := cmp.Diff(want, got[:min(2, len(got))]); diff != "" {
+		t.Errorf("calls (-want +got):\n%s", diff)
+	}
+}
+
+// TestMessages guards against a value or revision that changes on its way to a peer, and against a long table whose old
+// revisions are never told.
+func TestMessages(t *testing.T) {
+	m := &Machine{Self: Member{"a", "d1"}}
+	var items []Stored
+	for i := range 20 {
+		items = append(items, stored(fmt.Sprint("s", i), uint64(i+1)))
+	}
+	m.Step(start, Ticked{})
+	m.Step(start, TableRead{1, FromTableValues(ToTableValues(items)), 20})
+	if diff := cmp.Diff(m.Revisions(), FromRevisions(ToRevisions(m.Revisions()))); diff != "" || len(m.Revisions()) != 20 {
+		t.Errorf("revisions (-want +got):\n%s", diff)
+	}
+	heard := map[string]bool{}
+	for range 7 {
+		list := m.RevisionsFor(6)
+		if len(list) != 6 || list[0].Revision != 20 {
+			t.Errorf("revisions %v", list)
+		}
+		for _, r := range list {
+			heard[r.Service] = true
+		}
+	}
+	if len(heard) != 20 {
+		t.Errorf("%d of 20 revisions were told", len(heard))
+	}
+	keys := FromKeyValues([]encoder.KeyValue{{Key: "table/roster", Revision: 3}, {Key: "claims/roster/1", Revision: 4}})
+	if diff := cmp.Diff([]Stored{{Service: "roster", Revision: 3}}, keys); diff != "" {
+		t.Errorf("keys (-want +got):\n%s", diff)
+	}
+}
