Keep the order of a request and the departure of its caller

The routing loop took them from two channels, so a departure could overtake its request and the request then ran for nobody. Both use one channel now; the new tests of the loop cover it.

--- a/entry/internal/looper/loop.go
+++ b/entry/internal/looper/loop.go
@@ -14,11 +14,10 @@
 
 // Capacities of the channels of the loop.
 const (
-	EventCapacity    = 8192 // events of the transport; a connection waits while it is full
-	arrivalCapacity  = 512  // requests of callers; a request is rejected while it is full
-	departedCapacity = 512
-	newsCapacity     = 256 // table, membership and peers
-	inspectCapacity  = 16
+	EventCapacity   = 8192 // events of the transport; a connection waits while it is full
+	arrivalCapacity = 512  // requests of callers; a request is rejected while it is full
+	newsCapacity    = 256  // table, membership and peers
+	inspectCapacity = 16
 )
 
 // Machine is the decision code that the loop runs.
@@ -66,9 +65,10 @@
 	}
 }
 
+// arrival is a request or the departure of its caller. Both use one channel, so that a departure never overtakes its request.
 type arrival struct {
 	event  router.RequestArrived
-	answer chan<- Answer
+	answer chan<- Answer // nil for a departure
 }
 
 // Loop is the routing loop.
@@ -80,7 +80,6 @@
 	Observe   func(a router.Action) // sees each action; may be nil
 	Events    <-chan router.Event   // of the transport
 	arrivals  chan arrival
-	departed  chan router.RequestID
 	news      chan router.Event
 	inspect   chan func(Machine)
 	quit      chan struct{}
@@ -96,7 +95,6 @@
 // Start starts the loop.
 func (l *Loop) Start() {
 	l.arrivals = make(chan arrival, arrivalCapacity)
-	l.departed = make(chan router.RequestID, departedCapacity)
 	l.news = make(chan router.Event, newsCapacity)
 	l.inspect = make(chan func(Machine), inspectCapacity)
 	l.quit = make(chan struct{})
@@ -110,19 +108,20 @@
 func (l *Loop) Submit(ev router.RequestArrived) (router.RequestID, <-chan Answer, bool) {
 	ev.Request = router.RequestID(l.next.Add(1))
 	answer := make(chan Answer, 1)
+	l.inFlight.Add(1)
 	select {
 	case l.arrivals <- arrival{ev, answer}:
-		l.inFlight.Add(1)
 		return ev.Request, answer, true
 	default:
+		l.inFlight.Add(-1)
 		return ev.Request, nil, false
 	}
 }
 
-// Leave tells that the caller of a request no longer waits.
+// Leave tells that the caller of a request no longer waits. It waits while the loop is full.
 func (l *Loop) Leave(r router.RequestID) {
 	select {
-	case l.departed <- r:
+	case l.arrivals <- arrival{event: router.RequestArrived{Request: r}}:
 	case <-l.quit:
 	}
 }
@@ -170,10 +169,12 @@
 		case ev := <-l.news:
 			l.step(ev)
 		case a := <-l.arrivals:
+			if a.answer == nil {
+				l.depart(a.event.Request)
+				continue
+			}
 			l.waiting[a.event.Request] = a.answer
 			l.step(a.event)
-		case r := <-l.departed:
-			l.depart(r)
 		case <-l.timer.C:
 			l.step(router.TimerFired{})
 		case f := <-l.inspect:
--- /dev/null
+++ b/entry/internal/looper/loop_test.go
@@ -0,0 +1,130 @@
+package looper
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"comfreyroute/core/coordination/router"
+	"comfreyroute/core/protocol/encoder"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// script is a machine that returns given actions for each kind of event, and keeps what it saw.
+type script struct {
+	hold    chan struct{} // Step waits until it is closed
+	arrived []router.Action
+	failed  []router.Action
+	seen    []router.Event
+}
+
+func (s *script) Step(_ time.Time, ev router.Event) []router.Action {
+	if s.hold != nil {
+		<-s.hold
+	}
+	s.seen = append(s.seen, ev)
+	switch ev.(type) {
+	case router.RequestArrived:
+		return s.arrived
+	case router.AttemptFailed:
+		return s.failed
+	}
+	return nil
+}
+
+// refuser is a transport that starts nothing.
+type refuser struct{}
+
+func (refuser) Do(a router.Action) router.Event {
+	if s, ok := a.(router.Send); ok {
+		return router.AttemptFailed{Attempt: s.Attempt, Failure: router.FailureNoConnection}
+	}
+	return nil
+}
+
+// told is a spreader whose peers have heard at once.
+type told struct{ spread []router.Action }
+
+func (t *told) Spread(a router.Action) <-chan struct{} {
+	t.spread = append(t.spread, a)
+	heard := make(chan struct{})
+	close(heard)
+	return heard
+}
+
+func start(t *testing.T, m *script, s Spreader) *Loop {
+	t.Helper()
+	l := &Loop{Machine: m, Transport: refuser{}, Spreader: s, Events: make(chan router.Event)}
+	l.Start()
+	t.Cleanup(func() {
+		l.Stop()
+		<-l.Done()
+	})
+	return l
+}
+
+// TestAnswer guards against an answer that reaches the caller without the suspicion that its step has raised, and against a
+// failed Send whose consequence is lost.
+func TestAnswer(t *testing.T) {
+	answer := &encoder.SearchAnswer{Outcome: encoder.OutcomePartial}
+	suspicion := router.SpreadSuspicion{Signature: 5, Service: "matching"}
+	spreader := &told{}
+	l := start(t, &script{
+		arrived: []router.Action{router.Send{Attempt: 1}},
+		failed:  []router.Action{router.AnswerSearch{Request: 1, Answer: answer}, suspicion},
+	}, spreader)
+	_, answers, ok := l.Submit(router.RequestArrived{})
+	if !ok {
+		t.Fatal("the loop is full")
+	}
+	a := <-answers
+	if a.Search != answer || a.Spread == nil {
+		t.Errorf("got answer %+v, want the machine's with a channel of its spread", a)
+	}
+	if diff := cmp.Diff([]router.Action{suspicion}, spreader.spread); diff != "" {
+		t.Errorf("spread before the answer (-want +got):\n%s", diff)
+	}
+	if n := l.InFlight(); n != 0 {
+		t.Errorf("%d requests are in flight, want none", n)
+	}
+}
+
+// TestFull guards against a request that waits for a busy loop instead of being refused.
+func TestFull(t *testing.T) {
+	m := &script{hold: make(chan struct{})}
+	l := start(t, m, nil)
+	taken := 0
+	for range arrivalCapacity + 2 {
+		if _, _, ok := l.Submit(router.RequestArrived{}); ok {
+			taken++
+		}
+	}
+	if taken > arrivalCapacity+1 {
+		t.Errorf("%d requests were taken, want at most %d", taken, arrivalCapacity+1)
+	}
+	if l.InFlight() != taken {
+		t.Errorf("%d requests are in flight, want %d", l.InFlight(), taken)
+	}
+	close(m.hold)
+}
+
+// TestLeave guards against a request without caller that stays in the machine or in the count.
+func TestLeave(t *testing.T) {
+	m := &script{hold: make(chan struct{})}
+	l := start(t, m, nil)
+	id, _, _ := l.Submit(router.RequestArrived{})
+	l.Leave(id)
+	l.Leave(id)
+	close(m.hold)
+	for l.InFlight() > 0 || len(l.arrivals) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	l.Inspect(func(Machine) {
+		if diff := cmp.Diff([]router.Event{router.RequestArrived{Request: id}, router.CallerGone{Request: id}}, m.seen); diff != "" {
+			t.Errorf("events (-want +got):\n%s", diff)
+		}
+	})
+}
