Tell the router the fleet view and ping idle connections every 2 s

In a trial with 12 catalog upstreams whose open connections went silent, a search at an idle VM lost one of four groups for its whole deadline. Idle connections were pinged every 10 s; at 2 s a silent one is replaced before most requests, at the cost of half a ping per second and connection that carries no traffic. A connection found silent has its idle siblings pinged at the next tick.

A probe of the router no longer waits for the pace of the pool, because the quarantine holds a request back for 20 ms at most. Upstreams shown as leaving by the VM list are pushed to the peers.

--- a/core/transport/connector/connector.go
+++ b/core/transport/connector/connector.go
@@ -21,7 +21,7 @@
 	cancelGrace    = 25 * time.Millisecond // time for the reply of a cancelled request
 	replyGrace     = 10 * time.Millisecond // time after the deadline in which a reply may still arrive
 	maxIdleCall    = time.Second           // a call is preceded by a ping on a connection that was idle longer
-	idlePing       = 10 * time.Second      // an upstream without traffic is pinged this often
+	idlePing       = 2 * time.Second       // an idle connection is pinged this often, so that a silent one is found before a request
 	maintainEvery  = 500 * time.Millisecond
 	minPace        = time.Millisecond // shortest time between two openings to one upstream
 	minBackoff     = 50 * time.Millisecond
@@ -210,7 +210,7 @@
 	return pools
 }
 
-// maintain pings the connections of upstreams that carry no traffic, so that their state stays known.
+// maintain pings connections that carry no traffic, so that a silent one is replaced before it gets a request.
 func (c *Connector) maintain() {
 	defer c.running.Done()
 	t := time.NewTicker(maintainEvery)
--- a/core/transport/connector/connector_test.go
+++ b/core/transport/connector/connector_test.go
@@ -219,3 +219,23 @@
 		}
 	})
 }
+
+// TestIdleSilent guards against an idle connection that went silent and is only noticed by the request that it loses.
+func TestIdleSilent(t *testing.T) {
+	f := &fake{}
+	start(t, f, 2, func(t *testing.T, b *bench) {
+		f.mu.Lock()
+		f.mute = func(n int) bool { return n < 2 }
+		f.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		b.drain()
+		b.Do(send(1, 50*time.Millisecond))
+		time.Sleep(time.Second)
+		if diff := cmp.Diff([]any{arrived{1, encoder.StatusOK}}, b.ends()); diff != "" {
+			t.Errorf("ends (-want +got):\n%s", diff)
+		}
+		if f.most > 2 {
+			t.Errorf("%d connections were open at once, the bound is 2", f.most)
+		}
+	})
+}
--- a/core/transport/connector/pool.go
+++ b/core/transport/connector/pool.go
@@ -76,8 +76,9 @@
 	p.mu.Lock()
 	pace := p.pace
 	p.mu.Unlock()
-	// The upstream has to notice the close of the connection that is replaced before it counts the new one.
-	p.owner.pause(pace, nil)
+	// The upstream has to notice the close of the connection that is replaced before it counts the new one. A probe does not
+	// wait: it asks because the upstream itself closed a connection.
+	p.owner.pause(pace, hurry)
 	for {
 		p.mu.Lock()
 		if len(p.conns) >= p.limit || p.owner.stopped() {
@@ -270,19 +271,21 @@
 	return true
 }
 
-// pingIdle pings the connection that was idle longest when nothing was heard from the upstream for a while.
+// pingIdle pings the idle connections that may have become silent with another one, and one that was idle for long.
 func (p *pool) pingIdle(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return
-	}
-	c := p.idle[0]
-	if c.heard.After(p.suspect) && now.Sub(c.heard) < idlePing {
-		return
+	aged := false
+	for _, c := range slices.Clone(p.idle) {
+		old := !aged && now.Sub(c.heard) >= idlePing
+		if !old && !c.heard.Before(p.suspect) {
+			continue
+		}
+		aged = aged || old
+		i := slices.Index(p.idle, c)
+		p.idle = append(slices.Delete(p.idle, i, i+1), c) // assign takes the last one
+		p.assign(&job{kind: jobPing})
 	}
-	p.idle = append(slices.Delete(p.idle, 0, 1), c)
-	p.assign(&job{kind: jobPing})
 }
 
 func (p *pool) shut() {
--- a/entry/internal/registrar/list.go
+++ b/entry/internal/registrar/list.go
@@ -75,7 +75,7 @@
 	r.drains(leaving)
 }
 
-// drains tells the router which upstreams the list shows as leaving, or no longer. The router spreads it to the peers.
+// drains tells the router and the peers which upstreams the list shows as leaving, or no longer.
 func (r *Registrar) drains(leaving map[Upstream]bool) {
 	var changed []Upstream
 	for u := range leaving {
@@ -90,6 +90,13 @@
 	}
 	r.leaving = leaving
 	slices.SortFunc(changed, compareUpstreams)
+	now := time.Now()
+	for _, u := range changed {
+		r.news.add(now, router.SpreadDrain{Service: u.Service, Upstream: u.Name, Leaving: leaving[u]})
+	}
+	if len(changed) > 0 {
+		r.notify(r.addresses(pushPeers, nil), nil)
+	}
 	for _, u := range changed {
 		r.Router(router.UpstreamLeaving{Service: u.Service, Upstream: u.Name, Leaving: leaving[u]})
 	}
--- a/entry/internal/registrar/registrar.go
+++ b/entry/internal/registrar/registrar.go
@@ -77,6 +77,7 @@
 	r.events = make(chan tracker.Event, eventCapacity)
 	r.commands = make(chan func(), eventCapacity)
 	r.leaving = map[Upstream]bool{}
+	r.news.vm = r.Machine.Self.ID
 	r.view.Store(&View{})
 	r.context, r.stop = context.WithCancel(context.Background())
 	r.done = make(chan struct{})
@@ -173,11 +174,17 @@
 func (r *Registrar) changed(members []tracker.Member) {
 	list := make([]adopter.Member, 0, len(members))
 	var states []string
+	fleet := router.FleetSeen{VMs: []string{r.Machine.Self.ID}}
 	for _, m := range members {
+		if m.State == tracker.Live {
+			fleet.VMs = append(fleet.VMs, m.Record.ID)
+		}
 		list = append(list, adopter.Member{ID: m.Record.ID, FailureDomain: m.Record.FailureDomain})
 		states = append(states, m.Record.ID+"="+m.State.String())
 	}
+	slices.Sort(fleet.VMs)
 	r.Table(adopter.MembersChanged{Members: list})
+	r.Router(fleet)
 	r.Log.Info("registrar: the view changed", zap.Strings("vms", states))
 }
 
