--- a/entry/internal/booker/booker.go
+++ b/entry/internal/booker/booker.go
@@ -42,6 +42,7 @@
 	Log       *zap.Logger
 	Peer      func(vm string) exchanger.DRPCPeersClient // nil when the address is not known
 	Contacted func(sent time.Time)
+	Sweep     Sweep
 
 	arrivals chan claimer.Event
 	results  chan claimer.Event
@@ -69,7 +70,10 @@
 }
 
 // Start starts the concern after Prepare.
-func (b *Booker) Start() { go b.run() }
+func (b *Booker) Start() {
+	b.workers.Go(func() { b.sweep(b.context) })
+	go b.run()
+}
 
 // Stop ends the concern.
 func (b *Booker) Stop() { b.stop() }
--- a/entry/internal/runner/daemon.go
+++ b/entry/internal/runner/daemon.go
@@ -158,6 +158,10 @@
 	d.booker = booker.Booker{
 		Keeper: &d.keeper, Loop: &d.loop, Log: d.log, Peer: d.registrar.Peer, Contacted: d.contacted,
 		Pacer: pacer.Pacer{Rate: s.Platform.Calls, Burst: max(1, int(s.Platform.Calls)), Random: d.random(4)},
+		Sweep: booker.Sweep{
+			Rule: claimer.Sweeper{Retention: s.Limits.Retention}, Chosen: d.first,
+			Pacer: pacer.Pacer{Rate: s.Platform.Calls, Burst: max(1, int(s.Platform.Calls)), Random: d.random(5)},
+		},
 	}
 	d.booker.Machine.Configure(claimer.Config{
 		VM: s.VM.ID, Incarnation: d.incarnation, Retention: s.Limits.Retention, TicketLife: s.Limits.TicketLife,
@@ -165,6 +169,16 @@
 	})
 }
 
+// first tells whether this VM has the lowest id of the live VMs in its view.
+func (d *daemon) first() bool {
+	for _, m := range d.registrar.View().Members {
+		if m.State == tracker.Live && m.Record.ID < d.settings.VM.ID {
+			return false
+		}
+	}
+	return true
+}
+
 // adopt puts a table into effect.
 func (d *daemon) adopt(t *tabler.Snapshot) {
 	if old := d.table.Swap(t); old == nil {
