--- a/entry/internal/booker/sweep.go
+++ b/entry/internal/booker/sweep.go
@@ -17,7 +17,7 @@
 // because a range over all claims would also read those that are kept.
 const (
 	bucketLength = 1 << 16 * time.Millisecond
-	lookBack     = time.Hour // of a VM that starts to sweep: claims that were left while no VM swept
+	lookBack     = time.Hour       // of a VM that starts to sweep: claims that were left while no VM swept
 	sweepDelay   = 3 * time.Minute // after the retention; a VM whose clock is behind may still add to a bucket before
 	sweepPause   = 20 * time.Second
 	sweepPage    = 100
