Accept late answers of a slow platform

Cause: a platform that answers after the time limit of a call would never have been counted as read, so a starting VM would have stayed not ready and every edit would have ended as unavailable.

A late answer is true for the moment of its call, and every call asks for all changes after a seen revision, so the machine takes it for its table, its position and its contact. The editor takes late reads, except those from before an uncertain write. Ruled out: a time limit that grows with failures, because it delays the notice that the platform is back.

A starting VM no longer pushes the table that it reads to its peers, and a push holds at most 32 revisions.

--- a/core/coordination/adopter/editor.go
+++ b/core/coordination/adopter/editor.go
@@ -39,6 +39,7 @@
 	Changes []tabler.Change // of this service
 	Base    *tabler.Value   // the value that the operator saw; nil takes the first one that is read
 	Limit   time.Duration   // for the whole edit; 0 takes DefaultEditLimit
+	Timeout time.Duration   // of a platform call; 0 takes DefaultTimeout
 	Random  *rand.Rand
 
 	mine     *tabler.Value // Base with the changes
@@ -129,7 +130,9 @@
 	switch e := ev.(type) {
 	case EditTicked:
 	case ValueRead:
-		if e.Call == d.pending && !d.writing {
+		// A late answer to an earlier read counts too, so that a slow platform does not prevent every edit: what it tells
+		// was true after that read, and a write that expects an old revision has no effect.
+		if d.pending == 0 || !d.writing {
 			d.pending, d.failures = 0, 0
 			return d.consider(now, e.Item)
 		}
@@ -185,7 +188,7 @@
 
 func (d *Editor) call(now time.Time, write bool) CallID {
 	d.last++
-	d.pending, d.writing, d.deadline = d.last, write, now.Add(DefaultTimeout)
+	d.pending, d.writing, d.deadline = d.last, write, now.Add(cmp.Or(d.Timeout, DefaultTimeout))
 	return d.last
 }
 
@@ -205,6 +208,9 @@
 	if theirs.HasEdit(d.Edit.ID) {
 		return d.finish(Finished{Verdict: Accepted, Revision: theirs.Revision})
 	}
+	if d.doubt != nil && theirs.Revision < d.doubt.Revision {
+		return d.proceed(now) // read before the uncertain write
+	}
 	if d.doubt != nil && !remembers(d.doubt, theirs) {
 		return d.finish(Finished{Verdict: Unknown, Err: eris.New("the value's list of edits no longer reaches back to the write")})
 	}
--- a/core/coordination/adopter/editor_test.go
+++ b/core/coordination/adopter/editor_test.go
@@ -23,6 +23,7 @@
 	answerLost              // effect, reported as uncertain
 	requestLate             // effect 2 s after it was reported as uncertain
 	answerLate              // effect, reported as uncertain, then answered
+	answerSlow              // effect, answered after the time limit of the call without another report
 	answerTwice             // the answer is repeated later
 	noReport                // effect, and no report at all
 	raceSame                // another operator edits the same row first
@@ -36,8 +37,7 @@
 
 // editSim runs editors against a store. It keeps every value that the store ever held.
 type editSim struct {
-	now      time.Time
-	queue    []delivery
+	clock
 	history  []Stored
 	down     time.Time // end of an outage
 	pauses   map[*Editor]time.Time
@@ -47,11 +47,6 @@
 	others   int
 }
 
-type delivery struct {
-	at time.Time
-	do func()
-}
-
 func newEditSim(fault func(int) editFault) *editSim {
 	v := tabler.NewValue("matching")
 	v, _ = v.Apply(changes("matching.row = present"))
@@ -63,7 +58,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return &editSim{now: start, fault: fault, history: []Stored{{Service: "matching", Revision: 1, Data: data}},
+	return &editSim{clock: clock{now: start}, fault: fault, history: []Stored{{Service: "matching", Revision: 1, Data: data}},
 		pauses: map[*Editor]time.Time{}, verdicts: map[*Editor]Finished{}}
 }
 
@@ -103,10 +98,6 @@
 	s.history = append(s.history, Stored{Service: "matching", Revision: s.current().Revision + 1, Data: data})
 }
 
-func (s *editSim) after(d time.Duration, do func()) {
-	s.queue = append(s.queue, delivery{s.now.Add(d), do})
-}
-
 func (s *editSim) step(d *Editor, ev EditEvent) {
 	if end := s.pauses[d]; s.now.Before(end) {
 		s.after(end.Sub(s.now), func() { s.step(d, ev) })
@@ -165,6 +156,10 @@
 		lost(0)
 		s.after(time.Second, reply)
 		return
+	case answerSlow:
+		s.after(0, effect)
+		s.after(800*time.Millisecond, reply)
+		return
 	case noReport:
 		s.after(0, effect)
 		return
@@ -196,15 +191,7 @@
 // run lets the editors work for 15 s, so that every delayed call has arrived.
 func (s *editSim) run(editors ...*Editor) {
 	for end := start.Add(15 * time.Second); s.now.Before(end); s.now = s.now.Add(50 * time.Millisecond) {
-		for len(s.queue) > 0 {
-			slices.SortStableFunc(s.queue, func(a, b delivery) int { return a.at.Compare(b.at) })
-			if s.queue[0].at.After(s.now) {
-				break
-			}
-			do := s.queue[0].do
-			s.queue = s.queue[1:]
-			do()
-		}
+		s.deliver()
 		for _, d := range editors {
 			if !s.now.Before(s.pauses[d]) {
 				s.step(d, EditTicked{})
@@ -315,6 +302,7 @@
 	}{
 		{"platform down", "matching.queue = 9", platformDown, 0, Unavailable},
 		{"platform down after the write", "matching.queue = 9", platformDown, 1, Unknown},
+		{"platform slow", "matching.queue = 9", answerSlow, 0, Accepted},
 		{"not valid", "matching.budget = 900", noFault, 0, Invalid},
 		{"no such field", "matching.color = red", noFault, 0, Invalid},
 	}
--- a/core/coordination/adopter/fleet_test.go
+++ b/core/coordination/adopter/fleet_test.go
@@ -20,7 +20,7 @@
 	lateMessage               // the message or answer arrives 1.5 s late, after later ones
 	twice                     // the message or answer arrives again 1.5 s later
 	downPlatform              // the platform answers nobody for 2 s
-	slowPlatform              // the platform answers everybody 400 ms late for 2 s
+	slowPlatform              // the platform answers everybody 800 ms late for 2 s
 	pausedVM                  // the sender is paused for 3 s
 	gonePeer                  // the receiver is replaced by a new VM without state
 	fleetFaultSize            // number of faults
@@ -28,9 +28,8 @@
 
 // fleet runs machines against a store and passes their messages, like the daemons do.
 type fleet struct {
-	now      time.Time
+	clock
 	random   *rand.Rand
-	queue    []delivery
 	vms      []*fleetVM
 	log      []Stored // every write, in order; the revision is the index + 1
 	accepted []time.Time
@@ -62,7 +61,7 @@
 }
 
 func newFleet(n, domains int, seed uint64, fault func(int) fleetFault) *fleet {
-	f := &fleet{now: start, domains: domains, calls: make([]int, 1000), random: rand.New(rand.NewPCG(seed, 1)), fault: fault}
+	f := &fleet{clock: clock{now: start}, domains: domains, calls: make([]int, 1000), random: rand.New(rand.NewPCG(seed, 1)), fault: fault}
 	f.write("roster")
 	f.write("matching")
 	f.steps, f.counting = 0, false
@@ -98,10 +97,6 @@
 	}
 }
 
-func (f *fleet) after(d time.Duration, do func()) {
-	f.queue = append(f.queue, delivery{f.now.Add(d), do})
-}
-
 func (f *fleet) nextFault() fleetFault {
 	if !f.counting {
 		return delivered
@@ -189,7 +184,7 @@
 func (f *fleet) reply(v *fleetVM, ev Event, x fleetFault) {
 	d := 5 * time.Millisecond
 	if f.now.Before(f.slow) {
-		d = 400 * time.Millisecond
+		d = 800 * time.Millisecond // above the time limit of a call
 	}
 	switch x {
 	case lostAnswer:
@@ -268,15 +263,7 @@
 func (f *fleet) run(d time.Duration, writes map[time.Duration]string) error {
 	begin := f.now
 	for ; f.now.Sub(begin) < d; f.now = f.now.Add(50 * time.Millisecond) {
-		for len(f.queue) > 0 {
-			slices.SortStableFunc(f.queue, func(a, b delivery) int { return a.at.Compare(b.at) })
-			if f.queue[0].at.After(f.now) {
-				break
-			}
-			do := f.queue[0].do
-			f.queue = f.queue[1:]
-			do()
-		}
+		f.deliver()
 		waiting := f.watches
 		f.watches = nil
 		for _, w := range waiting {
@@ -339,6 +326,20 @@
 	}
 }
 
+// TestFleetSlowPlatform guards against a platform that never gets through because each answer comes after the time limit.
+func TestFleetSlowPlatform(t *testing.T) {
+	f := newFleet(5, 1, 1, func(int) fleetFault { return delivered })
+	f.slow = start.Add(time.Hour)
+	if err := f.run(10*time.Second, map[time.Duration]string{4 * time.Second: "roster", 6 * time.Second: "matching"}); err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range f.vms {
+		if !v.Complete() || f.worst > 3*time.Second {
+			t.Errorf("%s: complete %v, a change took %v", v.Self.ID, v.Complete(), f.worst)
+		}
+	}
+}
+
 // TestFleetConverges guards against revisions that decrease or VMs that stay behind while any message may be lost, late or
 // repeated and VMs are paused and replaced. The faults end 5 s before the tables are compared.
 func TestFleetConverges(t *testing.T) {
--- a/core/coordination/adopter/machine.go
+++ b/core/coordination/adopter/machine.go
@@ -28,6 +28,8 @@
 const (
 	PushAll = 16 // peers told about a revision that was read from the platform
 	PushOn  = 3  // peers told about a revision that was fetched from a peer
+	// PushRevisions bounds one message; after a long outage the exchanges tell the rest.
+	PushRevisions = 32
 )
 
 // Machine decides which table is in effect on one VM. The exported fields are set before the first Step; the zero value
@@ -52,6 +54,7 @@
 	contact time.Time // latest moment at which the platform is known to have answered somebody
 	stale   time.Duration
 	call    platformCall
+	sent    []platformCall // calls without an answer, the latest last
 	watcher pacer.Pacer
 	prober  pacer.Pacer
 	follows bool // other VMs of the failure domain watch the platform
@@ -128,16 +131,14 @@
 		m.setMembers(e.Members)
 	case TableRead:
 		out = m.adopt(e.Items, PushAll)
-		if e.Call == m.call.id {
+		if m.answered(now, e.Call, e.Revision, len(e.Items) > 0) {
 			m.read, m.synced = true, true
 		}
-		m.answered(now, e.Call, e.Revision, len(e.Items) > 0)
 	case WatchAnswered:
 		out = m.adopt(e.Items, PushAll)
 		if e.Compacted {
 			// The next call reads the whole table.
-			m.answered(now, e.Call, 0, true)
-			m.synced = false
+			m.synced = m.synced && !m.answered(now, e.Call, 0, true)
 		} else {
 			m.answered(now, e.Call, e.Revision, len(e.Items) > 0)
 		}
@@ -175,6 +176,7 @@
 func (m *Machine) adopt(items []Stored, pushes int) []Action {
 	var out []Action
 	var news []Revision
+	complete := m.Complete()
 	for _, s := range items {
 		if s.Deleted || s.Revision <= max(m.table.Revision(s.Service), m.refused[s.Service]) {
 			// A deleted key does not change the table: services are removed by a tombstone.
@@ -198,8 +200,9 @@
 		return out
 	}
 	out = append(out, Adopt{m.table})
-	if to := m.choosePeers(pushes); len(to) > 0 {
-		out = append(out, Push{to, news})
+	// A starting VM has nothing to tell: its peers have the table.
+	if to := m.choosePeers(pushes); complete && len(to) > 0 {
+		out = append(out, Push{to, news[:min(len(news), PushRevisions)]})
 	}
 	return out
 }
--- a/core/coordination/adopter/machine_test.go
+++ b/core/coordination/adopter/machine_test.go
@@ -83,7 +83,7 @@
 		}, true},
 		{"a peer's table is taken only after the platform failed", []step{
 			{0, pair, []string{"read 1", "fetch 2 from b []"}},
-			{1, ValuesFetched{2, []Stored{stored("roster", 3)}}, []string{"adopt", "push [b] [{roster 3}]"}},
+			{1, ValuesFetched{2, []Stored{stored("roster", 3)}}, []string{"adopt"}},
 			{2, Ticked{}, nil},
 			{3, PlatformFailed{1}, nil},
 		}, true},
--- a/core/coordination/adopter/watch.go
+++ b/core/coordination/adopter/watch.go
@@ -14,6 +14,9 @@
 // Watchers is the number of VMs of each failure domain that watch the platform.
 const Watchers = 2
 
+// maxSent is the number of platform calls whose late answers are still expected.
+const maxSent = 8
+
 // chosen reports whether this VM has one of the highest hashes of its failure domain in its own view. Two VMs with different
 // views may both watch or both not watch; the second case is covered by StaleAfter.
 func (m *Machine) chosen() bool {
@@ -64,6 +67,7 @@
 	}
 	m.probe = false
 	m.call = platformCall{id: id, sent: now, wait: wait, deadline: now.Add(wait + m.timeout())}
+	m.sent = append(m.sent[max(0, len(m.sent)-maxSent+1):], m.call)
 	if !m.synced {
 		return []Action{ReadTable{id}}
 	}
@@ -90,14 +94,19 @@
 	}
 }
 
-// answered ends the platform call in progress. Values of a late answer were adopted before; it changes nothing else, because
-// the call that replaced it is still in progress.
-func (m *Machine) answered(now time.Time, id CallID, revision uint64, items bool) {
-	if id == 0 || id != m.call.id {
-		return
+// answered takes the answer to a platform call and reports whether it was asked for. A late answer counts as well, so that a
+// platform that is slower than the time limit still brings its changes; the call that replaced it stays in progress.
+func (m *Machine) answered(now time.Time, id CallID, revision uint64, items bool) bool {
+	i := slices.IndexFunc(m.sent, func(c platformCall) bool { return c.id == id })
+	if i < 0 {
+		return false
 	}
-	c := m.call
-	m.call = platformCall{}
+	c := m.sent[i]
+	m.sent = slices.Delete(m.sent, i, i+1)
+	if id == m.call.id {
+		m.call = platformCall{}
+	}
+	// Each call asks for all changes after a revision that had been seen, so a late answer leaves no gap.
 	m.seen = max(m.seen, revision)
 	m.watcher.Answered(now)
 	m.prober.Answered(now)
@@ -109,6 +118,7 @@
 		at = slices.MinFunc([]time.Time{now, c.sent.Add(c.wait)}, time.Time.Compare)
 	}
 	m.setContact(at)
+	return true
 }
 
 func (m *Machine) platformFailed(now time.Time, id CallID) {
