Check promises on real processes: bench prove

Cause: the fault matrix of the decision code runs in memory; kills, freezes, cut connections, platform outages and racing operators have to be shown on the processes too.

--- a/bench/internal/controller/controller.go
+++ b/bench/internal/controller/controller.go
@@ -33,6 +33,7 @@
 	ForMS   int64   `json:"for_ms,omitempty"`
 	Share   float64 `json:"share,omitempty"`
 	DelayMS int64   `json:"delay_ms,omitempty"`
+	Query   string  `json:"query,omitempty"`
 	Version uint64  `json:"version,omitempty"`
 	Layout  string  `json:"layout,omitempty"`
 	Shards  int     `json:"shards,omitempty"`
@@ -51,6 +52,9 @@
 type Stats struct {
 	Upstream       string `json:"upstream"`
 	Service        string `json:"service"`
+	Group          int    `json:"group"`
+	Incarnation    uint64 `json:"incarnation"`
+	Crashes        uint64 `json:"crashes"`
 	Received       uint64 `json:"received"`
 	Shed           uint64 `json:"shed"`
 	Cancelled      uint64 `json:"cancelled"`
@@ -59,6 +63,18 @@
 	Violations     uint64 `json:"violations"`
 }
 
+// PlatformCommand is a command of the platform fake. See platform/internal/server.Command. Fields that are nil change nothing.
+type PlatformCommand struct {
+	Down        *string `json:"down,omitempty"`
+	SlowMS      *int64  `json:"slow_ms,omitempty"`
+	LoseAnswers *int64  `json:"lose_answers,omitempty"`
+}
+
+// Disturb sends a command to the platform fake.
+func (c Client) Disturb(ctx context.Context, command PlatformCommand) error {
+	return c.call(ctx, http.MethodPost, "/control", command, nil)
+}
+
 // Apply sends a command.
 func (c Client) Apply(ctx context.Context, command Command) error {
 	return c.call(ctx, http.MethodPost, "/control", command, nil)
--- /dev/null
+++ b/bench/internal/prover/caller.go
@@ -0,0 +1,85 @@
+package prover
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"comfreyroute/core/protocol/encoder"
+)
+
+const (
+	callerTimeout = 5 * time.Second
+	maxAnswer     = 16 << 20
+)
+
+// caller sends requests to entry VMs, as a program behind the load balancer does.
+type caller struct{}
+
+// client keeps no connection, so that a connection to a VM that was stopped is never used again.
+var client = &http.Client{Timeout: callerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// post sends a request and decodes the answer. It returns an error when no complete answer came.
+func (caller) post(ctx context.Context, entry netip.AddrPort, path string, request, answer any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return eris.Wrap(err, "encode request")
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "request")
+	}
+	r.Header.Set("Content-Type", "application/json")
+	reply, err := client.Do(r)
+	if err != nil {
+		return eris.Wrap(err, "request")
+	}
+	defer func() { _ = reply.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswer))
+	if err != nil {
+		return eris.Wrap(err, "answer")
+	}
+	return eris.Wrapf(json.Unmarshal(data, answer), "answer with HTTP status %d: %.200s", reply.StatusCode, data)
+}
+
+func (c caller) call(ctx context.Context, entry netip.AddrPort, r encoder.CallRequest) (encoder.CallAnswer, error) {
+	var a encoder.CallAnswer
+	return a, c.post(ctx, entry, "/v1/call", r, &a)
+}
+
+func (c caller) search(ctx context.Context, entry netip.AddrPort, service, query string) (encoder.SearchAnswer, error) {
+	var a encoder.SearchAnswer
+	return a, c.post(ctx, entry, "/v1/search", encoder.SearchRequest{Service: service, Query: query}, &a)
+}
+
+func (c caller) tickets(ctx context.Context, entry netip.AddrPort, service string, n int) ([]string, error) {
+	var a encoder.TicketsAnswer
+	return a.Tickets, c.post(ctx, entry, "/v1/tickets", encoder.TicketsRequest{Service: service, Count: n}, &a)
+}
+
+// status is the part of /admin/status that proofs read.
+type status struct {
+	Ready     bool              `json:"ready"`
+	Reason    string            `json:"reason"`
+	Revisions map[string]uint64 `json:"revisions"`
+}
+
+func (caller) status(ctx context.Context, entry netip.AddrPort) (status, error) {
+	var s status
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry.String()+"/admin/status", http.NoBody)
+	if err != nil {
+		return s, eris.Wrap(err, "status")
+	}
+	reply, err := client.Do(r)
+	if err != nil {
+		return s, eris.Wrap(err, "status")
+	}
+	defer func() { _ = reply.Body.Close() }()
+	return s, eris.Wrap(json.NewDecoder(io.LimitReader(reply.Body, maxAnswer)).Decode(&s), "status")
+}
--- /dev/null
+++ b/bench/internal/prover/routing.go
@@ -0,0 +1,191 @@
+package prover
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"comfreyroute/bench/internal/controller"
+)
+
+// silent makes the open connections of one replica of each group stop responding, again and again.
+func silent(ctx context.Context, t *trial) error {
+	s, b := t.searches(matching), t.bookings(ledger)
+	done := make(chan error, 1)
+	go func() {
+		var steps []at
+		for i := range 6 {
+			r := i % 3
+			steps = append(steps, at{time.Duration(1000+700*i) * time.Millisecond, func() error {
+				return errors.Join(
+					t.set.Upstreams().Apply(ctx, controller.Command{Target: controller.Target{Service: matching, Replica: &r}, Action: "silence"}),
+					t.set.Upstreams().Apply(ctx, controller.Command{Target: controller.Target{Service: ledger, Replica: &r}, Action: "silence"}))
+			}})
+		}
+		done <- schedule(ctx, steps)
+	}()
+	err := s.during(ctx, func() error {
+		b.run(ctx, 6*time.Second, nil)
+		return <-done
+	})
+	if err != nil {
+		return err
+	}
+	s.check()
+	if s.partial > 0 || s.none > 0 {
+		t.fault("%d searches were partial and %d had no answer although every group had two replicas with working connections", s.partial, s.none)
+	}
+	return b.check(ctx)
+}
+
+// crashDowntime is how long a crashed server of the fake refuses connections.
+const crashDowntime = 2 * time.Second
+
+// crasher sends a request that crashes each upstream that runs it, again and again through changing VMs, beside other searches.
+func crasher(ctx context.Context, t *trial) error {
+	const poison = "poison"
+	u := t.set.Upstreams()
+	if err := u.Apply(ctx, controller.Command{Target: controller.Target{Service: matching}, Action: "crash_on", Query: poison}); err != nil {
+		return err
+	}
+	s := t.searches(matching)
+	sent, refused := 0, 0
+	crashes, worst := 0, 0
+	err := s.during(ctx, func() error {
+		if err := sleep(ctx, time.Second); err != nil {
+			return err
+		}
+		end := time.Now().Add(12 * time.Second)
+		seen := map[string]uint64{}
+		down := map[int]map[string]time.Time{} // by group and upstream: the time of the last crash
+		for n := 0; time.Now().Before(end); n++ {
+			a, err := t.caller.search(ctx, t.entry(), matching, poison)
+			if sent++; err == nil && a.Outcome == "not_run" {
+				refused++
+			}
+			all, err := u.Stats(ctx)
+			if err != nil {
+				return err
+			}
+			for _, x := range all {
+				if x.Crashes <= seen[x.Upstream] {
+					continue
+				}
+				crashes += int(x.Crashes - seen[x.Upstream])
+				seen[x.Upstream] = x.Crashes
+				if down[x.Group] == nil {
+					down[x.Group] = map[string]time.Time{}
+				}
+				down[x.Group][x.Upstream] = time.Now()
+				atOnce := 0
+				for _, at := range down[x.Group] {
+					if time.Since(at) < crashDowntime {
+						atOnce++
+					}
+				}
+				worst = max(worst, atOnce)
+			}
+			if err := sleep(ctx, 40*time.Millisecond); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	t.figure("the request was sent %d times through changing VMs and refused %d times; %d upstream crashes in all, at most %d replicas of one group at once", sent, refused, crashes, worst)
+	if worst > 1 {
+		t.fault("a group lost %d replicas at once", worst)
+	}
+	s.check()
+	return nil
+}
+
+// shutdown stops VMs by SIGTERM, one after the other, while each gets searches of its own.
+func shutdown(ctx context.Context, t *trial) error {
+	for vm := range 4 {
+		s := t.searches(matching)
+		var sent atomic.Int64
+		entry := t.set.Entries()[vm]
+		s.entry = func(int) netip.AddrPort { sent.Add(1); return entry }
+		s.pause = 3 * time.Millisecond
+		err := s.during(ctx, func() error {
+			if err := sleep(ctx, 500*time.Millisecond+time.Duration(t.random.IntN(20))*time.Millisecond); err != nil {
+				return err
+			}
+			if err := t.set.Signal(vm, syscall.SIGTERM); err != nil {
+				return err
+			}
+			return t.set.Wait(ctx, vm)
+		})
+		if err != nil {
+			return err
+		}
+		s.check()
+		t.figure("VM %d: %d requests cut, %d refused connections after the listener was closed", vm, s.cut, s.none-s.cut)
+		if s.cut > 0 {
+			t.fault("VM %d cut %d requests in flight", vm, s.cut)
+		}
+	}
+	return nil
+}
+
+// drain makes one upstream drain and looks when it last received a sub-request.
+func drain(ctx context.Context, t *trial) error {
+	u := t.set.Upstreams()
+	s := t.searches(matching)
+	var last time.Duration
+	var after uint64
+	err := s.during(ctx, func() error {
+		if err := sleep(ctx, time.Second); err != nil {
+			return err
+		}
+		all, err := u.Stats(ctx)
+		if err != nil {
+			return err
+		}
+		name := ""
+		for _, x := range all {
+			if x.Service == matching {
+				name = x.Upstream
+				break
+			}
+		}
+		start := time.Now()
+		if err := u.Apply(ctx, controller.Command{Target: controller.Target{Upstream: name}, Action: "drain"}); err != nil {
+			return err
+		}
+		received := uint64(0)
+		for first := true; time.Since(start) < 6*time.Second; first = false {
+			if all, err = u.Stats(ctx); err != nil {
+				return err
+			}
+			for _, x := range all {
+				if x.Upstream != name || x.Received == received {
+					continue
+				}
+				if !first {
+					last, after = time.Since(start), after+x.Received-received
+				}
+				received = x.Received
+			}
+			if err := sleep(ctx, 10*time.Millisecond); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	t.figure("the last new sub-request came %v after the drain, %d in all after it", last.Round(time.Millisecond), after)
+	if last > 3*time.Second {
+		t.fault("the upstream got new work %v after the drain", last)
+	}
+	s.check()
+	return nil
+}
--- a/bench/internal/runner/run.go
+++ b/bench/internal/runner/run.go
@@ -38,7 +38,7 @@
 			return results, claimErr
 		}
 		defer func() { _ = n.lock.Close() }() // after the set has stopped
-		s, startErr := startStack(ctx, bin, directory, e, e.Policies[i], n.address)
+		s, startErr := startStack(ctx, bin, directory, e, e.Policies[i], n.address, nil)
 		defer func() { err = errors.Join(err, s.stop()) }()
 		if startErr != nil {
 			return results, startErr
--- /dev/null
+++ b/bench/internal/runner/set.go
@@ -0,0 +1,104 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"os"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"comfreyroute/bench/internal/checker"
+	"comfreyroute/bench/internal/controller"
+	"comfreyroute/upstreams/describer"
+)
+
+// Set is a complete set of fakes and entry VMs in a loopback network of its own, for proofs that disturb its processes.
+type Set struct {
+	stack   *stack
+	network network
+	bin     string
+	ended   []int // VMs that a proof has ended
+}
+
+// SetConfig describes a set. Platform returns the address at which a VM finds the platform; nil takes the platform's own.
+type SetConfig struct {
+	Bin        string
+	Directory  string // for settings and logs
+	Deployment string
+	Entries    int
+	Seed       uint64
+	Platform   func(vm int, platform netip.AddrPort) (netip.AddrPort, error)
+}
+
+// StartSet starts a set and waits until every VM is ready. After an error nothing is left running.
+func StartSet(ctx context.Context, c SetConfig) (*Set, error) {
+	d, err := describer.Read(c.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	n, err := claimNetwork()
+	if err != nil {
+		return nil, err
+	}
+	e := &Experiment{Name: "proof", DeploymentPath: c.Deployment, Deployment: d, Entries: c.Entries, Seed: c.Seed}
+	s := &Set{network: n, bin: c.Bin}
+	s.stack, err = startStack(ctx, c.Bin, c.Directory, e, Policy{Name: "proof"}, n.address, c.Platform)
+	if err != nil {
+		return nil, errors.Join(err, s.Stop())
+	}
+	return s, nil
+}
+
+// Stop ends every process that still runs. It returns an error for a process that did not end in order by itself.
+func (s *Set) Stop() error {
+	defer func() { _ = s.network.lock.Close() }()
+	all := s.stack.processes
+	s.stack.processes = nil
+	for i, p := range all {
+		if !slices.Contains(s.ended, i-fakes) {
+			s.stack.processes = append(s.stack.processes, p)
+		}
+	}
+	return s.stack.stop()
+}
+
+// fakes is the number of processes that are started before the entry VMs.
+const fakes = 2
+
+// Entries returns the addresses for callers.
+func (s *Set) Entries() []netip.AddrPort { return s.stack.entries }
+
+// Upstreams returns the control client of the upstreams fake.
+func (s *Set) Upstreams() controller.Client { return s.stack.upstreams }
+
+// Platform returns the control client of the platform fake.
+func (s *Set) Platform() controller.Client { return s.stack.platform }
+
+// PlatformAddress returns the service address of the platform fake.
+func (s *Set) PlatformAddress() netip.AddrPort { return s.stack.address(fakesHost, 1, platformPort) }
+
+// Checker returns the checker of answers.
+func (s *Set) Checker() *checker.Checker { return s.stack.checker }
+
+// Deployment returns the deployment in the network of the set.
+func (s *Set) Deployment() *describer.Deployment { return s.stack.deployment }
+
+// Signal sends a signal to an entry VM.
+func (s *Set) Signal(vm int, signal os.Signal) error {
+	return eris.Wrapf(s.stack.processes[fakes+vm].cmd.Process.Signal(signal), "signal VM %d", vm)
+}
+
+// Wait waits until an entry VM has ended and returns its error, nil for exit code 0. Stop passes over it afterwards.
+func (s *Set) Wait(ctx context.Context, vm int) error {
+	s.ended = append(s.ended, vm)
+	p := s.stack.processes[fakes+vm]
+	select {
+	case err := <-p.done:
+		return eris.Wrapf(err, "%s; see %s", p.name, p.log.Name())
+	case <-ctx.Done():
+		_ = p.cmd.Process.Kill()
+		return eris.Errorf("%s has not ended", p.name)
+	}
+}
--- a/bench/internal/runner/stack.go
+++ b/bench/internal/runner/stack.go
@@ -44,11 +44,15 @@
 	platform   controller.Client
 	entries    []netip.AddrPort // for callers
 	processes  []*process
+	platformOf platformOf
 }
 
+// platformOf returns the address at which a VM finds the platform. Nil takes the platform's own.
+type platformOf func(vm int, platform netip.AddrPort) (netip.AddrPort, error)
+
 // startStack starts a set in a network. After an error, the caller still has to stop the set.
-func startStack(ctx context.Context, bin, directory string, e *Experiment, p Policy, network netip.Addr) (*stack, error) {
-	s := &stack{policy: p, directory: filepath.Join(directory, p.Name)}
+func startStack(ctx context.Context, bin, directory string, e *Experiment, p Policy, network netip.Addr, platforms platformOf) (*stack, error) {
+	s := &stack{policy: p, directory: filepath.Join(directory, p.Name), platformOf: platforms}
 	if err := os.MkdirAll(s.directory, directoryMode); err != nil {
 		return s, eris.Wrap(err, "start set")
 	}
@@ -103,7 +107,14 @@
 	var wait sync.WaitGroup
 	for i, vm := range listed {
 		path := filepath.Join(s.directory, vm.Name+".ini")
-		if err := os.WriteFile(path, []byte(s.settings(vm, s.entries[i], platform, e.Seed)), settingsMode); err != nil {
+		at := platform
+		if s.platformOf != nil {
+			var err error
+			if at, err = s.platformOf(i, platform); err != nil {
+				return err
+			}
+		}
+		if err := os.WriteFile(path, []byte(s.settings(vm, s.entries[i], at, e.Seed)), settingsMode); err != nil {
 			return eris.Wrap(err, "start set")
 		}
 		p, err := startProcess(bin, s.directory, vm.Name, "entry", "-settings", path)
