Report a capacity while all upstreams of a service fail

selector.Set.Capacity was 0 when every upstream had failed lately, and the router passes that on to admitter.Queue.SetCapacity, where 0 means unknown and admits everything: admission ended exactly when nothing worked. It now falls back to the limits of all allowed upstreams, one of which Pick still chooses. TestCapacity fails without the change.

--- a/core/coordination/selector/selector_test.go
+++ b/core/coordination/selector/selector_test.go
@@ -294,6 +294,21 @@
 	}
 }
 
+// TestCapacity guards against a capacity of 0, which means unknown and admits everything, while all upstreams fail, and
+// against one lost group that lowers the capacity of the others.
+func TestCapacity(t *testing.T) {
+	s := newSet(2, 3, 3)
+	var got []int
+	for i := range 6 {
+		got = append(got, s.Capacity(start))
+		s.Finished(start, i, Result{Kind: Refused})
+	}
+	got = append(got, s.Capacity(start), (&Set{}).Capacity(start))
+	if diff := cmp.Diff([]int{9, 6, 3, 9, 6, 3, 9, 0}, got); diff != "" {
+		t.Errorf("capacities after each failure (-want +got):\n%s", diff)
+	}
+}
+
 // TestPickProperties guards, over random histories, against work for an upstream that must get none, against a limit that
 // is exceeded, and against a refusal while an upstream that did not fail has room.
 func TestPickProperties(t *testing.T) {
--- a/core/coordination/selector/set.go
+++ b/core/coordination/selector/set.go
@@ -92,24 +92,39 @@
 	return i, ok
 }
 
-// Capacity returns how many requests that need one sub-request in each group the usable upstreams take from this VM at
-// once: the sum of the limits in the smallest group. Groups without a usable upstream do not count.
+// Capacity returns how many requests that need one sub-request in each group the upstreams take from this VM at once: the
+// sum of the limits in the smallest group. Groups whose upstreams all failed lately do not count, unless that holds for
+// every group. It is 0 when no upstream may get work.
 func (s *Set) Capacity(now time.Time) int {
-	capacity := 0
+	capacity, failed := 0, 0
 	for _, g := range s.groups {
-		n := 0
+		n, all := 0, 0
 		for _, i := range g {
-			if u := &s.upstreams[i]; u.Allowed() && !s.avoided(now, u) {
+			u := &s.upstreams[i]
+			if !u.Allowed() {
+				continue
+			}
+			all += u.Limit()
+			if !s.avoided(now, u) {
 				n += u.Limit()
 			}
 		}
-		if n > 0 && (capacity == 0 || n < capacity) {
-			capacity = n
-		}
+		capacity, failed = smaller(capacity, n), smaller(failed, all)
+	}
+	if capacity == 0 {
+		return failed
 	}
 	return capacity
 }
 
+// smaller returns the smaller one of two numbers; 0 stands for none.
+func smaller(a, b int) int {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
 // Started records that a sub-request is being sent.
 func (s *Set) Started(now time.Time, i int) {
 	u := &s.upstreams[i]
