--- a/core/coordination/router/quarantine.go
+++ b/core/coordination/router/quarantine.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"comfreyroute/core/coordination/quarantiner"
@@ -63,7 +65,12 @@
 
 // spread tells the peers what changed in the quarantine. It comes before the answers and probes that follow in the step.
 func (m *Machine) spread() {
-	for _, s := range m.quarantine.Drain() {
+	out := m.quarantine.Drain()
+	if len(out) > 1 {
+		// The quarantine keeps its suspects in maps; the order of actions must not depend on them.
+		slices.SortStableFunc(out, func(a, b quarantiner.Suspicion) int { return cmp.Compare(a.Signature, b.Signature) })
+	}
+	for _, s := range out {
 		m.emit(SpreadSuspicion(s))
 	}
 }
--- /dev/null
+++ b/core/state/recorder/reader.go
@@ -0,0 +1,35 @@
+package recorder
+
+import (
+	"bufio"
+	"io"
+
+	"github.com/rotisserie/eris"
+)
+
+// firstBuffer is the first size of a reader's line buffer, in bytes.
+const firstBuffer = 64 << 10
+
+// Read calls f for each record of a trace, in order. It returns the first error, which names the line.
+func Read(in io.Reader, f func(Record) error) error {
+	s := bufio.NewScanner(in)
+	s.Buffer(make([]byte, 0, firstBuffer), MaxLineBytes)
+	line := 0
+	for s.Scan() {
+		line++
+		if len(s.Bytes()) == 0 {
+			continue
+		}
+		r, err := Decode(s.Bytes())
+		if err == nil {
+			err = f(r)
+		}
+		if err != nil {
+			return eris.Wrapf(err, "line %d", line)
+		}
+	}
+	if err := s.Err(); err != nil {
+		return eris.Wrapf(err, "line %d", line+1)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/state/recorder/record.go
@@ -0,0 +1,63 @@
+package recorder
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// MaxLineBytes is the size limit of one line, in bytes. The largest record holds a whole table.
+const MaxLineBytes = 32 << 20
+
+// Record is one line of a trace. Number counts the steps of the machine from 1, so that a reader sees whether the trace
+// starts at the machine's first step and has no gap.
+type Record struct {
+	Number  uint64          `json:"number"`
+	Time    time.Time       `json:"time"`
+	Kind    string          `json:"kind"`
+	Event   json.RawMessage `json:"event"`
+	Actions []Action        `json:"actions,omitempty"`
+}
+
+// Action is one action of a step.
+type Action struct {
+	Kind   string          `json:"kind"`
+	Action json.RawMessage `json:"action"`
+}
+
+// Encode returns the line of a record, with its line end. It returns an error when an event or action is not valid JSON.
+func Encode(r Record) ([]byte, error) {
+	line, err := json.Marshal(r)
+	if err != nil {
+		return nil, eris.Wrapf(err, "encode record %d", r.Number)
+	}
+	return append(line, '\n'), nil
+}
+
+// Decode reads one line. It returns an error for unknown fields, trailing data, a missing kind and lines above MaxLineBytes.
+func Decode(line []byte) (Record, error) {
+	var r Record
+	if len(line) > MaxLineBytes {
+		return r, eris.Errorf("line has %d bytes, at most %d are allowed", len(line), MaxLineBytes)
+	}
+	d := json.NewDecoder(bytes.NewReader(line))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&r); err != nil {
+		return Record{}, eris.Wrap(err, "decode record")
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return Record{}, eris.New("record has data after its JSON value")
+	}
+	if r.Number == 0 || r.Kind == "" || len(r.Event) == 0 {
+		return Record{}, eris.New("record lacks its number, kind or event")
+	}
+	for k := range r.Actions {
+		if r.Actions[k].Kind == "" || len(r.Actions[k].Action) == 0 {
+			return Record{}, eris.Errorf("record %d: action %d lacks its kind or content", r.Number, k)
+		}
+	}
+	return r, nil
+}
