--- a/entry/internal/runner/daemon.go
+++ b/entry/internal/runner/daemon.go
@@ -83,6 +83,7 @@
 		return err
 	}
 	d.messenger, d.registrar.Messenger = m, m
+	d.registrar.Machine.Self.PeerAddress = m.Address() // differs from the setting when that has port 0
 	d.updater.Start()
 	d.registrar.Start()
 	d.booker.Start()
--- a/entry/internal/runner/fake_test.go
+++ b/entry/internal/runner/fake_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -25,6 +26,7 @@
 	mu       sync.Mutex
 	revision uint64
 	items    map[string]encoder.KeyValue
+	list     []encoder.ListedVM
 	gate     chan struct{} // writes wait until it is closed; nil lets them pass
 	writing  chan struct{} // gets a value when a write arrives
 }
@@ -32,25 +34,27 @@
 func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.URL.Path == encoder.PathVMs:
-		answer(w, encoder.VMList{VMs: []encoder.ListedVM{}})
-	case r.URL.Path == encoder.PathWatch:
-		select {
-		case <-r.Context().Done():
-		case <-time.After(time.Second):
-		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		answer(w, encoder.WatchReply{Revision: p.revision})
-	case r.URL.Path == encoder.PathRange:
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		reply := encoder.RangeReply{Revision: p.revision}
-		for _, service := range []string{"ledger", "matching"} {
-			if kv := p.items[tabler.Key(service)]; kv.Key > r.URL.Query().Get("after") {
-				reply.Items = append(reply.Items, kv)
+		answer(w, encoder.VMList{VMs: p.list})
+	case r.URL.Path == encoder.PathWatch:
+		after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		var reply encoder.WatchReply
+		for range 100 {
+			p.mu.Lock()
+			reply.Revision, reply.Items = p.revision, p.values(func(kv encoder.KeyValue) bool { return kv.Revision > after })
+			p.mu.Unlock()
+			if len(reply.Items) > 0 || r.Context().Err() != nil {
+				break
 			}
+			time.Sleep(10 * time.Millisecond)
 		}
 		answer(w, reply)
+	case r.URL.Path == encoder.PathRange:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		after := r.URL.Query().Get("after")
+		answer(w, encoder.RangeReply{Revision: p.revision, Items: p.values(func(kv encoder.KeyValue) bool { return kv.Key > after })})
 	case r.Method == http.MethodPut:
 		var put encoder.PutRequest
 		_ = json.NewDecoder(r.Body).Decode(&put)
@@ -62,6 +66,17 @@
 	}
 }
 
+// values returns the table values that are wanted, in key order.
+func (p *platform) values(want func(encoder.KeyValue) bool) []encoder.KeyValue {
+	var list []encoder.KeyValue
+	for _, service := range []string{"ledger", "matching"} {
+		if kv := p.items[tabler.Key(service)]; want(kv) {
+			list = append(list, kv)
+		}
+	}
+	return list
+}
+
 func (p *platform) put(key string, value []byte) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -103,6 +118,7 @@
 // site is a daemon with its platform and upstreams.
 type site struct {
 	*daemon
+	address  netip.AddrPort // of the platform
 	platform *platform
 	upstream *upstream
 	signals  chan os.Signal
@@ -115,34 +131,46 @@
 	t.Helper()
 	s := &site{
 		platform: &platform{items: map[string]encoder.KeyValue{}},
-		upstream: &upstream{gate: make(chan struct{}), running: make(chan string, 10), ended: make(chan string, 10)},
-		signals:  make(chan os.Signal, 2), ended: make(chan error, 1),
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-	}
-	var addresses []netip.AddrPort
-	for _, h := range []http.Handler{s.platform, s.upstream, s.upstream} {
-		server := httptest.NewServer(h)
-		t.Cleanup(server.Close)
-		addresses = append(addresses, netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+		upstream: &upstream{name: "u", gate: make(chan struct{}), running: make(chan string, 10), ended: make(chan string, 10)},
 	}
-	s.upstream.name = "u"
+	s.address = serve(t, s.platform)
 	for i, service := range []string{"matching", "ledger"} {
-		v := &tabler.Value{Service: tabler.NewServiceRow(service)}
-		v.Service.Kind, v.Service.Deadline = tabler.Kind(i), 20*time.Second
-		v.Upstreams = []tabler.UpstreamRow{{
-			Service: service, Upstream: "u", Address: addresses[1+i], FailureDomain: "d", Weight: 100, Connections: 48, Slots: 4,
-		}}
-		data, err := tabler.Encode(v)
-		if err != nil {
-			t.Fatal(err)
-		}
-		s.platform.put(tabler.Key(service), data)
+		s.platform.put(tabler.Key(service), table(t, service, tabler.Kind(i), serve(t, s.upstream)))
 	}
-	settings := settler.Defaults()
-	settings.VM = settler.VM{
-		ID: "vm", FailureDomain: "d", CallerAddress: netip.MustParseAddrPort("127.0.0.1:0"), PeerAddress: netip.MustParseAddrPort("127.0.0.1:0"),
+	s.launch(t, "vm", change)
+	return s
+}
+
+func serve(t *testing.T, h http.Handler) netip.AddrPort {
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// table returns the stored form of a service with one upstream.
+func table(t *testing.T, service string, kind tabler.Kind, upstream netip.AddrPort) []byte {
+	t.Helper()
+	v := &tabler.Value{Service: tabler.NewServiceRow(service)}
+	v.Service.Kind, v.Service.Deadline = kind, 20*time.Second
+	v.Upstreams = []tabler.UpstreamRow{{
+		Service: service, Upstream: "u", Address: upstream, FailureDomain: "d", Weight: 100, Connections: 48, Slots: 4,
+	}}
+	data, err := tabler.Encode(v)
+	if err != nil {
+		t.Fatal(err)
 	}
-	settings.Platform.Address, settings.Platform.Timeout, settings.Platform.Calls = addresses[0], 20*time.Second, 1000
+	return data
+}
+
+// launch starts a daemon and waits until it is ready.
+func (s *site) launch(t *testing.T, id string, change func(*settler.Settings)) {
+	t.Helper()
+	s.signals, s.ended = make(chan os.Signal, 2), make(chan error, 1)
+	s.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	settings := settler.Defaults()
+	any := netip.MustParseAddrPort("127.0.0.1:0")
+	settings.VM = settler.VM{ID: id, FailureDomain: "d", CallerAddress: any, PeerAddress: any}
+	settings.Platform.Address, settings.Platform.Timeout, settings.Platform.Calls = s.address, 20*time.Second, 1000
 	settings.Shutdown = settler.Shutdown{HardLimit: time.Minute}
 	if change != nil {
 		change(&settings)
@@ -151,11 +179,16 @@
 	if err := s.start(); err != nil {
 		t.Fatal(err)
 	}
-	go func() { s.ended <- s.wait(s.signals) }()
+	s.platform.mu.Lock()
+	s.platform.list = append(s.platform.list, encoder.ListedVM{
+		Name: id, Role: "entry", Address: s.messenger.Address().String(), FailureDomain: "d", State: encoder.VMLive,
+	})
+	s.platform.mu.Unlock()
+	d, signals, ended := s.daemon, s.signals, s.ended
+	go func() { ended <- d.wait(signals) }()
 	for s.status("/readyz") != http.StatusOK {
 		time.Sleep(5 * time.Millisecond)
 	}
-	return s
 }
 
 func (s *site) status(path string) int {
--- a/entry/internal/runner/runner_test.go
+++ b/entry/internal/runner/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"os"
 	"strings"
@@ -11,7 +12,9 @@
 	"github.com/google/uuid"
 	"go.uber.org/goleak"
 
+	"comfreyroute/core/protocol/encoder"
 	"comfreyroute/core/state/settler"
+	"comfreyroute/core/state/tabler"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -97,3 +100,38 @@
 	<-s.upstream.ended
 	s.stop(t)
 }
+
+// TestFleet guards against VMs that do not find each other, a table edit that does not reach every VM, and a ticket that
+// does not run at its issuer or runs twice.
+func TestFleet(t *testing.T) {
+	a := startSite(t, nil)
+	b := &site{platform: a.platform, upstream: a.upstream, address: a.address}
+	b.launch(t, "wm", nil)
+	close(a.upstream.gate)
+	for _, s := range []*site{a, b} {
+		for len(s.registrar.View().Members) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	revision := a.platform.put(tabler.Key("matching"), a.platform.items[tabler.Key("matching")].Value)
+	for _, s := range []*site{a, b} {
+		for s.table.Load().Revision("matching") != revision {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	var issued encoder.TicketsAnswer
+	if err := json.Unmarshal([]byte(<-a.post(context.Background(), "/v1/tickets", `{"service":"ledger","count":1}`)), &issued); err != nil {
+		t.Fatal(err)
+	}
+	body := `{"service":"ledger","body":{},"ticket":"` + issued.Tickets[0] + `"}`
+	for _, s := range []*site{b, a, b} {
+		if got := <-s.post(context.Background(), "/v1/call", body); !strings.Contains(got, `"result":"booked"`) {
+			t.Errorf("a call with the ticket is answered %s, want booked", got)
+		}
+	}
+	if n := len(a.upstream.running); n != 1 {
+		t.Errorf("the call ran %d times, want once", n)
+	}
+	b.stop(t)
+	a.stop(t)
+}
