Give the router times without a monotonic reading

A trace holds wall-clock times only, so a machine that compared monotonic readings could decide differently in a replay. The loop derives its times from one reading of the wall clock; deadlines are converted at its border.

--- a/entry/internal/looper/loop.go
+++ b/entry/internal/looper/loop.go
@@ -90,6 +90,31 @@
 	timer     *time.Timer
 	spreading <-chan struct{}
 	queue     []router.Event
+	clock     clock
+}
+
+// clock gives times that are derived from one reading of the wall clock and carry no monotonic reading. A trace holds such
+// times only, and a step of the wall clock must not reach the machine.
+type clock struct{ start, wall time.Time }
+
+func newClock() clock {
+	now := time.Now()
+	return clock{now, now.Round(0)}
+}
+
+// in converts a time of the process to a time of the machine, and out converts it back. Zero stays zero.
+func (c clock) in(t time.Time) time.Time {
+	if t.IsZero() {
+		return t
+	}
+	return c.wall.Add(t.Sub(c.start))
+}
+
+func (c clock) out(t time.Time) time.Time {
+	if t.IsZero() {
+		return t
+	}
+	return c.start.Add(t.Sub(c.wall))
 }
 
 // Start starts the loop.
@@ -101,12 +126,14 @@
 	l.done = make(chan struct{})
 	l.waiting = map[router.RequestID]chan<- Answer{}
 	l.timer = time.NewTimer(time.Hour)
+	l.clock = newClock()
 	go l.run()
 }
 
 // Submit hands in a request and returns its id and the channel of its answer. It returns false when the loop is full.
 func (l *Loop) Submit(ev router.RequestArrived) (router.RequestID, <-chan Answer, bool) {
 	ev.Request = router.RequestID(l.next.Add(1))
+	ev.Deadline = l.clock.in(ev.Deadline)
 	answer := make(chan Answer, 1)
 	l.inFlight.Add(1)
 	select {
@@ -128,6 +155,10 @@
 
 // Post hands in an event that is no request. It waits while the channel is full and must not be called by the loop.
 func (l *Loop) Post(ev router.Event) {
+	if s, ok := ev.(router.SuspicionHeard); ok {
+		s.Expires, s.NextProbe = l.clock.in(s.Expires), l.clock.in(s.NextProbe)
+		ev = s
+	}
 	select {
 	case l.news <- ev:
 	case <-l.quit:
@@ -199,7 +230,7 @@
 func (l *Loop) step(ev router.Event) {
 	l.queue = append(l.queue[:0], ev)
 	for i := 0; i < len(l.queue); i++ {
-		now := time.Now()
+		now := l.clock.in(time.Now())
 		actions := l.Machine.Step(now, l.queue[i])
 		if l.Recorder != nil {
 			l.Recorder.Record(now, l.queue[i], actions)
@@ -221,8 +252,11 @@
 	if l.Spreader == nil {
 		return
 	}
-	switch a.(type) {
-	case router.SpreadSuspicion, router.SpreadDrain:
+	switch a := a.(type) {
+	case router.SpreadSuspicion:
+		a.Expires, a.NextProbe = l.clock.out(a.Expires), l.clock.out(a.NextProbe)
+		l.spreading = l.Spreader.Spread(a)
+	case router.SpreadDrain:
 		l.spreading = l.Spreader.Spread(a)
 	}
 }
@@ -238,7 +272,10 @@
 		l.answer(a.Request, Answer{Point: a.Answer})
 	case router.Wake:
 		l.timer.Reset(a.At.Sub(now))
-	case router.Send, router.Cancel, router.Probe, router.Pool:
+	case router.Send:
+		a.Deadline = l.clock.out(a.Deadline)
+		return l.Transport.Do(a)
+	case router.Cancel, router.Probe, router.Pool:
 		return l.Transport.Do(a)
 	}
 	return nil
