--- a/entry/internal/looper/loop.go
+++ b/entry/internal/looper/loop.go
@@ -36,11 +36,6 @@
 	Spread(a router.Action) <-chan struct{}
 }
 
-// Recorder keeps the decision trace.
-type Recorder interface {
-	Record(now time.Time, ev router.Event, actions []router.Action)
-}
-
 // Answer ends a request. Exactly one of Search and Point is set.
 type Answer struct {
 	Search *encoder.SearchAnswer
@@ -76,7 +71,7 @@
 	Machine   Machine
 	Transport Transport
 	Spreader  Spreader              // may be nil
-	Recorder  Recorder              // may be nil
+	Trace     *Trace                // may be nil
 	Observe   func(a router.Action) // sees each action; may be nil
 	Events    <-chan router.Event   // of the transport
 	arrivals  chan arrival
@@ -232,8 +227,8 @@
 	for i := 0; i < len(l.queue); i++ {
 		now := l.clock.in(time.Now())
 		actions := l.Machine.Step(now, l.queue[i])
-		if l.Recorder != nil {
-			l.Recorder.Record(now, l.queue[i], actions)
+		if l.Trace != nil {
+			l.Trace.Record(now, l.queue[i], actions)
 		}
 		// Suspicions reach the peers before the answers of the same step reach the callers.
 		for _, a := range actions {
--- a/entry/internal/runner/admin.go
+++ b/entry/internal/runner/admin.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"comfreyroute/core/coordination/router"
 	"comfreyroute/core/protocol/exchanger"
 	"comfreyroute/core/state/reporter"
@@ -56,6 +58,7 @@
 		"/admin/outcome": d.lookUp,
 		"/admin/members": func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, d.members()) },
 		"/admin/burn":    func(w http.ResponseWriter, r *http.Request) { writeJSON(w, d.burn(r.Context())) },
+		"/admin/trace":   d.trace,
 		"/burn": func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("Content-Type", "text/html; charset=utf-8")
 			_ = d.burn(r.Context()).WriteHTML(w)
@@ -83,6 +86,18 @@
 	return s
 }
 
+// trace writes the decision trace as JSON lines.
+func (d *daemon) trace(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/jsonl")
+	ok, err := d.loop.WriteTrace(w)
+	switch {
+	case err != nil:
+		d.log.Warn("entry: the trace was not written", zap.Error(err))
+	case !ok:
+		http.Error(w, "no trace is recorded, or the routing loop is busy", http.StatusServiceUnavailable)
+	}
+}
+
 func (d *daemon) members() []member {
 	list := []member{}
 	for _, m := range d.registrar.View().Members {
--- a/entry/internal/runner/daemon.go
+++ b/entry/internal/runner/daemon.go
@@ -100,16 +100,24 @@
 	d.connector = connector.New(connector.Options{
 		VM: s.VM.ID, Incarnation: d.incarnation, FailureDomain: s.VM.FailureDomain, Local: s.VM.ConnectAddress, Events: events,
 	})
-	d.machine.Configure(router.Config{
-		FailureDomain: s.VM.FailureDomain, VM: s.VM.ID, Selection: policy(s.Policy.Selection),
-		HedgeOff: !s.Policy.Hedge, AdaptiveOff: !s.Policy.Adaptive, Random: d.random(1),
-	})
+	d.machine.Configure(d.routerConfig())
 	d.loop = looper.Loop{
 		Machine: &d.machine, Transport: d.connector, Spreader: &d.registrar, Observe: d.counts.Count, Events: events,
+		Trace: looper.NewTrace(s.Limits.Trace),
 	}
 	d.loop.Start()
 }
 
+// routerConfig returns the configuration of the machine. A replay of a trace needs the same one: its generator follows from
+// the setting of the seed and from the incarnation.
+func (d *daemon) routerConfig() router.Config {
+	s := d.settings
+	return router.Config{
+		FailureDomain: s.VM.FailureDomain, VM: s.VM.ID, Selection: policy(s.Policy.Selection),
+		HedgeOff: !s.Policy.Hedge, AdaptiveOff: !s.Policy.Adaptive, Random: d.random(1),
+	}
+}
+
 // policy returns the selection policy of a checked setting.
 func policy(name string) selector.Policy {
 	for _, p := range []selector.Policy{selector.Score, selector.P2C, selector.Least, selector.Random} {
--- a/entry/internal/runner/runner_test.go
+++ b/entry/internal/runner/runner_test.go
@@ -12,6 +12,8 @@
 	"github.com/google/uuid"
 	"go.uber.org/goleak"
 
+	"comfreyroute/core/coordination/router"
+	"comfreyroute/core/coordination/router/tracer"
 	"comfreyroute/core/protocol/encoder"
 	"comfreyroute/core/state/settler"
 	"comfreyroute/core/state/tabler"
@@ -135,3 +137,27 @@
 	b.stop(t)
 	a.stop(t)
 }
+
+// TestTrace guards against a trace of the daemon that does not replay to the same decisions.
+func TestTrace(t *testing.T) {
+	s := startSite(t, nil)
+	close(s.upstream.gate)
+	for range 20 {
+		if a := <-s.post(context.Background(), "/v1/search", search); !strings.Contains(a, `"outcome":"done"`) {
+			t.Errorf("a search is answered %s, want done", a)
+		}
+		<-s.upstream.running
+	}
+	reply, err := s.client.Get("http://" + s.callers.String() + "/admin/trace")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = reply.Body.Close() }()
+	var m router.Machine
+	m.Configure(s.routerConfig())
+	steps, err := tracer.Replay(&m, reply.Body)
+	if err != nil || steps < 40 {
+		t.Errorf("%d steps replay, error %v; want an arrival and a reply of each of 20 searches", steps, err)
+	}
+	s.stop(t)
+}
