Count only connections that the peer holds open against the limit

A dark server does not see that peers close their connections, and the backlog of its listener holds connections that were given up long ago; all of them counted when the darkness ended.

The server now asks the kernel for the state of its connections before it counts.

--- a/upstreams/internal/server/connection.go
+++ b/upstreams/internal/server/connection.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // listener applies the connection limit of a host and the cost of a new connection.
@@ -36,10 +38,23 @@
 	}
 }
 
-// admit counts a connection. It returns nil when the limit is reached. Connections are set up one after the other.
+// admit counts a connection. It returns nil when the limit is reached, or when the peer has closed the connection already.
+// Connections are set up one after the other.
+//
+// Only connections that the peer holds open count: after a darkness, the server finds connections that the peer gave up long
+// ago, in its own list and in the backlog of the listener.
 func (h *host) admit(c net.Conn) *connection {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if peerClosed(c) {
+		return nil
+	}
+	for o := range h.open {
+		if peerClosed(o.Conn) {
+			delete(h.open, o)
+			go func() { _ = o.Close() }() // Close needs the lock
+		}
+	}
 	if len(h.open) >= h.server.Service.Connections {
 		h.stats.Violations++
 		return nil
@@ -52,6 +67,27 @@
 	return w
 }
 
+// tcpEstablished is the state of a connection that neither side has closed, in the kernel's TCP_INFO.
+const tcpEstablished = 1
+
+// peerClosed asks the kernel whether the peer has closed or reset a connection, also when data is waiting on it.
+func peerClosed(c net.Conn) bool {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err == nil && info.State != tcpEstablished
+	})
+	return closed || err != nil
+}
+
 // waitForLight waits until the host is reachable, or until abort is closed.
 func (h *host) waitForLight(abort <-chan struct{}) {
 	h.mu.Lock()
--- a/upstreams/internal/server/server_test.go
+++ b/upstreams/internal/server/server_test.go
@@ -275,6 +275,48 @@
 	}
 }
 
+// TestLimitAfterDarkness guards against connections that their peers gave up in the dark and that count against the limit
+// afterwards.
+func TestLimitAfterDarkness(t *testing.T) {
+	f := fleet(t)
+	h := f.hosts[0]
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", h.server.Address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	var early []net.Conn
+	for range h.server.Service.Connections {
+		early = append(early, dial())
+	}
+	for f.Stats()[0].Accepted < uint64(len(early)) {
+		time.Sleep(time.Millisecond)
+	}
+	apply(t, f, `{"target":{"all":true},"action":"dark"}`)
+	for _, c := range early {
+		// A request that arrives in the dark keeps the server's Read busy, so that it does not see the close.
+		if _, err := c.Write([]byte("GET /v1/ping HTTP/1.1\r\nHost: x\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		_ = c.Close()
+	}
+	for range 2 * h.server.Service.Connections {
+		_ = dial().Close()
+	}
+	apply(t, f, `{"target":{"all":true},"action":"dark","off":true}`)
+	c := newCaller(t, h)
+	for range 5 {
+		if _, err := c.search(10*time.Second, "r", 0, "q"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if s := f.Stats()[0]; s.Violations != 0 {
+		t.Errorf("%d connections above the limit, want 0", s.Violations)
+	}
+}
+
 // TestExecuted guards against a call that is not counted, or that is undone by a cancellation after it has run.
 func TestExecuted(t *testing.T) {
 	f := fleet(t)
