--- a/upstreams/internal/server/command.go
+++ b/upstreams/internal/server/command.go
@@ -71,13 +71,17 @@
 		return 0, err
 	}
 	var selected []*host
-	replicas := make(map[string]int)
+	type group struct {
+		service string
+		number  int
+	}
+	replicas := make(map[group]int)
 	for _, h := range f.hosts {
-		group := h.server.Service.Name + string(rune(h.server.Group))
-		if c.Target.matches(h, replicas[group]) {
+		g := group{h.server.Service.Name, h.server.Group}
+		if c.Target.matches(h, replicas[g]) {
 			selected = append(selected, h)
 		}
-		replicas[group]++
+		replicas[g]++
 	}
 	if len(selected) == 0 {
 		return 0, eris.New("control: target selects no server")
--- a/upstreams/internal/server/host.go
+++ b/upstreams/internal/server/host.go
@@ -26,7 +26,8 @@
 	faults      faults
 	held        []encoder.HeldVersion // replaced as a whole
 	incarnation uint64
-	served      int // sub-requests run since the last start
+	served      int  // sub-requests run since the last start
+	cold        bool // the last start was not the first one
 	queued      int
 	inFlight    map[string]context.CancelCauseFunc // by request id
 	life        context.Context                    // ends at a crash or stop
@@ -79,6 +80,7 @@
 	if err := h.listen(); err != nil {
 		return err
 	}
+	h.cold = h.incarnation != 0
 	h.incarnation = max(h.incarnation+1, uint64(time.Now().UnixMilli()))
 	h.served = 0
 	h.life, h.end = context.WithCancel(context.Background())
--- a/upstreams/internal/server/work.go
+++ b/upstreams/internal/server/work.go
@@ -136,7 +136,7 @@
 	defer h.mu.Unlock()
 	s := h.server.Service
 	seconds := s.Median.Seconds() * math.Exp(s.Sigma*h.random.NormFloat64())
-	if h.served++; h.served <= s.ColdRequests && h.stats.Restarts > 0 {
+	if h.served++; h.cold && h.served <= s.ColdRequests {
 		seconds *= s.ColdFactor
 	}
 	d := time.Duration(seconds * float64(time.Second))
