--- a/bench/internal/prover/booking.go
+++ b/bench/internal/prover/booking.go
@@ -23,13 +23,17 @@
 	counts   map[encoder.Outcome]int
 	outcomes map[string][]encoder.Outcome // by body, in the order of the answers
 	none     int                          // attempts without an answer
+	reasons  reasons
 	wait     sync.WaitGroup
 }
 
+// bookingPause makes 40 calls a second. With 7 VMs, the default budget of 20 platform calls a second and VM carries 70.
+const bookingPause = 25 * time.Millisecond
+
 func (t *trial) bookings(service string) *bookings {
 	return &bookings{
-		t: t, service: service, pause: 10 * time.Millisecond, attempts: 12,
-		counts: map[encoder.Outcome]int{}, outcomes: map[string][]encoder.Outcome{},
+		t: t, service: service, pause: bookingPause, attempts: 12,
+		counts: map[encoder.Outcome]int{}, outcomes: map[string][]encoder.Outcome{}, reasons: reasons{},
 	}
 }
 
@@ -70,6 +74,7 @@
 			b.none++
 		} else {
 			b.counts[a.Outcome]++
+			b.reasons.add(string(a.Outcome), a.Reason)
 			b.outcomes[string(r.Body)] = append(b.outcomes[string(r.Body)], a.Outcome)
 		}
 		b.mu.Unlock()
@@ -109,5 +114,6 @@
 	}
 	b.t.figure("%d calls to %s: answers done %d, not run %d, unknown %d, none %d; %d ran, %d of them more than once; %d calls ended as unknown",
 		len(b.outcomes), b.service, b.counts[encoder.OutcomeDone], b.counts[encoder.OutcomeNotRun], b.counts[encoder.OutcomeUnknown], b.none, ran, twice, open)
+	b.t.figure("  reasons: %s", b.reasons)
 	return nil
 }
--- a/bench/internal/prover/searches.go
+++ b/bench/internal/prover/searches.go
@@ -26,11 +26,12 @@
 	none    int
 	cut     int // of none: the connection was open, so the request was in flight
 	wrong   []string
+	reasons reasons // of missing shards and refusals
 	wait    sync.WaitGroup
 }
 
 func (t *trial) searches(service string) *searches {
-	return &searches{t: t, service: service, pause: 10 * time.Millisecond}
+	return &searches{t: t, service: service, pause: 10 * time.Millisecond, reasons: reasons{}}
 }
 
 // run sends searches until the context ends, and waits for all answers.
@@ -62,11 +63,15 @@
 		return
 	case a.Outcome == encoder.OutcomeNotRun:
 		s.notRun++
+		s.reasons.add("not run", a.Reason)
 		return
 	case a.Outcome == encoder.OutcomeDone:
 		s.whole++
 	default:
 		s.partial++
+		for _, m := range a.Missing {
+			s.reasons.add("shard", m.Reason)
+		}
 	}
 	if fault := s.t.set.Checker().Search(s.service, query, &a); fault != "" {
 		s.wrong = append(s.wrong, fault)
@@ -76,6 +81,9 @@
 // check reports the figures, and every wrong answer as a fault.
 func (s *searches) check() {
 	s.t.figure("%d searches of %s: whole %d, partial %d, not run %d, no answer %d, wrong %d", s.sent, s.service, s.whole, s.partial, s.notRun, s.none, len(s.wrong))
+	if len(s.reasons) > 0 {
+		s.t.figure("  reasons: %s", s.reasons)
+	}
 	for _, w := range s.wrong {
 		s.t.fault("search answered wrongly: %s", w)
 	}
--- a/core/coordination/prober/prober.go
+++ b/core/coordination/prober/prober.go
@@ -3,8 +3,8 @@
 // A connection can stop answering for good while new connections to the same upstream work. Such a failure says nothing
 // about the upstream, so it must be told apart from a slow or a dead upstream: a connection counts as unresponsive only when
 // something that was sent on another connection to the same upstream, after the first one was late, was answered and the
-// late request still has no answer when it is given up. A late request is not given up early: a slow one may still be
-// answered, and giving it up would need a retry from the same budget as a hedge.
+// late request still has no answer when it is given up. A late request is given up early only when the upstream says that it
+// does not have it: a slow one may still be answered, and giving it up would need a retry from the same budget as a hedge.
 package prober
 
 import (
@@ -15,7 +15,8 @@
 // Bounds of the time after which a request without a reply is late.
 const (
 	MinLate    = 20 * time.Millisecond
-	meanFactor = 4 // a reply that takes four times the recent mean is unusual
+	lateShare  = 3 // part of the allowed time after which a request is late
+	meanFactor = 2 // a reply that takes twice the recent mean is worth a question, which costs one ping
 	meanShare  = 8 // weight of the past in the moving mean of reply times
 )
 
@@ -35,11 +36,11 @@
 	asked  time.Time // start of the last probe
 }
 
-// LateAt returns when a request that was sent at a time counts as late: after half of its allowed time, which leaves the
-// other half to ask the upstream on another connection, but not before four times the recent mean reply time, so that a
-// slow upstream is not asked all the time. It is never after the deadline.
+// LateAt returns when a request that was sent at a time counts as late: after a third of its allowed time, which leaves time
+// to ask the upstream on another connection and to send a lost request again, but not before twice the recent mean reply
+// time, so that a slow upstream is not asked all the time. It is never after the deadline.
 func (p *Prober) LateAt(sent, deadline time.Time) time.Time {
-	late := sent.Add(max(MinLate, deadline.Sub(sent)/2, meanFactor*p.mean))
+	late := sent.Add(max(MinLate, deadline.Sub(sent)/lateShare, meanFactor*p.mean))
 	if late.After(deadline) {
 		return deadline
 	}
--- a/core/coordination/prober/prober_test.go
+++ b/core/coordination/prober/prober_test.go
@@ -59,8 +59,8 @@
 		allowed time.Duration
 		want    time.Duration
 	}{
-		{"half of the time", 5 * time.Millisecond, 72 * time.Millisecond, 36 * time.Millisecond},
-		{"slow upstream", 15 * time.Millisecond, 72 * time.Millisecond, 60 * time.Millisecond},
+		{"a third of the time", 5 * time.Millisecond, 72 * time.Millisecond, 24 * time.Millisecond},
+		{"slow upstream", 15 * time.Millisecond, 72 * time.Millisecond, 30 * time.Millisecond},
 		{"very slow upstream", 50 * time.Millisecond, 72 * time.Millisecond, 72 * time.Millisecond},
 		{"short deadline", time.Millisecond, 30 * time.Millisecond, MinLate},
 	}
--- a/core/protocol/encoder/upstream.go
+++ b/core/protocol/encoder/upstream.go
@@ -8,6 +8,7 @@
 	HeaderDeadlineMS   = "X-Deadline-Ms"
 	HeaderIndexVersion = "X-Index-Version"
 	HeaderCaller       = "X-Caller"
+	HeaderAskID        = "X-Ask-Id" // on a ping: whether the upstream has the sub-request with this id
 )
 
 // Paths of an upstream.
@@ -49,6 +50,15 @@
 	StatusError          SubStatus = "error"
 )
 
+// Asked says whether an upstream has a sub-request, queued or running. An upstream that does not offer the question leaves it out.
+type Asked string
+
+// The answers to HeaderAskID.
+const (
+	AskedPresent Asked = "present"
+	AskedAbsent  Asked = "absent"
+)
+
 // Load is what an upstream reports about itself on every reply.
 type Load struct {
 	Running     int `json:"running"`
@@ -77,6 +87,7 @@
 	Draining     bool            `json:"draining,omitempty"`
 	Load         Load            `json:"load"`
 	Held         []HeldVersion   `json:"held,omitempty"`
+	Asked        Asked           `json:"asked,omitempty"`
 	Version      uint64          `json:"version,omitempty"`
 	Layout       string          `json:"layout,omitempty"`
 	Results      []ShardResult   `json:"results,omitempty"`
--- a/core/transport/connector/conn.go
+++ b/core/transport/connector/conn.go
@@ -34,6 +34,7 @@
 	kind   jobKind
 	send   *router.Send
 	target string // id of the attempt that a jobCancel ends
+	about  *job   // late request that a jobPing asks about
 
 	// Guarded by the pool's lock.
 	conn      *conn
@@ -41,6 +42,7 @@
 	silent    bool      // its connection was unresponsive when it was cancelled
 	writing   bool      // from before the first byte
 	until     time.Time // when a cancelled request is given up
+	lost      time.Time // when a request is given up that the upstream does not have; zero while that is not known
 }
 
 // conn is one connection. Its goroutine alone reads and writes it.
@@ -109,7 +111,7 @@
 func (c *conn) carry(j *job) bool {
 	switch j.kind {
 	case jobPing:
-		return c.carryPing()
+		return c.carryPing(j)
 	case jobCancel:
 		return c.carryCancel(j)
 	default:
@@ -117,24 +119,34 @@
 	}
 }
 
-func (c *conn) carryPing() bool {
+func (c *conn) carryPing(j *job) bool {
 	sent := time.Now()
-	reply, err := c.ping(sent.Add(pingTimeout))
+	ask := ""
+	if j.about != nil {
+		ask = c.pool.owner.attemptID(j.about.send.Attempt)
+	}
+	reply, err := c.ping(sent.Add(pingTimeout), ask)
 	if err != nil {
 		c.pool.lostPing(c, isTimeout(err))
 		return false
 	}
 	kept := c.pool.finish(c, sent)
+	if reply.Asked == encoder.AskedAbsent {
+		c.pool.absent(j.about, sent)
+	}
 	c.pool.seen(reply)
 	return kept
 }
 
-// ping sends a ping and reads the reply.
-func (c *conn) ping(deadline time.Time) (*encoder.SubReply, error) {
+// ping sends a ping and reads the reply. ask is the id of a sub-request that the upstream is asked about, or empty.
+func (c *conn) ping(deadline time.Time, ask string) (*encoder.SubReply, error) {
 	c.pool.owner.counts.pings.Add(1)
 	_ = c.nc.SetDeadline(deadline)
 	id := c.pool.owner.nextID()
 	c.message.prepare(http.MethodGet, encoder.PathPing, id, nil)
+	if ask != "" {
+		c.message.set(encoder.HeaderAskID, ask)
+	}
 	if err := c.write(); err != nil {
 		return nil, err
 	}
--- a/core/transport/connector/connector.go
+++ b/core/transport/connector/connector.go
@@ -18,6 +18,8 @@
 const (
 	connectTimeout = 250 * time.Millisecond
 	pingTimeout    = 100 * time.Millisecond
+	checkTimeout   = 15 * time.Millisecond // of a ping before a request; several round trips, so that the request may still go elsewhere
+	absentGrace    = 5 * time.Millisecond  // time for a reply that left the upstream before it was asked about the request
 	cancelGrace    = 25 * time.Millisecond // time for the reply of a cancelled request
 	replyGrace     = 10 * time.Millisecond // time after the deadline in which a reply may still arrive
 	maxIdleCall    = time.Second           // a call is preceded by a ping on a connection that was idle longer
--- a/core/transport/connector/message.go
+++ b/core/transport/connector/message.go
@@ -59,6 +59,7 @@
 	delete(m.request.Header, encoder.HeaderDeadlineMS)
 	delete(m.request.Header, encoder.HeaderIndexVersion)
 	delete(m.request.Header, encoder.HeaderCaller)
+	delete(m.request.Header, encoder.HeaderAskID)
 	m.body.Reset(body)
 	m.request.ContentLength = int64(len(body))
 	m.request.Body = nil
--- a/core/transport/connector/pool.go
+++ b/core/transport/connector/pool.go
@@ -115,7 +115,7 @@
 		return false
 	}
 	c := newConn(p, nc)
-	reply, err := c.ping(began.Add(connectTimeout))
+	reply, err := c.ping(began.Add(connectTimeout), "")
 	if err != nil {
 		_ = nc.Close()
 		p.unreachable(isReset(err))
@@ -162,6 +162,37 @@
 	}
 }
 
+// absent gives up a late request that the upstream does not have, after the time that a reply on its way may take. The
+// request was lost with its connection, so that sending it again is no extra work for the upstream. A call is not given up:
+// it may have been lost or still be on its way, and only its deadline bounds that.
+func (p *pool) absent(j *job, asked time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if j == nil || j.conn.job != j || j.cancelled || j.send.Kind == encoder.SubCall {
+		return
+	}
+	j.lost = time.Now().Add(absentGrace)
+	_ = j.conn.nc.SetReadDeadline(j.lost)
+	p.suspect = asked
+	p.pingSuspects()
+}
+
+// pingSuspects pings the idle connections that may have become silent with another one. The pool's lock is held.
+func (p *pool) pingSuspects() {
+	for _, c := range slices.Clone(p.idle) {
+		if c.heard.Before(p.suspect) {
+			p.pingOne(c)
+		}
+	}
+}
+
+// pingOne pings one idle connection. The pool's lock is held.
+func (p *pool) pingOne(c *conn) {
+	i := slices.Index(p.idle, c)
+	p.idle = append(slices.Delete(p.idle, i, i+1), c) // assign takes the last one
+	p.assign(&job{kind: jobPing})
+}
+
 // dispatch gives a job to an idle connection. It returns false when there is none.
 func (p *pool) dispatch(j *job) bool {
 	p.mu.Lock()
@@ -250,9 +281,10 @@
 	}
 }
 
-// ask pings the upstream on an idle connection, or opens a new one when none is idle. The pool's lock is held.
-func (p *pool) ask() {
-	if !p.assign(&job{kind: jobPing}) {
+// ask pings the upstream about a late request on an idle connection, or opens a new one when none is idle. The pool's lock
+// is held.
+func (p *pool) ask(about *job) {
+	if !p.assign(&job{kind: jobPing, about: about}) {
 		p.expand()
 	}
 }
@@ -275,16 +307,12 @@
 func (p *pool) pingIdle(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	aged := false
-	for _, c := range slices.Clone(p.idle) {
-		old := !aged && now.Sub(c.heard) >= idlePing
-		if !old && !c.heard.Before(p.suspect) {
-			continue
+	p.pingSuspects()
+	for _, c := range p.idle {
+		if now.Sub(c.heard) >= idlePing {
+			p.pingOne(c)
+			return
 		}
-		aged = aged || old
-		i := slices.Index(p.idle, c)
-		p.idle = append(slices.Delete(p.idle, i, i+1), c) // assign takes the last one
-		p.assign(&job{kind: jobPing})
 	}
 }
 
--- a/core/transport/connector/send.go
+++ b/core/transport/connector/send.go
@@ -13,7 +13,7 @@
 	p, s := c.pool, j.send
 	if p.doubtful(c, s) {
 		sent := time.Now()
-		reply, err := c.ping(earlier(sent.Add(pingTimeout), s.Deadline))
+		reply, err := c.ping(earlier(sent.Add(checkTimeout), s.Deadline), "")
 		if err != nil {
 			// No byte of the request was written: another connection may carry it.
 			p.lostPing(c, isTimeout(err))
@@ -169,11 +169,14 @@
 	if j.cancelled {
 		next = j.until
 	}
+	if !j.lost.IsZero() {
+		next = earlier(next, j.lost)
+	}
 	if !now.Before(next) {
 		return false
 	}
 	if !j.cancelled && p.prober.Late(now, c.number) {
-		p.ask()
+		p.ask(j)
 	}
 	_ = c.nc.SetReadDeadline(next)
 	return true
--- a/upstreams/internal/server/handle.go
+++ b/upstreams/internal/server/handle.go
@@ -53,6 +53,8 @@
 		h.sub(r, &request, reply)
 	case encoder.PathCancel:
 		h.cancel(cancel.RequestID)
+	case encoder.PathPing:
+		reply.Asked = h.asked(r.Header.Get(encoder.HeaderAskID))
 	}
 	if !pause(r.Context(), oneWay) {
 		return
@@ -119,6 +121,20 @@
 	}
 }
 
+// asked tells whether the host has a sub-request, or nothing when no id is given.
+func (h *host) asked(id string) encoder.Asked {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case id == "":
+		return ""
+	case h.inFlight[id] != nil:
+		return encoder.AskedPresent
+	default:
+		return encoder.AskedAbsent
+	}
+}
+
 func (h *host) register(id string, cancel context.CancelCauseFunc) context.Context {
 	h.mu.Lock()
 	defer h.mu.Unlock()
