Wait for a free connection instead of giving a shard up

The connector refuses a sub-request at once when no connection is free, so after a lost connection all replicas could refuse within microseconds and the shard was missing. Such a sub-request now pauses and tries again until its deadline, without tokens and a bounded number of times. A primary is counted once, whatever becomes of its first attempt.

--- a/core/coordination/router/decision_test.go
+++ b/core/coordination/router/decision_test.go
@@ -245,6 +245,31 @@
 	}
 }
 
+// TestNoFreeConnection guards against a shard that is given up while connections are being opened, against a loop without
+// bound when none ever is, and against tokens for attempts that were not sent.
+func TestNoFreeConnection(t *testing.T) {
+	cases := []struct {
+		free    time.Duration // when connections become free
+		outcome encoder.Outcome
+	}{{5 * time.Millisecond, encoder.OutcomeDone}, {time.Second, encoder.OutcomeNotRun}}
+	for _, c := range cases {
+		w := newWorld(1)
+		w.search(t, 1, "usual")
+		begin, before := w.now, w.machine.Stats()
+		w.draw = func() fault {
+			if w.now.Sub(begin) < c.free {
+				return faultNoConnection
+			}
+			return faultNone
+		}
+		a, took := w.search(t, 2, "busy")
+		after := w.machine.Stats()
+		if a.Outcome != c.outcome || took > 72*time.Millisecond || after.Primaries-before.Primaries != testGroups || after.Retries != before.Retries {
+			t.Errorf("free after %v: outcome %s after %v, %+v", c.free, a.Outcome, took, after)
+		}
+	}
+}
+
 // TestRejections guards against requests that reach an upstream although they cannot be answered.
 func TestRejections(t *testing.T) {
 	cases := []struct {
--- a/core/coordination/router/dispatch.go
+++ b/core/coordination/router/dispatch.go
@@ -13,6 +13,7 @@
 	reason      string
 	possiblyRun bool // the upstream may have run it
 	unsent      bool // no byte was written
+	busy        bool // the transport had no free connection
 	retryAfter  int64
 }
 
@@ -93,7 +94,8 @@
 	a := m.attempts.add()
 	a.request, a.service, a.sub, a.upstream, a.group = r, s, g, i, s.groupOf(i)
 	a.name, a.address, a.sent, a.deadline, a.hedge = u.Row.Upstream, u.Row.Address, now, r.until, hedge
-	if b.attempts == 0 && !r.restarted {
+	if !b.counted && !r.restarted {
+		b.counted = true
 		s.budget.Primary(1)
 		m.stats.Primaries++
 	}
@@ -181,7 +183,7 @@
 	if f.reason == reasonReset && f.possiblyRun && m.hold(now, r, a.sub) {
 		return
 	}
-	if m.retry(now, r, a.sub, f.unsent) {
+	if m.retry(now, r, a.sub, f.unsent) || f.busy && m.pause(now, r, a.sub) {
 		return
 	}
 	if f.reason == reasonVersionNotHeld && b.reason != reasonBudget && m.restart(now, r) {
@@ -237,6 +239,23 @@
 	return w.request.state != stateRunning || w.request.subs[w.sub].state != subWaiting
 }
 
+// pause makes a sub-request wait that found no free connection at any replica. Connections are opened one at a time, so that
+// after a fault a free one may be a few milliseconds away. The attempts were not sent and do not count.
+func (m *Machine) pause(now time.Time, r *request, g int) bool {
+	b := &r.subs[g]
+	if b.pauses >= maxPauses {
+		return false
+	}
+	b.resumeAt = now.Add(min(firstPause<<b.pauses, maxPause))
+	b.pauses++
+	b.attempts = 0
+	m.enqueue(now, r, g, false)
+	if r.state == stateRunning {
+		m.soon(r, b.resumeAt)
+	}
+	return true
+}
+
 func dropStale(q []waiter) []waiter {
 	kept := q[:0]
 	for _, w := range q {
@@ -277,6 +296,10 @@
 			continue
 		}
 		r, b := w.request, &w.request.subs[w.sub]
+		if now.Before(b.resumeAt) {
+			s.waiting[g] = append(s.waiting[g], w)
+			continue
+		}
 		i, ok := m.pick(now, r, w.sub)
 		if !ok {
 			if reason := m.blocked(r, w.sub); reason != "" {
--- a/core/coordination/router/hedge.go
+++ b/core/coordination/router/hedge.go
@@ -122,7 +122,11 @@
 			m.lookHeld(now, r, g)
 		case subWaiting:
 			m.drain(r.service, r.service.waitQueue(g))
-			m.soon(r, now.Add(r.service.delays(now).hedge))
+			at := now.Add(r.service.delays(now).hedge)
+			if b.resumeAt.After(now) {
+				at = b.resumeAt
+			}
+			m.soon(r, at)
 		}
 	}
 }
--- a/core/coordination/router/machine.go
+++ b/core/coordination/router/machine.go
@@ -206,7 +206,7 @@
 		}
 	}
 	if out.request != nil {
-		m.failed(now, &out, failure{reason: reasonOf(e.Failure), possiblyRun: e.Written, unsent: !e.Written})
+		m.failed(now, &out, failure{reason: reasonOf(e.Failure), possiblyRun: e.Written, unsent: !e.Written, busy: e.Failure == FailureNoConnection && !e.Written})
 	}
 	m.drain(out.service, out.group)
 }
--- a/core/coordination/router/point.go
+++ b/core/coordination/router/point.go
@@ -49,7 +49,7 @@
 // callFailed decides about a call that got no result. It goes to another upstream only when the first certainly did not run it.
 func (m *Machine) callFailed(now time.Time, r *request, f failure) {
 	b := &r.subs[0]
-	if !b.possiblyRun && m.retry(now, r, 0, f.unsent) {
+	if !b.possiblyRun && (m.retry(now, r, 0, f.unsent) || f.busy && m.pause(now, r, 0)) {
 		return
 	}
 	m.settleFailed(now, r, 0)
--- a/core/coordination/router/request.go
+++ b/core/coordination/router/request.go
@@ -19,6 +19,11 @@
 	maxAttempts = 4
 	// maxLive is how many attempts of one sub-request run at once: one and its hedge.
 	maxLive = 2
+	// maxPauses bounds the pauses of a sub-request for which no connection was free. With pauses that double from firstPause
+	// to maxPause they cover the default deadline.
+	maxPauses  = 12
+	firstPause = 500 * time.Microsecond
+	maxPause   = 8 * time.Millisecond
 )
 
 type requestState int
@@ -74,6 +79,9 @@
 	live        [maxLive]AttemptID
 	tried       [maxAttempts]int // upstreams of the attempts, -1 for one that is gone
 	hedgeAt     time.Time
+	resumeAt    time.Time // end of the pause after no connection was free
+	pauses      uint8
+	counted     bool   // as a primary
 	reason      string // of the last failure
 	retryAfter  int64  // ms, from the last refusal
 	version     uint64 // of results
--- a/core/coordination/router/world_test.go
+++ b/core/coordination/router/world_test.go
@@ -74,6 +74,7 @@
 	faultTable
 	faultLeaving
 	faultLost
+	faultNoConnection
 	faultCount
 )
 
@@ -243,6 +244,9 @@
 	case faultRefused:
 		fail(after, FailureRefused, false)
 		return
+	case faultNoConnection:
+		fail(0, FailureNoConnection, false)
+		return
 	case faultUnresponsive:
 		fail(left/2, FailureUnresponsive, true)
 		return
