--- /dev/null
+++ b/core/transport/connector/absent_test.go
@@ -0,0 +1,52 @@
+package connector
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"comfreyroute/core/coordination/router"
+	"comfreyroute/core/protocol/encoder"
+)
+
+// TestAbsent guards against a search that waits for its deadline on a silent connection although its upstream never got it,
+// and against an early end of a slow request or of a call, which may still be on its way.
+func TestAbsent(t *testing.T) {
+	cases := []struct {
+		name  string
+		kind  encoder.SubKind
+		asked encoder.Asked
+		early bool
+	}{
+		{"search that the upstream does not have", encoder.SubSearch, encoder.AskedAbsent, true},
+		{"search that the upstream has", encoder.SubSearch, encoder.AskedPresent, false},
+		{"search at an upstream that does not say", encoder.SubSearch, "", false},
+		{"call that the upstream does not have", encoder.SubCall, encoder.AskedAbsent, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			start(t, &fake{asked: c.asked}, 2, func(t *testing.T, b *bench) {
+				b.fake.mu.Lock()
+				b.fake.mute = func(n int) bool { return n == 1 }
+				b.fake.mu.Unlock()
+				const allowed = 72 * time.Millisecond
+				b.Do(router.Send{Attempt: 1, Service: "s", Upstream: "u", Address: address, Kind: c.kind, Body: []byte("1"), Deadline: time.Now().Add(allowed)})
+				time.Sleep(allowed / 2)
+				var failures []router.Failure
+				for _, ev := range b.drain() {
+					if e, ok := ev.(router.AttemptFailed); ok {
+						failures = append(failures, e.Failure)
+					}
+				}
+				var want []router.Failure
+				if c.early {
+					want = []router.Failure{router.FailureUnresponsive}
+				}
+				if diff := cmp.Diff(want, failures); diff != "" {
+					t.Errorf("failures at half of the allowed time (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
