--- a/bench/internal/prover/caller.go
+++ b/bench/internal/prover/caller.go
@@ -68,6 +68,8 @@
 	Ready     bool              `json:"ready"`
 	Reason    string            `json:"reason"`
 	Revisions map[string]uint64 `json:"revisions"`
+	Router    map[string]any    `json:"router"`
+	Transport map[string]any    `json:"transport"`
 }
 
 func (caller) status(ctx context.Context, entry netip.AddrPort) (status, error) {
--- a/bench/internal/prover/routing.go
+++ b/bench/internal/prover/routing.go
@@ -35,6 +35,7 @@
 		return err
 	}
 	s.check()
+	t.counters(ctx)
 	if s.partial > 0 || s.none > 0 {
 		t.fault("%d searches were partial and %d had no answer although every group had two replicas with working connections", s.partial, s.none)
 	}
