Never restart a search at the same index version

Found by the random event test with rollouts and a second layout: replicas that report a version with two layouts made a search restart at the same version number, which counts as a restart but asks the same replicas the same thing without a token. Groups that answered in another layout are now retried within the budget.

The scripted upstreams now take new versions one after the other and change the layout with the version.

--- a/core/coordination/router/decision_test.go
+++ b/core/coordination/router/decision_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -153,7 +154,7 @@
 		restarts uint64
 	}{
 		{"one replica lost it", func(w *world) { w.plan[len(w.sends)+1] = faultNotHeld }, 7, 0},
-		{"all moved on", func(w *world) { w.version = 8 }, 8, 1},
+		{"all moved on to another layout", func(w *world) { w.version = 8 }, 8, 1},
 	}
 	for _, c := range cases {
 		w := newWorld(1)
@@ -270,6 +271,57 @@
 	}
 }
 
+// TestLastReplica guards against a shard that is given up although one replica of its group works, when that one loses a
+// connection while the others refuse theirs.
+func TestLastReplica(t *testing.T) {
+	for _, f := range []fault{faultReset, faultUnresponsive, faultNoConnection} {
+		for seed := range uint64(5) {
+			w := newWorld(seed)
+			w.search(t, 1, "usual")
+			failed := false
+			w.draw = func() fault {
+				switch s := w.sends[len(w.sends)-1]; {
+				case groupOf(s.Upstream) != 0:
+					return faultNone
+				case s.Upstream != "u0-1":
+					return faultRefused
+				case failed:
+					return faultNone
+				}
+				failed = true
+				return f
+			}
+			if a, _ := w.search(t, 2, "unlucky"); a.Outcome != encoder.OutcomeDone {
+				t.Errorf("fault %d, seed %d: %+v", f, seed, a.Missing)
+			}
+		}
+	}
+}
+
+// TestRepeatedResets guards against a sub-request that is held back for good because its upstream was probed just before.
+func TestRepeatedResets(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(seed)
+		w.search(t, 1, "usual")
+		w.draw = func() fault {
+			if s := w.sends[len(w.sends)-1]; s.Upstream == "u0-1" {
+				return faultReset
+			}
+			return faultNone
+		}
+		for id := RequestID(2); id < 8; id++ {
+			w.step(RequestArrived{Request: id, Service: "matching", Kind: encoder.SubSearch, Query: fmt.Sprint("reset", id)})
+			w.run(w.now.Add(4 * time.Millisecond))
+		}
+		w.run(w.now.Add(allTheTime))
+		for id := RequestID(2); id < 8; id++ {
+			if a := w.answers[id].(*encoder.SearchAnswer); a.Outcome != encoder.OutcomeDone {
+				t.Errorf("seed %d, request %d: %+v", seed, id, a.Missing)
+			}
+		}
+	}
+}
+
 // TestRejections guards against requests that reach an upstream although they cannot be answered.
 func TestRejections(t *testing.T) {
 	cases := []struct {
--- a/core/coordination/router/dispatch.go
+++ b/core/coordination/router/dispatch.go
@@ -44,6 +44,31 @@
 	})
 }
 
+// pickAgain chooses a replica for a last attempt after each replica failed once, if the last failure was one of a connection:
+// the only replica that works may have lost the connection of its first attempt. Replicas that refused are left out.
+func (m *Machine) pickAgain(now time.Time, r *request, g int) (int, bool) {
+	b := &r.subs[g]
+	var exclude [maxAttempts]int
+	n := 0
+	for k, i := range b.tried[:b.attempts] {
+		if b.refused&(1<<k) != 0 {
+			exclude[n] = i
+			n++
+		}
+	}
+	if g >= len(r.service.members) || int(b.attempts) > len(r.service.members[g]) {
+		return 0, false
+	}
+	switch b.reason {
+	case reasonUnreachable, reasonReset, reasonUnresponsive, reasonTimeout:
+		return r.service.set.Pick(now, m.random, selector.Query{
+			Group: r.group(g), Version: r.version(), Exclude: exclude[:n], Policy: m.config.Selection,
+		})
+	default:
+		return 0, false
+	}
+}
+
 // blocked returns why waiting for a replica is useless, or "" when one may become free.
 func (m *Machine) blocked(r *request, g int) string {
 	s, b := r.service, &r.subs[g]
@@ -123,14 +148,14 @@
 		return false
 	}
 	i, ok := m.pick(now, r, g)
-	if !ok {
-		if m.blocked(r, g) != "" {
-			return false
-		}
+	if !ok && m.blocked(r, g) == "" {
 		m.enqueue(now, r, g, !free)
 		return true
 	}
-	if !m.pay(r, b, free) {
+	if !ok {
+		i, ok = m.pickAgain(now, r, g)
+	}
+	if !ok || !m.pay(r, b, free) {
 		return false
 	}
 	m.send(now, r, g, i, false)
@@ -161,6 +186,13 @@
 	}
 	b.possiblyRun = b.possiblyRun || f.possiblyRun
 	b.reason, b.retryAfter = f.reason, f.retryAfter
+	if f.unsent && !f.busy {
+		for k, i := range b.tried[:b.attempts] {
+			if i == a.upstream {
+				b.refused |= 1 << k
+			}
+		}
+	}
 	b.notHeld = b.notHeld || f.reason == reasonVersionNotHeld
 	if r.probeGroup != noProbe && f.possiblyRun && f.reason == reasonReset {
 		m.probeReset(now, a)
@@ -248,7 +280,7 @@
 	}
 	b.resumeAt = now.Add(min(firstPause<<b.pauses, maxPause))
 	b.pauses++
-	b.attempts = 0
+	b.attempts, b.refused = 0, 0
 	m.enqueue(now, r, g, false)
 	if r.state == stateRunning {
 		m.soon(r, b.resumeAt)
--- a/core/coordination/router/property_test.go
+++ b/core/coordination/router/property_test.go
@@ -21,7 +21,9 @@
 		}
 	}
 	w.run(w.now.Add(20 * time.Second))
-	// The first searches may find that every version the machine knows is gone, because a search restarts only once.
+	// The first searches may find that every version the machine knows is gone, because a search restarts only once. The
+	// probes stand for the pings that refresh what the machine knows.
+	w.rollout = false
 	for range 2 {
 		w.step(RequestArrived{Request: id, Service: "matching", Kind: encoder.SubSearch, Query: "before"})
 		w.run(w.now.Add(time.Second))
@@ -47,6 +49,7 @@
 		w := newWorld(rapid.Uint64().Draw(t, "seed"))
 		share := rapid.SampledFrom([]float64{0, 0.1, 0.5, 0.9}).Draw(t, "share of faults")
 		kinds := rapid.SliceOfNDistinct(rapid.IntRange(1, int(faultCount)-1), 1, 6, rapid.ID).Draw(t, "faults")
+		w.rollout = rapid.Bool().Draw(t, "rollout")
 		w.draw = func() fault {
 			if w.random.Float64() >= share {
 				return faultNone
--- a/core/coordination/router/quarantine.go
+++ b/core/coordination/router/quarantine.go
@@ -18,8 +18,9 @@
 	heldInterval = 2 * time.Millisecond
 	// heldLimit is how long it is held back at most: a new connection of 5 ms, a round trip and a margin.
 	heldLimit = 20 * time.Millisecond
-	// probeInterval is the least time between two Probe actions to one upstream.
-	probeInterval = 100 * time.Millisecond
+	// probeInterval is the least time between two Probe actions to one upstream. It is below heldLimit, so that a sub-request
+	// that was reset shortly after a probe of its upstream gets one of its own.
+	probeInterval = 10 * time.Millisecond
 	// verdictLife is how long after a reset a refused connection or a new incarnation tells that the upstream crashed.
 	verdictLife = 5 * time.Second
 )
@@ -189,6 +190,9 @@
 	case !b.hedgeAt.After(now):
 		m.settleFailed(now, r, g)
 	default:
+		if i := b.tried[b.attempts-1]; i >= 0 {
+			m.probe(now, r.service, i)
+		}
 		m.soon(r, now.Add(heldInterval))
 	}
 }
--- a/core/coordination/router/request.go
+++ b/core/coordination/router/request.go
@@ -81,6 +81,7 @@
 	hedgeAt     time.Time
 	resumeAt    time.Time // end of the pause after no connection was free
 	pauses      uint8
+	refused     uint8  // bits of the attempts in tried that were not written
 	counted     bool   // as a primary
 	reason      string // of the last failure
 	retryAfter  int64  // ms, from the last refusal
--- a/core/coordination/router/search.go
+++ b/core/coordination/router/search.go
@@ -110,21 +110,41 @@
 		return false
 	}
 	r.index = x
-	again := false
+	var again, mixed bool
 	for g := range r.subs {
 		b := &r.subs[g]
-		if b.state == subDone && (b.version != x.version || b.layout != x.layout || b.total != x.total) {
-			*b = sub{possiblyRun: true}
-			r.pending++
-			again = true
+		if b.state != subDone || b.version == x.version && b.layout == x.layout && b.total == x.total {
+			continue
+		}
+		r.pending++
+		if b.version == x.version {
+			// The replica reports the version with another layout. Asking it again for the same version is a retry.
+			b.state, b.reason, b.results = subSent, reasonMismatched, nil
+			mixed = true
+			continue
 		}
+		*b = sub{possiblyRun: true}
+		again = true
 	}
 	if again {
 		r.restarted = true
 		m.stats.Restarts++
 		m.sendIdle(now, r)
 	}
-	return again
+	if mixed {
+		m.retryMixed(now, r)
+	}
+	return again || mixed
+}
+
+// retryMixed asks other replicas for the groups whose reply had another layout than the chosen one.
+func (m *Machine) retryMixed(now time.Time, r *request) {
+	for g := range r.subs {
+		b := &r.subs[g]
+		if r.state == stateRunning && b.state == subSent && b.running() == 0 && !m.retry(now, r, g, false) {
+			m.settleFailed(now, r, g)
+		}
+	}
 }
 
 // restart runs a search again at the snapshot that covers the most groups now, at most once. Its new sub-requests gain no
@@ -134,7 +154,7 @@
 		return false
 	}
 	x := r.service.catalog.best()
-	if x == nil || x == r.index || x.version == r.index.version && x.layout == r.index.layout {
+	if x == nil || x.version == r.index.version {
 		return false
 	}
 	// Attempts that were cancelled at their deadline count in the distribution, so that its median alone would rule out
--- a/core/coordination/router/world_test.go
+++ b/core/coordination/router/world_test.go
@@ -98,14 +98,16 @@
 	sends   []Send
 	answers map[RequestID]any
 	trace   func(now time.Time, ev Event, actions []Action)
-	version uint64 // that the upstreams hold
+	version uint64 // that the upstreams hold or will hold
+	rollout bool   // they take a new version one after the other, instead of all at once
+	holds   map[string][2]uint64
 	err     error
 }
 
 func newWorld(seed uint64) *world {
 	w := &world{
 		checker: newChecker(), now: epoch, random: rand.New(rand.NewPCG(seed, 1)), plan: make(map[int]fault),
-		answers: make(map[RequestID]any), version: 7,
+		answers: make(map[RequestID]any), version: 7, holds: make(map[string][2]uint64),
 	}
 	w.machine.Configure(Config{FailureDomain: "d0", VM: "vm1", Random: rand.New(rand.NewPCG(seed, 2))})
 	w.step(TableAdopted{testTable(testGroups, testReplicas)})
@@ -192,13 +194,47 @@
 	return g
 }
 
+// held describes what a group holds of a version. Version 7 has layout "a"; later ones alternate between two layouts.
+func held(group int, version uint64) encoder.HeldVersion {
+	shards, layout := testShards, "a"
+	if version%2 == 0 {
+		shards, layout = testShards+1, "b"
+	}
+	h := encoder.HeldVersion{Version: version, Layout: layout, ShardsTotal: testGroups * shards}
+	for k := range shards {
+		h.Shards = append(h.Shards, group*shards+k)
+	}
+	return h
+}
+
+// versions returns the oldest and the newest version that an upstream holds. In a rollout, it takes the next version and
+// drops its oldest one at random.
+func (w *world) versions(name string) (oldest, newest uint64) {
+	if !w.rollout {
+		return w.version, w.version
+	}
+	v, ok := w.holds[name]
+	if !ok {
+		v = [2]uint64{w.version, w.version}
+	}
+	if v[1] < w.version && w.random.IntN(3) == 0 {
+		v[1]++
+	}
+	if v[0] < v[1] && w.random.IntN(5) == 0 {
+		v[0]++
+	}
+	w.holds[name] = v
+	return v[0], v[1]
+}
+
 // report is what an upstream says about itself.
 func (w *world) report(name string) *encoder.SubReply {
-	h := encoder.HeldVersion{Version: w.version, Layout: "a", ShardsTotal: testGroups * testShards}
-	for k := range testShards {
-		h.Shards = append(h.Shards, groupOf(name)*testShards+k)
+	r := &encoder.SubReply{Upstream: name, Incarnation: 1, Status: encoder.StatusOK}
+	oldest, newest := w.versions(name)
+	for v := oldest; v <= newest; v++ {
+		r.Held = append(r.Held, held(groupOf(name), v))
 	}
-	return &encoder.SubReply{Upstream: name, Incarnation: 1, Status: encoder.StatusOK, Held: []encoder.HeldVersion{h}}
+	return r
 }
 
 // reply is the complete and correct reply to a sub-request.
@@ -207,14 +243,17 @@
 	if s.Kind != encoder.SubSearch {
 		return r
 	}
-	if s.Version != 0 && s.Version != w.version {
-		r.Status = encoder.StatusVersionNotHeld
+	for _, h := range r.Held {
+		if s.Version != h.Version && (s.Version != 0 || h.Version != r.Held[len(r.Held)-1].Version) {
+			continue
+		}
+		r.Version, r.Layout = h.Version, h.Layout
+		for _, shard := range h.Shards {
+			r.Results = append(r.Results, encoder.ShardResult{Shard: shard, Items: []string{tag(h.Version, h.Layout, shard)}})
+		}
 		return r
 	}
-	r.Version, r.Layout = w.version, "a"
-	for _, shard := range r.Held[0].Shards {
-		r.Results = append(r.Results, encoder.ShardResult{Shard: shard, Items: []string{tag(r.Version, r.Layout, shard)}})
-	}
+	r.Status = encoder.StatusVersionNotHeld
 	return r
 }
 
@@ -267,7 +306,7 @@
 		r.Version--
 		retag(r)
 	case faultLayout:
-		r.Layout = "b"
+		r.Layout = "c"
 		retag(r)
 	case faultShards:
 		r.Results = r.Results[:len(r.Results)/2]
@@ -276,9 +315,10 @@
 			r.Results[0] = r.Results[1]
 		}
 	case faultUpstream:
+		layout := r.Layout
 		r.Upstream, r.Layout = "p9", "c"
 		retag(r)
-		r.Layout = "a"
+		r.Layout = layout
 	case faultError:
 		refuse(encoder.StatusError)
 	case faultLate:
