Lose no request that meets the end of an idle connection

A connection that ended while idle stayed in the idle list between two sections of the pool's lock; a request that was given to it there never ended.

Times in messages of peers are bounded, the listener bounds the time of a request, pools of removed upstreams are dropped, and log lines carry the text of an error without its stack.

--- a/core/transport/connector/conn.go
+++ b/core/transport/connector/conn.go
@@ -32,6 +32,7 @@
 // job is one thing that a connection has to do.
 type job struct {
 	kind   jobKind
+	pool   *pool // of a jobSend
 	send   *router.Send
 	target string // id of the attempt that a jobCancel ends
 
@@ -88,6 +89,9 @@
 		_, err := c.br.Peek(1)
 		p.mu.Lock()
 		j := c.job
+		if j == nil {
+			p.drop(c) // under the same lock, so that no job is given to it meanwhile
+		}
 		p.mu.Unlock()
 		if j == nil {
 			p.lost(c)
--- a/core/transport/connector/connector.go
+++ b/core/transport/connector/connector.go
@@ -139,8 +139,8 @@
 		p = &pool{owner: c, key: k, conns: map[*conn]struct{}{}}
 		c.pools[k] = p
 	}
+	p.resize(a) // before the unlock, so that forget does not drop a pool that is about to be used
 	c.mu.Unlock()
-	p.resize(a)
 }
 
 func (c *Connector) probe(a router.Probe) {
@@ -152,7 +152,7 @@
 func (c *Connector) send(s *router.Send) router.Event {
 	refuse := router.AttemptFailed{Attempt: s.Attempt, Failure: router.FailureNoConnection}
 	p := c.pool(key{s.Service, s.Upstream})
-	if p == nil || !p.dispatch(&job{kind: jobSend, send: s}) {
+	if p == nil || !p.dispatch(&job{kind: jobSend, pool: p, send: s}) {
 		return refuse
 	}
 	return nil
@@ -223,6 +223,21 @@
 			for _, p := range c.list() {
 				p.pingIdle(now)
 			}
+			c.forget()
+		}
+	}
+}
+
+// forget drops the pools of upstreams that the table no longer has, once their connections are closed.
+func (c *Connector) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for k, p := range c.pools {
+		p.mu.Lock()
+		unused := p.limit == 0 && len(p.conns) == 0 && !p.opening
+		p.mu.Unlock()
+		if unused {
+			delete(c.pools, k)
 		}
 	}
 }
--- a/core/transport/connector/send.go
+++ b/core/transport/connector/send.go
@@ -186,7 +186,7 @@
 	if j == nil {
 		return
 	}
-	p := c.pool(key{j.send.Service, j.send.Upstream})
+	p := j.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if j.cancelled || j.conn.job != j {
--- a/entry/internal/booker/peer.go
+++ b/entry/internal/booker/peer.go
@@ -9,6 +9,9 @@
 	"comfreyroute/core/protocol/exchanger"
 )
 
+// maxWait is the longest deadline that the receiver accepts.
+const maxWait = time.Minute
+
 // ask asks the VM that holds a claim for the outcome.
 func (b *Booker) ask(ctx context.Context, a claimer.AskHolder) claimer.Event {
 	ev := claimer.HolderAnswered{Key: a.Key, Nonce: a.Nonce}
@@ -47,7 +50,7 @@
 
 // RunTicket handles a ticketed call that a peer passed on.
 func (b *Booker) RunTicket(ctx context.Context, r *exchanger.TicketRequest) (*exchanger.CallReply, error) {
-	deadline := time.Now().Add(time.Duration(r.GetDeadlineMs()) * time.Millisecond)
+	deadline := time.Now().Add(bounded(r.GetDeadlineMs()))
 	return b.serve(ctx, func(id claimer.CallID) claimer.Event {
 		return claimer.CallArrived{
 			Call: id, Service: r.GetService(), Ticket: r.GetTicket(), Body: r.GetBody(), Caller: r.GetCaller(),
@@ -58,7 +61,7 @@
 
 // Outcome handles the question of a peer for the outcome of a claim.
 func (b *Booker) Outcome(ctx context.Context, r *exchanger.OutcomeRequest) (*exchanger.CallReply, error) {
-	deadline := time.Now().Add(time.Duration(r.GetWaitMs()) * time.Millisecond)
+	deadline := time.Now().Add(bounded(r.GetWaitMs()))
 	return b.serve(ctx, func(id claimer.CallID) claimer.Event {
 		return claimer.OutcomeAsked{
 			Call: id, Key: r.GetKey(), Signature: r.GetSignature(), Incarnation: r.GetIncarnation(), Deadline: deadline,
@@ -74,3 +77,8 @@
 	c := a.Call
 	return &exchanger.CallReply{Outcome: string(c.Outcome), Reason: c.Reason, Result: c.Result, Upstream: c.Upstream}, nil
 }
+
+// bounded returns a duration of a message, at most the longest deadline that a VM gives to a request.
+func bounded(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxWait.Milliseconds())) * time.Millisecond
+}
--- a/entry/internal/booker/platform.go
+++ b/entry/internal/booker/platform.go
@@ -8,6 +8,7 @@
 
 	"comfreyroute/core/coordination/claimer"
 	"comfreyroute/core/transport/keeper"
+	"comfreyroute/entry/internal/logger"
 )
 
 // paced runs a platform call when the budget allows it. Without budget, refused is posted.
@@ -63,10 +64,10 @@
 		b.Contacted(sent)
 		return claimer.WriteConflict
 	case keeper.Uncertain:
-		b.Log.Warn("booker: the end of a platform call is not known", zap.Error(err))
+		b.Log.Warn("booker: the end of a platform call is not known", logger.Cause(err))
 		return claimer.WriteUncertain
 	default:
-		b.Log.Warn("booker: a platform call failed", zap.Stringer("status", s), zap.Error(err))
+		b.Log.Warn("booker: a platform call failed", zap.Stringer("status", s), logger.Cause(err))
 		return claimer.WriteUnavailable
 	}
 }
--- a/entry/internal/booker/sweep.go
+++ b/entry/internal/booker/sweep.go
@@ -11,6 +11,7 @@
 	"comfreyroute/core/coordination/claimer"
 	"comfreyroute/core/coordination/pacer"
 	"comfreyroute/core/transport/keeper"
+	"comfreyroute/entry/internal/logger"
 )
 
 // A key begins with its time in milliseconds; its first 8 digits name a bucket of 65.5 s. The sweep reads bucket by bucket,
@@ -82,7 +83,7 @@
 			return false
 		}
 		if w := b.Keeper.Delete(ctx, claimer.Prefix+c.Key, c.Revision); w.Status != keeper.OK && w.Status != keeper.Conflict {
-			b.Log.Warn("booker: a claim was not deleted", zap.Stringer("status", w.Status), zap.Error(w.Err))
+			b.Log.Warn("booker: a claim was not deleted", zap.Stringer("status", w.Status), logger.Cause(w.Err))
 			b.Sweep.Pacer.Failed(time.Now())
 			return false
 		}
--- a/entry/internal/runner/log.go
+++ b/entry/internal/logger/logger.go
@@ -1,4 +1,8 @@
-package runner
+// Package logger makes the logger of the daemon.
+//
+// Messages begin with the name of their component and are short; what varies is in fields, so that the sampling treats
+// equal messages as one.
+package logger
 
 import (
 	"time"
@@ -16,7 +20,8 @@
 	logEvery    = 1000
 )
 
-func newLog(s *settler.Settings) (*zap.Logger, error) {
+// New returns the logger of a VM. Its settings are checked.
+func New(s *settler.Settings) (*zap.Logger, error) {
 	c := zap.NewProductionConfig()
 	c.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	c.DisableStacktrace = true
@@ -33,3 +38,12 @@
 	}
 	return l.With(zap.String("vm", s.VM.ID)), nil
 }
+
+// Cause returns the field of an error. It leaves out the stack that zap would add for an eris error, because under faults
+// the stacks are most of a log.
+func Cause(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- a/entry/internal/registrar/list.go
+++ b/entry/internal/registrar/list.go
@@ -6,13 +6,12 @@
 	"slices"
 	"time"
 
-	"go.uber.org/zap"
-
 	"comfreyroute/core/coordination/pacer"
 	"comfreyroute/core/coordination/router"
 	"comfreyroute/core/coordination/tracker"
 	"comfreyroute/core/protocol/encoder"
 	"comfreyroute/core/transport/keeper"
+	"comfreyroute/entry/internal/logger"
 )
 
 // Times between two reads of the VM list. Watchers read it often, because it shows upstreams that are leaving; the other
@@ -51,7 +50,7 @@
 func (r *Registrar) takeList(sent time.Time, l keeper.VMs) {
 	r.listing = false
 	if l.Status != keeper.OK {
-		r.Log.Warn("registrar: the platform gives no VM list", zap.Error(l.Err))
+		r.Log.Warn("registrar: the platform gives no VM list", logger.Cause(l.Err))
 		return
 	}
 	var vms []tracker.ListedVM
--- a/entry/internal/registrar/news.go
+++ b/entry/internal/registrar/news.go
@@ -14,6 +14,7 @@
 	maxSuspicions = 16
 	maxDrains     = 16
 	drainLife     = 30 * time.Second
+	maxAhead      = time.Hour // a time further ahead in a message is a fault of the sender
 )
 
 // news holds what is told to peers besides the membership and the table.
@@ -66,7 +67,9 @@
 // heardEvents converts the news of a peer to events of the router.
 func heardEvents(now time.Time, n *exchanger.News) []router.Event {
 	var events []router.Event
-	in := func(ms int64) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	in := func(ms int64) time.Time {
+		return now.Add(time.Duration(min(max(ms, 0), maxAhead.Milliseconds())) * time.Millisecond)
+	}
 	for _, s := range n.GetSuspicions()[:min(len(n.GetSuspicions()), maxSuspicions)] {
 		events = append(events, router.SuspicionHeard{
 			Signature: s.GetSignature(), Service: s.GetService(), Confirmed: s.GetConfirmed(), Crashes: int(s.GetCrashes()),
--- a/entry/internal/runner/admin.go
+++ b/entry/internal/runner/admin.go
@@ -6,14 +6,13 @@
 	"net/http"
 	"time"
 
-	"go.uber.org/zap"
-
 	"comfreyroute/core/coordination/router"
 	"comfreyroute/core/protocol/exchanger"
 	"comfreyroute/core/state/reporter"
 	"comfreyroute/core/state/tabler"
 	"comfreyroute/core/transport/connector"
 	"comfreyroute/core/transport/messenger"
+	"comfreyroute/entry/internal/logger"
 	"comfreyroute/entry/internal/looper"
 	"comfreyroute/entry/internal/measurer"
 )
@@ -92,7 +91,7 @@
 	ok, err := d.loop.WriteTrace(w)
 	switch {
 	case err != nil:
-		d.log.Warn("entry: the trace was not written", zap.Error(err))
+		d.log.Warn("entry: the trace was not written", logger.Cause(err))
 	case !ok:
 		http.Error(w, "no trace is recorded, or the routing loop is busy", http.StatusServiceUnavailable)
 	}
--- a/entry/internal/runner/daemon.go
+++ b/entry/internal/runner/daemon.go
@@ -25,6 +25,7 @@
 	"comfreyroute/core/transport/keeper"
 	"comfreyroute/core/transport/messenger"
 	"comfreyroute/entry/internal/booker"
+	"comfreyroute/entry/internal/logger"
 	"comfreyroute/entry/internal/looper"
 	"comfreyroute/entry/internal/measurer"
 	"comfreyroute/entry/internal/receiver"
@@ -77,7 +78,7 @@
 	d.registrar.Prepare()
 	d.booker.Prepare()
 	m, err := messenger.Listen(s.VM.PeerAddress, func(err error) {
-		d.log.Debug("messenger: a peer connection failed", zap.Error(err))
+		d.log.Debug("messenger: a peer connection failed", logger.Cause(err))
 	})
 	if err != nil {
 		return err
--- a/entry/internal/runner/listen.go
+++ b/entry/internal/runner/listen.go
@@ -9,12 +9,14 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"comfreyroute/entry/internal/logger"
 	"comfreyroute/entry/internal/receiver"
 )
 
 // Bounds of the HTTP listener.
 const (
 	headerTimeout = 5 * time.Second
+	readTimeout   = 10 * time.Second // of a whole request; its body has at most 4 MiB
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 16 << 10
 	closeTimeout  = 2 * time.Second // for the parts to end after the last request
@@ -37,10 +39,10 @@
 		return eris.Wrapf(err, "listen for callers on %s", address)
 	}
 	d.callers = listener.Addr().(*net.TCPAddr).AddrPort()
-	d.server = http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	d.server = http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 	go func() {
 		if err := d.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			d.log.Error("entry: the HTTP listener failed", zap.Error(err))
+			d.log.Error("entry: the HTTP listener failed", logger.Cause(err))
 		}
 	}()
 	d.log.Info("entry: started", zap.String("callers", address), zap.Uint64("incarnation", d.incarnation))
--- a/entry/internal/runner/shutdown.go
+++ b/entry/internal/runner/shutdown.go
@@ -13,13 +13,14 @@
 	"comfreyroute/core/coordination/drainer"
 	"comfreyroute/core/coordination/tracker"
 	"comfreyroute/core/state/settler"
+	"comfreyroute/entry/internal/logger"
 )
 
 const countInterval = 20 * time.Millisecond
 
 // run runs a daemon until signals end it.
 func run(s *settler.Settings) error {
-	log, err := newLog(s)
+	log, err := logger.New(s)
 	if err != nil {
 		return eris.Wrap(err, "make logger")
 	}
--- a/entry/internal/updater/updater.go
+++ b/entry/internal/updater/updater.go
@@ -17,6 +17,7 @@
 	"comfreyroute/core/protocol/exchanger"
 	"comfreyroute/core/state/tabler"
 	"comfreyroute/core/transport/keeper"
+	"comfreyroute/entry/internal/logger"
 )
 
 const eventCapacity = 256
@@ -146,7 +147,7 @@
 		u.Push(a.To, a.Revisions)
 	case adopter.Refuse:
 		u.Log.Error("updater: a table value is not valid and is not adopted",
-			zap.String("service", a.Service), zap.Uint64("revision", a.Revision), zap.Error(a.Err))
+			zap.String("service", a.Service), zap.Uint64("revision", a.Revision), logger.Cause(a.Err))
 	}
 }
 
@@ -185,7 +186,7 @@
 
 func (u *Updater) failed(call string, err error) {
 	if u.context.Err() == nil {
-		u.Log.Warn("updater: the platform does not answer", zap.String("call", call), zap.Error(err))
+		u.Log.Warn("updater: the platform does not answer", zap.String("call", call), logger.Cause(err))
 	}
 }
 
