--- a/entry/internal/booker/platform.go
+++ b/entry/internal/booker/platform.go
@@ -9,6 +9,7 @@
 	"comfreyroute/core/coordination/claimer"
 	"comfreyroute/core/transport/keeper"
 	"comfreyroute/entry/internal/logger"
+	"comfreyroute/entry/internal/measurer"
 )
 
 // paced runs a platform call when the budget allows it. Without budget, refused is posted.
@@ -24,6 +25,7 @@
 	ev := claimer.ClaimWritten{Key: a.Key, Nonce: a.Nonce, Result: claimer.WriteUnavailable}
 	b.paced(now, ev, func(ctx context.Context) claimer.Event {
 		sent := time.Now()
+		measurer.Platform("write", 1)
 		w := b.Keeper.Put(ctx, claimer.Prefix+a.Key, a.Value, a.Expect, 0)
 		ev.Result, ev.Revision = b.result(sent, w.Status, w.Err), w.Revision
 		if w.Current != nil {
@@ -37,6 +39,7 @@
 	ev := claimer.OutcomeWritten{Key: a.Key, Nonce: a.Nonce, Result: claimer.WriteUnavailable}
 	b.paced(now, ev, func(ctx context.Context) claimer.Event {
 		sent := time.Now()
+		measurer.Platform("write", 1)
 		w := b.Keeper.Put(ctx, claimer.Prefix+a.Key, a.Value, a.Expect, 0)
 		ev.Result, ev.Revision = b.result(sent, w.Status, w.Err), w.Revision
 		return ev
@@ -47,6 +50,7 @@
 	ev := claimer.ClaimRead{Key: a.Key, Nonce: a.Nonce}
 	b.paced(now, ev, func(ctx context.Context) claimer.Event {
 		sent := time.Now()
+		measurer.Platform("read", 1)
 		r := b.Keeper.Get(ctx, claimer.Prefix+a.Key)
 		ev.Available = b.result(sent, r.Status, r.Err) == claimer.WriteDone
 		ev.Found, ev.Revision, ev.Value = r.Item.Revision > 0, r.Item.Revision, r.Item.Value
--- a/entry/internal/booker/sweep.go
+++ b/entry/internal/booker/sweep.go
@@ -12,6 +12,7 @@
 	"comfreyroute/core/coordination/pacer"
 	"comfreyroute/core/transport/keeper"
 	"comfreyroute/entry/internal/logger"
+	"comfreyroute/entry/internal/measurer"
 )
 
 // A key begins with its time in milliseconds; its first 8 digits name a bucket of 65.5 s. The sweep reads bucket by bucket,
@@ -59,6 +60,7 @@
 	}
 	for s.next <= last && s.Pacer.Take(time.Now()) {
 		l := b.Keeper.Range(ctx, fmt.Sprintf("%s%08x", claimer.Prefix, s.next), sweepPage)
+		measurer.Platform("read", len(l.Items)/sweepPage+1)
 		if l.Status != keeper.OK {
 			s.Pacer.Failed(time.Now())
 			return
@@ -82,6 +84,7 @@
 		if !b.Sweep.Pacer.Take(time.Now()) {
 			return false
 		}
+		measurer.Platform("write", 1)
 		if w := b.Keeper.Delete(ctx, claimer.Prefix+c.Key, c.Revision); w.Status != keeper.OK && w.Status != keeper.Conflict {
 			b.Log.Warn("booker: a claim was not deleted", zap.Stringer("status", w.Status), logger.Cause(w.Err))
 			b.Sweep.Pacer.Failed(time.Now())
--- a/entry/internal/logger/logger.go
+++ b/entry/internal/logger/logger.go
@@ -47,3 +47,6 @@
 	}
 	return zap.String("error", err.Error())
 }
+
+// Request returns the field of a request id.
+func Request(id string) zap.Field { return zap.String("request", id) }
--- a/entry/internal/measurer/measurer.go
+++ b/entry/internal/measurer/measurer.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"comfreyroute/core/coordination/router"
+	"comfreyroute/core/state/tabler"
 	"comfreyroute/entry/internal/looper"
 )
 
@@ -59,3 +60,25 @@
 
 // Gauge registers a value that is read when the metrics are.
 func Gauge(name string, f func() float64) { metrics.GetOrCreateGauge(name, f) }
+
+// Platform counts calls of the platform. Kind is read, write, watch or list, as the platform counts them.
+func Platform(kind string, calls int) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`comfrey_platform_calls_total{kind=%q}`, kind)).Add(calls)
+}
+
+// Adopted shows the revisions in effect.
+func Adopted(t *tabler.Snapshot) {
+	for _, v := range t.Values {
+		metrics.GetOrCreateGauge(fmt.Sprintf(`comfrey_table_revision{service=%q}`, v.Service.Service), nil).Set(float64(v.Revision))
+	}
+}
+
+// Refused counts a request that reached neither the router nor the claims.
+func Refused(kind, reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`comfrey_refusals_total{kind=%q,reason=%q}`, kind, reason)).Inc()
+}
+
+// Rejected counts a request that is not valid, by its HTTP status.
+func Rejected(status int) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`comfrey_rejects_total{status="%d"}`, status)).Inc()
+}
--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"strconv"
@@ -15,12 +14,14 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/kataras/iris/v12"
+	"go.uber.org/zap"
 
 	"comfreyroute/core/coordination/claimer"
 	"comfreyroute/core/coordination/router"
 	"comfreyroute/core/protocol/encoder"
 	"comfreyroute/core/state/tabler"
 	"comfreyroute/entry/internal/booker"
+	"comfreyroute/entry/internal/logger"
 	"comfreyroute/entry/internal/looper"
 )
 
@@ -56,6 +57,7 @@
 	BodyBytes int64
 	IDPrefix  string // of request ids
 	Requests  int    // limit of requests in flight
+	Log       *zap.Logger
 	Admin     map[string]http.HandlerFunc
 	Measure   func(row *tabler.ServiceRow, kind string, took time.Duration, a looper.Answer)
 
@@ -221,12 +223,24 @@
 func (r *Receiver) finish(c iris.Context, v *tabler.Value, kind encoder.SubKind, began time.Time, a looper.Answer) {
 	r.Measure(&v.Service, string(kind), time.Since(began), a)
 	if a.Search != nil {
+		if a.Search.Outcome != encoder.OutcomeDone {
+			r.note(a.Search.RequestID, v, a.Search.Outcome, a.Search.Reason)
+		}
 		write(c, status(a.Search.Outcome), a.Search.RetryAfterMS, a.Search)
 		return
 	}
+	if a.Point.Outcome != encoder.OutcomeDone {
+		r.note(a.Point.RequestID, v, a.Point.Outcome, a.Point.Reason)
+	}
 	write(c, status(a.Point.Outcome), a.Point.RetryAfterMS, a.Point)
 }
 
+// note logs an answer that is not done.
+func (r *Receiver) note(id string, v *tabler.Value, o encoder.Outcome, reason string) {
+	r.Log.Info("receiver: a request is not done", logger.Request(id), zap.String("service", v.Service.Service),
+		zap.String("outcome", string(o)), zap.String("reason", reason))
+}
+
 // wait returns the answer of a request, or false when the caller is gone.
 func (r *Receiver) wait(c iris.Context, ev router.RequestArrived, limit time.Duration) (looper.Answer, bool) {
 	id, answers, ok := r.Loop.Submit(ev)
@@ -247,102 +261,3 @@
 		return unknown(ev.Kind), true
 	}
 }
-
-// named sets the request id on a copy, because the decision trace keeps the answer of the machine.
-func named(a looper.Answer, id string) looper.Answer {
-	if a.Search != nil {
-		search := *a.Search
-		search.RequestID = id
-		return looper.Answer{Search: &search}
-	}
-	point := *a.Point
-	point.RequestID = id
-	return looper.Answer{Point: &point}
-}
-
-func refusal(kind encoder.SubKind, reason string, retry time.Duration) looper.Answer {
-	if kind == encoder.SubSearch {
-		return looper.Answer{Search: &encoder.SearchAnswer{
-			Outcome: encoder.OutcomeNotRun, Reason: reason, RetryAfterMS: retry.Milliseconds(),
-			Covered: []int{}, Missing: []encoder.MissingShard{}, Results: []encoder.ShardResult{},
-		}}
-	}
-	return looper.Answer{Point: &encoder.CallAnswer{
-		Outcome: encoder.OutcomeNotRun, Reason: reason, RetryAfterMS: retry.Milliseconds(),
-	}}
-}
-
-// unknown answers a request that the loop did not answer in time: parts of it may have run.
-func unknown(kind encoder.SubKind) looper.Answer {
-	a := refusal(kind, "late", 0)
-	if a.Search != nil {
-		a.Search.Outcome = encoder.OutcomeUnknown
-	} else {
-		a.Point.Outcome = encoder.OutcomeUnknown
-	}
-	return a
-}
-
-// refuse answers a request that this VM does not take. An earlier attempt under the key or ticket of a call may have run
-// elsewhere, so the outcome of a call is unknown.
-func (r *Receiver) refuse(c iris.Context, sub encoder.SubKind, reason string) {
-	if r.refusing.Load() {
-		reason = reasonLeaving
-	}
-	a := refusal(sub, reason, retryHint)
-	if a.Search != nil {
-		write(c, http.StatusServiceUnavailable, a.Search.RetryAfterMS, a.Search)
-		return
-	}
-	if sub == encoder.SubCall {
-		a.Point.Outcome = encoder.OutcomeUnknown
-	}
-	write(c, http.StatusServiceUnavailable, a.Point.RetryAfterMS, a.Point)
-}
-
-// status returns the HTTP status of an outcome.
-func status(o encoder.Outcome) int {
-	switch o {
-	case encoder.OutcomeNotRun:
-		return http.StatusServiceUnavailable
-	case encoder.OutcomeUnknown:
-		return http.StatusGatewayTimeout
-	default:
-		return http.StatusOK
-	}
-}
-
-func write(c iris.Context, status int, retryMS int64, v any) {
-	data, err := json.Marshal(v)
-	if err != nil {
-		fail(c, http.StatusInternalServerError, "the answer cannot be encoded")
-		return
-	}
-	if retryMS > 0 {
-		c.Header("Retry-After", strconv.FormatInt((retryMS+999)/1000, 10))
-	}
-	c.ContentType(contentJSON)
-	c.StatusCode(status)
-	_, _ = c.Write(data)
-}
-
-// fail answers a request that is not valid.
-func fail(c iris.Context, status int, message string) {
-	write(c, status, 0, struct {
-		Outcome encoder.Outcome `json:"outcome"`
-		Reason  string          `json:"reason"`
-	}{encoder.OutcomeNotRun, message})
-}
-
-// validCaller accepts what can be repeated in a header.
-func validCaller(name string) bool {
-	if len(name) > maxNameBytes {
-		return false
-	}
-	for i := range len(name) {
-		if name[i] < ' ' || name[i] > '~' {
-			return false
-		}
-	}
-	return true
-}
--- a/entry/internal/receiver/receiver_test.go
+++ b/entry/internal/receiver/receiver_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
 
 	"comfreyroute/core/coordination/claimer"
 	"comfreyroute/core/coordination/router"
@@ -63,7 +64,7 @@
 	if r.Accepts == nil {
 		r.Accepts = yes
 	}
-	r.BodyBytes, r.Requests = 200, 10
+	r.BodyBytes, r.Requests, r.Log = 200, 10, zap.NewNop()
 	r.Measure = func(*tabler.ServiceRow, string, time.Duration, looper.Answer) {}
 	h, err := r.Handler()
 	if err != nil {
--- a/entry/internal/registrar/list.go
+++ b/entry/internal/registrar/list.go
@@ -12,6 +12,7 @@
 	"comfreyroute/core/protocol/encoder"
 	"comfreyroute/core/transport/keeper"
 	"comfreyroute/entry/internal/logger"
+	"comfreyroute/entry/internal/measurer"
 )
 
 // Times between two reads of the VM list. Watchers read it often, because it shows upstreams that are leaving; the other
@@ -39,6 +40,7 @@
 	r.workers.Go(func() {
 		ctx, cancel := context.WithTimeout(r.context, listInterval)
 		defer cancel()
+		measurer.Platform("list", 1)
 		l := r.Keeper.List(ctx)
 		select {
 		case r.commands <- func() { r.takeList(now, l) }:
--- a/entry/internal/runner/daemon.go
+++ b/entry/internal/runner/daemon.go
@@ -194,6 +194,7 @@
 	if old := d.table.Swap(t); old == nil {
 		d.log.Info("entry: the first table is in effect", zap.Int("services", len(t.Values)))
 	}
+	measurer.Adopted(t)
 	d.registrar.Post(tracker.TableAdopted{FleetMax: t.FleetMax()})
 	d.serve()
 }
--- a/entry/internal/runner/listen.go
+++ b/entry/internal/runner/listen.go
@@ -27,7 +27,7 @@
 	d.receiver = receiver.Receiver{
 		Loop: &d.loop, Calls: &d.booker, Table: d.table.Load, Ready: d.ready, Accepts: d.accepts,
 		BodyBytes: int64(d.settings.Limits.BodyBytes), IDPrefix: d.idPrefix(), Requests: d.settings.Limits.Requests,
-		Admin: d.admin(), Measure: d.reporting.Record,
+		Admin: d.admin(), Measure: d.reporting.Record, Log: d.log,
 	}
 	h, err := d.receiver.Handler()
 	if err != nil {
--- a/entry/internal/updater/updater.go
+++ b/entry/internal/updater/updater.go
@@ -18,6 +18,7 @@
 	"comfreyroute/core/state/tabler"
 	"comfreyroute/core/transport/keeper"
 	"comfreyroute/entry/internal/logger"
+	"comfreyroute/entry/internal/measurer"
 )
 
 const eventCapacity = 256
@@ -165,6 +166,7 @@
 func (u *Updater) read(ctx context.Context, a adopter.ReadTable) adopter.Event {
 	sent := time.Now()
 	r := u.Keeper.Range(ctx, tabler.KeyPrefix, 0)
+	measurer.Platform("read", len(r.Items)/keeper.DefaultPage+1)
 	if r.Status != keeper.OK {
 		u.failed("read", r.Err)
 		return adopter.PlatformFailed(a)
@@ -175,6 +177,7 @@
 
 func (u *Updater) watch(ctx context.Context, a adopter.Watch) adopter.Event {
 	sent := time.Now()
+	measurer.Platform("watch", 1)
 	r := u.Keeper.Watch(ctx, tabler.KeyPrefix, a.After, a.Wait)
 	if r.Status != keeper.OK {
 		u.failed("watch", r.Err)
