Add bench replay

A fault that was seen once has to stay a test: bench replay feeds a recorded decision trace into the router, requires every action to be the recorded one, checks that each answer reports each shard once, and compares the outcomes of all requests with a file of stated outcomes.

--- a/bench/main.go
+++ b/bench/main.go
@@ -16,6 +16,7 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&loadCommand{}, "")
 	subcommands.Register(&experimentCommand{}, "")
+	subcommands.Register(&replayCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	status := subcommands.Execute(ctx)
--- /dev/null
+++ b/bench/replay.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
+
+	"comfreyroute/bench/internal/replayer"
+	"comfreyroute/core/state/settler"
+)
+
+// replayCommand is bench replay.
+type replayCommand struct {
+	settings    string
+	incarnation uint64
+	outcomes    string
+	write       string
+}
+
+func (*replayCommand) Name() string { return "replay" }
+func (*replayCommand) Synopsis() string {
+	return "replay a decision trace through the router and check its outcomes"
+}
+func (*replayCommand) Usage() string {
+	return `replay -settings FILE -incarnation N [-outcomes FILE] [-write FILE] TRACE
+Replays a trace (GET /admin/trace of an entry VM) from its first step. Every action has to be the recorded one, every answer
+has to report each shard once, and every request needs its stated outcome. The incarnation is in GET /admin/status.
+Exit code 1 tells that something differs.
+`
+}
+
+func (c *replayCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "settings file of the entry VM")
+	f.Uint64Var(&c.incarnation, "incarnation", 0, "incarnation of the entry VM, which seeds its generator")
+	f.StringVar(&c.outcomes, "outcomes", "", "file of stated outcomes, one JSON line for each request; not checked without it")
+	f.StringVar(&c.write, "write", "", "write the outcomes of the replay to this file")
+}
+
+func (c *replayCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	faults, err := c.run(f.Arg(0))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		return subcommands.ExitFailure
+	}
+	for _, x := range faults {
+		fmt.Fprintln(os.Stderr, x)
+	}
+	if len(faults) > 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *replayCommand) run(path string) ([]string, error) {
+	s, err := settler.Load(c.settings)
+	if err != nil {
+		return nil, err
+	}
+	m, err := replayer.Machine(s, c.incarnation)
+	if err != nil {
+		return nil, err
+	}
+	trace, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read trace")
+	}
+	r, err := replayer.Replay(m, trace)
+	if err != nil {
+		return nil, eris.Wrapf(err, "trace %s", path)
+	}
+	fmt.Printf("%d steps and %d requests replayed\n", r.Steps, len(r.Outcomes))
+	if c.write != "" {
+		var out bytes.Buffer
+		if err := replayer.WriteOutcomes(&out, r.Outcomes); err != nil {
+			return nil, err
+		}
+		if err := os.WriteFile(c.write, out.Bytes(), fileMode); err != nil {
+			return nil, eris.Wrap(err, "write outcomes")
+		}
+	}
+	if c.outcomes == "" {
+		return r.Faults, nil
+	}
+	data, err := os.ReadFile(c.outcomes)
+	if err != nil {
+		return nil, eris.Wrap(err, "read outcomes")
+	}
+	want, err := replayer.ReadOutcomes(bytes.NewReader(data))
+	if err != nil {
+		return nil, eris.Wrapf(err, "outcomes %s", c.outcomes)
+	}
+	return append(r.Faults, replayer.Compare(want, r.Outcomes)...), nil
+}
