--- a/core/coordination/router/dispatch.go
+++ b/core/coordination/router/dispatch.go
@@ -186,7 +186,7 @@
 	}
 	b.possiblyRun = b.possiblyRun || f.possiblyRun
 	b.reason, b.retryAfter = f.reason, f.retryAfter
-	if f.unsent && !f.busy {
+	if f.unsent && !f.possiblyRun && !f.busy {
 		for k, i := range b.tried[:b.attempts] {
 			if i == a.upstream {
 				b.refused |= 1 << k
--- a/core/coordination/router/tracer/replay.go
+++ b/core/coordination/router/tracer/replay.go
@@ -10,60 +10,50 @@
 	"github.com/rotisserie/eris"
 )
 
-// Replay feeds the events of a trace into a new machine with the trace's configuration and seed, and compares the actions of
-// each step with the recorded ones. It returns the number of steps that were equal, and an error that shows the first
-// difference or the first line that cannot be replayed.
-func Replay(in io.Reader) (int, error) {
-	var p replay
-	err := recorder.Read(in, p.record)
-	if err == nil && p.machine == nil {
-		err = eris.New("the trace is empty")
-	}
-	return p.steps, err
-}
-
-type replay struct {
-	machine *router.Machine
-	steps   int
-}
-
-func (p *replay) record(want recorder.Record) error {
-	if p.machine == nil {
-		return p.start(want)
-	}
-	if want.Number != uint64(p.steps)+1 {
-		return eris.Errorf("step %d follows step %d; a replay needs every step", want.Number, p.steps)
-	}
-	s, err := Decode(want)
-	if err != nil {
-		return err
-	}
-	s.Actions = p.machine.Step(s.Time, s.Event)
-	got, err := Encode(s)
-	if err != nil {
-		return err
-	}
-	if err := compare(want, got); err != nil {
-		return err
-	}
-	p.steps++
-	return nil
+// Write writes the steps that a ring kept, oldest first.
+func Write(out io.Writer, ring *recorder.Ring[Step]) error {
+	return ring.Each(func(number uint64, s Step) error {
+		s.Number = number
+		r, err := Encode(s)
+		if err != nil {
+			return err
+		}
+		line, err := recorder.Encode(r)
+		if err != nil {
+			return err
+		}
+		if _, err := out.Write(line); err != nil {
+			return eris.Wrap(err, "write trace")
+		}
+		return nil
+	})
 }
 
-func (p *replay) start(r recorder.Record) error {
-	if r.Kind != headerKind {
-		return eris.Errorf("the first record is %q, it must be %q", r.Kind, headerKind)
-	}
-	if r.Number != 1 {
-		return eris.Errorf("the trace starts at step %d; a replay needs every step from the machine's first", r.Number)
-	}
-	h, err := decode[Header](r.Event)
-	if err != nil {
-		return eris.Wrap(err, "header")
-	}
-	p.machine = &router.Machine{}
-	p.machine.Configure(h.Config())
-	return nil
+// Replay feeds the events of a trace into a machine that has made no step, and compares the actions of each step with the
+// recorded ones. The machine must have the configuration and the random seed of the recorded one. It returns the number of
+// steps that were equal, and an error that shows the first difference or the first unreadable line.
+func Replay(m *router.Machine, in io.Reader) (int, error) {
+	steps := 0
+	err := recorder.Read(in, func(want recorder.Record) error {
+		if want.Number != uint64(steps)+1 {
+			return eris.Errorf("step %d follows step %d; a replay needs every step from the first", want.Number, steps)
+		}
+		s, err := Decode(want)
+		if err != nil {
+			return err
+		}
+		s.Actions = m.Step(s.Time, s.Event)
+		got, err := Encode(s)
+		if err != nil {
+			return err
+		}
+		if err := compare(want, got); err != nil {
+			return err
+		}
+		steps++
+		return nil
+	})
+	return steps, err
 }
 
 // compare returns an error that shows the first action that differs.
