Record and replay traces by one recorder whose header carries the configuration

Conclusion: one recorder (tracer.Recorder); bench replay needs only the trace. A sub-request that was lost on an unresponsive connection is replaced without a token and without marking its upstream as refused (TestLastReplica failed before).

--- a/bench/internal/replayer/replay.go
+++ b/bench/internal/replayer/replay.go
@@ -20,8 +20,8 @@
 
 // Replay replays a whole trace. It returns an error for a trace that cannot be read, that does not start at the first step,
 // or whose actions differ from those of the machine.
-func Replay(m *router.Machine, trace []byte) (*Result, error) {
-	steps, err := tracer.Replay(m, bytes.NewReader(trace))
+func Replay(trace []byte) (*Result, error) {
+	steps, err := tracer.Replay(bytes.NewReader(trace))
 	if err != nil {
 		return nil, err
 	}
@@ -29,6 +29,9 @@
 	places := make(map[router.RequestID]int)
 	// The replayed actions are equal to the recorded ones, so that the recorded ones tell the answers.
 	err = recorder.Read(bytes.NewReader(trace), func(record recorder.Record) error {
+		if record.Kind == tracer.HeaderKind {
+			return nil
+		}
 		s, err := tracer.Decode(record)
 		if err != nil {
 			return err
--- a/bench/internal/replayer/replayer_test.go
+++ b/bench/internal/replayer/replayer_test.go
@@ -12,25 +12,11 @@
 
 	"comfreyroute/core/coordination/router"
 	"comfreyroute/core/coordination/router/tracer"
+	"comfreyroute/core/coordination/selector"
 	"comfreyroute/core/protocol/encoder"
-	"comfreyroute/core/state/recorder"
-	"comfreyroute/core/state/settler"
 	"comfreyroute/core/state/tabler"
 )
 
-const incarnation = 7
-
-func machine(t *testing.T, incarnation uint64) *router.Machine {
-	t.Helper()
-	s := settler.Defaults()
-	s.VM.ID, s.VM.FailureDomain, s.Policy.Selection = "vm1", "d0", "random"
-	m, err := Machine(&s, incarnation)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return m
-}
-
 // record runs two searches of two groups and returns the trace. The second group does not answer the second search.
 func record(t *testing.T) []byte {
 	t.Helper()
@@ -41,12 +27,13 @@
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 9000), FailureDomain: "d0",
 		})
 	}
-	m, now := machine(t, incarnation), time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	var ring recorder.Ring[tracer.Step]
+	rec := tracer.Recorder{Header: tracer.Header{Seed: [2]uint64{1, 7}, VM: "vm1", FailureDomain: "d0", Selection: selector.Random}}
+	m, now := &router.Machine{}, time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	m.Configure(rec.Header.Config())
 	step := func(ev router.Event) []router.Action {
 		now = now.Add(time.Millisecond)
 		out := m.Step(now, ev)
-		ring.Add(tracer.Step{Time: now, Event: ev, Actions: out})
+		rec.Record(now, ev, out)
 		return out
 	}
 	step(router.TableAdopted{Table: (&tabler.Snapshot{}).With(v)})
@@ -73,7 +60,7 @@
 	now = now.Add(time.Second)
 	step(router.TimerFired{})
 	var out bytes.Buffer
-	if err := tracer.Write(&out, &ring); err != nil {
+	if err := rec.Write(&out); err != nil {
 		t.Fatal(err)
 	}
 	return out.Bytes()
@@ -82,7 +69,7 @@
 // TestReplay guards against a replay that does not see an answer, and against outcomes that change in their file.
 func TestReplay(t *testing.T) {
 	trace := record(t)
-	r, err := Replay(machine(t, incarnation), trace)
+	r, err := Replay(trace)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -105,10 +92,10 @@
 	if diff := cmp.Diff(want, read); diff != "" || err != nil {
 		t.Errorf("file: error %v (-want +got):\n%s", err, diff)
 	}
-	if _, err := Replay(machine(t, incarnation), bytes.ReplaceAll(trace, []byte(`"partial"`), []byte(`"done"`))); err == nil {
+	if _, err := Replay(bytes.ReplaceAll(trace, []byte(`"partial"`), []byte(`"done"`))); err == nil {
 		t.Error("a trace with another action was accepted")
 	}
-	if _, err := Replay(machine(t, incarnation), trace[bytes.IndexByte(trace, '\n')+1:]); err == nil {
+	if _, err := Replay(trace[bytes.IndexByte(trace, '\n')+1:]); err == nil {
 		t.Error("a trace without its first step was accepted")
 	}
 }
--- a/bench/replay.go
+++ b/bench/replay.go
@@ -11,15 +11,12 @@
 	"github.com/rotisserie/eris"
 
 	"comfreyroute/bench/internal/replayer"
-	"comfreyroute/core/state/settler"
 )
 
 // replayCommand is bench replay.
 type replayCommand struct {
-	settings    string
-	incarnation uint64
-	outcomes    string
-	write       string
+	outcomes string
+	write    string
 }
 
 func (*replayCommand) Name() string { return "replay" }
@@ -27,16 +24,14 @@
 	return "replay a decision trace through the router and check its outcomes"
 }
 func (*replayCommand) Usage() string {
-	return `replay -settings FILE -incarnation N [-outcomes FILE] [-write FILE] TRACE
+	return `replay [-outcomes FILE] [-write FILE] TRACE
 Replays a trace (GET /admin/trace of an entry VM) from its first step. Every action has to be the recorded one, every answer
-has to report each shard once, and every request needs its stated outcome. The incarnation is in GET /admin/status.
+has to report each shard once, and every request needs its stated outcome.
 Exit code 1 tells that something differs.
 `
 }
 
 func (c *replayCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.settings, "settings", "", "settings file of the entry VM")
-	f.Uint64Var(&c.incarnation, "incarnation", 0, "incarnation of the entry VM, which seeds its generator")
 	f.StringVar(&c.outcomes, "outcomes", "", "file of stated outcomes, one JSON line for each request; not checked without it")
 	f.StringVar(&c.write, "write", "", "write the outcomes of the replay to this file")
 }
@@ -61,19 +56,11 @@
 }
 
 func (c *replayCommand) run(path string) ([]string, error) {
-	s, err := settler.Load(c.settings)
-	if err != nil {
-		return nil, err
-	}
-	m, err := replayer.Machine(s, c.incarnation)
-	if err != nil {
-		return nil, err
-	}
 	trace, err := os.ReadFile(path)
 	if err != nil {
 		return nil, eris.Wrap(err, "read trace")
 	}
-	r, err := replayer.Replay(m, trace)
+	r, err := replayer.Replay(trace)
 	if err != nil {
 		return nil, eris.Wrapf(err, "trace %s", path)
 	}
--- a/core/coordination/router/attempt.go
+++ b/core/coordination/router/attempt.go
@@ -6,7 +6,6 @@
 
 	"comfreyroute/core/coordination/quarantiner"
 	"comfreyroute/core/coordination/selector"
-	"comfreyroute/core/protocol/encoder"
 )
 
 const (
@@ -48,12 +47,6 @@
 	return i
 }
 
-// undelivered tells whether a failed attempt cost its upstream no work: no byte was written, or the request was lost on an
-// unresponsive connection. Such an attempt is replaced without a token. A call that was written may still be on its way.
-func (a *attempt) undelivered(e AttemptFailed) bool {
-	return !e.Written || e.Failure == FailureUnresponsive && a.request.kind != encoder.SubCall
-}
-
 // attempts is the table of attempts in flight. A place is found by the low bits of the id, without a map.
 type attempts struct {
 	places   []attempt
--- a/core/coordination/router/dispatch.go
+++ b/core/coordination/router/dispatch.go
@@ -14,6 +14,7 @@
 	possiblyRun bool // the upstream may have run it
 	unsent      bool // no byte was written
 	busy        bool // the transport had no free connection
+	lost        bool // the request was lost on an unresponsive connection
 	retryAfter  int64
 }
 
@@ -140,8 +141,8 @@
 	}
 }
 
-// retry sends another attempt of a sub-request that has none in flight. An attempt of which no byte was written is replaced
-// without a token. It returns false when the sub-request has failed.
+// retry sends another attempt of a sub-request that has none in flight. An attempt that cost its upstream no work is replaced
+// without a token: no byte of it was written, or it was lost on an unresponsive connection. It returns false when the sub-request has failed.
 func (m *Machine) retry(now time.Time, r *request, g int, free bool) bool {
 	b := &r.subs[g]
 	if b.attempts >= maxAttempts || m.attempts.full() {
@@ -215,7 +216,7 @@
 	if f.reason == reasonReset && f.possiblyRun && m.hold(now, r, a.sub) {
 		return
 	}
-	if m.retry(now, r, a.sub, f.unsent) || f.busy && m.pause(now, r, a.sub) {
+	if m.retry(now, r, a.sub, f.unsent || f.lost) || f.busy && m.pause(now, r, a.sub) {
 		return
 	}
 	if f.reason == reasonVersionNotHeld && b.reason != reasonBudget && m.restart(now, r) {
--- a/core/coordination/router/machine.go
+++ b/core/coordination/router/machine.go
@@ -207,7 +207,8 @@
 	}
 	if out.request != nil {
 		m.failed(now, &out, failure{
-			reason: reasonOf(e.Failure), possiblyRun: e.Written, unsent: out.undelivered(e), busy: e.Failure == FailureNoConnection && !e.Written,
+			reason: reasonOf(e.Failure), possiblyRun: e.Written, unsent: !e.Written, busy: e.Failure == FailureNoConnection && !e.Written,
+			lost: e.Failure == FailureUnresponsive && out.request.kind != encoder.SubCall,
 		})
 	}
 	m.drain(out.service, out.group)
--- a/core/coordination/router/tracer/recorder.go
+++ b/core/coordination/router/tracer/recorder.go
@@ -14,8 +14,8 @@
 	"github.com/rotisserie/eris"
 )
 
-// headerKind is the kind of a trace's first record, which holds the Header. Its number is that of the first step.
-const headerKind = "Header"
+// HeaderKind is the kind of a trace's first record, which holds the Header. Its number is that of the first step.
+const HeaderKind = "Header"
 
 // Header is what a replay needs to make the machine of a trace. Seed seeds the PCG generator of its random choices.
 type Header struct {
@@ -60,7 +60,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encode header")
 	}
-	header := recorder.Record{Number: 1, Kind: headerKind, Event: data}
+	header := recorder.Record{Number: 1, Kind: HeaderKind, Event: data}
 	if len(steps) > 0 {
 		header.Number, header.Time = steps[0].Number, steps[0].Time
 	}
--- a/core/coordination/router/tracer/replay.go
+++ b/core/coordination/router/tracer/replay.go
@@ -51,8 +51,8 @@
 }
 
 func (p *replay) start(r recorder.Record) error {
-	if r.Kind != headerKind {
-		return eris.Errorf("the first record is %q, it must be %q", r.Kind, headerKind)
+	if r.Kind != HeaderKind {
+		return eris.Errorf("the first record is %q, it must be %q", r.Kind, HeaderKind)
 	}
 	if r.Number != 1 {
 		return eris.Errorf("the trace starts at step %d; a replay needs every step from the machine's first", r.Number)
--- a/entry/internal/looper/loop.go
+++ b/entry/internal/looper/loop.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"comfreyroute/core/coordination/router"
+	"comfreyroute/core/coordination/router/tracer"
 	"comfreyroute/core/protocol/encoder"
 )
 
@@ -71,7 +72,7 @@
 	Machine   Machine
 	Transport Transport
 	Spreader  Spreader              // may be nil
-	Trace     *Trace                // may be nil
+	Trace     *tracer.Recorder      // may be nil
 	Observe   func(a router.Action) // sees each action; may be nil
 	Events    <-chan router.Event   // of the transport
 	arrivals  chan arrival
--- a/entry/internal/runner/admin.go
+++ b/entry/internal/runner/admin.go
@@ -88,12 +88,12 @@
 // trace writes the decision trace as JSON lines.
 func (d *daemon) trace(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/jsonl")
-	ok, err := d.loop.WriteTrace(w)
-	switch {
-	case err != nil:
+	if d.loop.Trace == nil {
+		http.Error(w, "no trace is recorded: setting trace of section limits is 0", http.StatusServiceUnavailable)
+		return
+	}
+	if err := d.loop.Trace.Write(w); err != nil {
 		d.log.Warn("entry: the trace was not written", logger.Cause(err))
-	case !ok:
-		http.Error(w, "no trace is recorded, or the routing loop is busy", http.StatusServiceUnavailable)
 	}
 }
 
--- a/entry/internal/runner/daemon.go
+++ b/entry/internal/runner/daemon.go
@@ -17,6 +17,7 @@
 	"comfreyroute/core/coordination/claimer"
 	"comfreyroute/core/coordination/pacer"
 	"comfreyroute/core/coordination/router"
+	"comfreyroute/core/coordination/router/tracer"
 	"comfreyroute/core/coordination/selector"
 	"comfreyroute/core/coordination/tracker"
 	"comfreyroute/core/state/settler"
@@ -101,21 +102,23 @@
 	d.connector = connector.New(connector.Options{
 		VM: s.VM.ID, Incarnation: d.incarnation, FailureDomain: s.VM.FailureDomain, Local: s.VM.ConnectAddress, Events: events,
 	})
-	d.machine.Configure(d.routerConfig())
+	h := d.traceHeader()
+	d.machine.Configure(h.Config())
 	d.loop = looper.Loop{
 		Machine: &d.machine, Transport: d.connector, Spreader: &d.registrar, Observe: d.counts.Count, Events: events,
-		Trace: looper.NewTrace(s.Limits.Trace),
+	}
+	if s.Limits.Trace > 0 {
+		d.loop.Trace = &tracer.Recorder{Header: h, Limit: s.Limits.Trace}
 	}
 	d.loop.Start()
 }
 
-// routerConfig returns the configuration of the machine. A replay of a trace needs the same one: its generator follows from
-// the setting of the seed and from the incarnation.
-func (d *daemon) routerConfig() router.Config {
+// traceHeader returns the configuration of the machine in the form that a replay of its trace needs.
+func (d *daemon) traceHeader() tracer.Header {
 	s := d.settings
-	return router.Config{
+	return tracer.Header{
 		FailureDomain: s.VM.FailureDomain, VM: s.VM.ID, Selection: policy(s.Policy.Selection),
-		HedgeOff: !s.Policy.Hedge, AdaptiveOff: !s.Policy.Adaptive, Random: d.random(1),
+		HedgeOff: !s.Policy.Hedge, AdaptiveOff: !s.Policy.Adaptive, Seed: [2]uint64{s.Policy.Seed + 1, d.incarnation},
 	}
 }
 
--- a/entry/internal/runner/runner_test.go
+++ b/entry/internal/runner/runner_test.go
@@ -12,7 +12,6 @@
 	"github.com/google/uuid"
 	"go.uber.org/goleak"
 
-	"comfreyroute/core/coordination/router"
 	"comfreyroute/core/coordination/router/tracer"
 	"comfreyroute/core/protocol/encoder"
 	"comfreyroute/core/state/settler"
@@ -153,9 +152,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = reply.Body.Close() }()
-	var m router.Machine
-	m.Configure(s.routerConfig())
-	steps, err := tracer.Replay(&m, reply.Body)
+	steps, err := tracer.Replay(reply.Body)
 	if err != nil || steps < 40 {
 		t.Errorf("%d steps replay, error %v; want an arrival and a reply of each of 20 searches", steps, err)
 	}
