Leave services that a new table does not change alone

A table change rebuilt the routing state of every service. Values are immutable, so a service whose value and fleet size are the same is skipped.

--- a/core/coordination/router/attempt.go
+++ b/core/coordination/router/attempt.go
@@ -61,6 +61,9 @@
 		k = t.free[n-1]
 		t.free = t.free[:n-1]
 	} else {
+		if k > slotMask {
+			panic("router: more attempts are in flight than ids allow")
+		}
 		t.places = append(t.places, attempt{})
 	}
 	t.sequence++
--- a/core/coordination/router/decision_test.go
+++ b/core/coordination/router/decision_test.go
@@ -346,6 +346,33 @@
 	}
 }
 
+// TestTableChange guards against pools that change with a table that changes nothing for them, and against pools of removed
+// upstreams that stay open.
+func TestTableChange(t *testing.T) {
+	w := newWorld(1)
+	old := w.checker.table
+	added := &tabler.Snapshot{Fleet: old.Fleet, Values: append(slices.Clone(old.Values), &tabler.Value{Service: tabler.ServiceRow{Service: "roster"}})}
+	cases := []struct {
+		name  string
+		table *tabler.Snapshot
+		pools int
+	}{
+		{"same table", old, 0}, {"another service", added, 0}, {"an upstream less", without(old, "u0-0"), 1}, {"back", old, 1},
+		{"another fleet size", &tabler.Snapshot{Fleet: tabler.Fleet{Max: 24}, Values: old.Values}, 12}, {"no service", &tabler.Snapshot{}, 12},
+	}
+	for _, c := range cases {
+		pools := 0
+		for _, a := range w.machine.Step(w.now, TableAdopted{c.table}) {
+			if _, ok := a.(Pool); ok {
+				pools++
+			}
+		}
+		if pools != c.pools {
+			t.Errorf("%s: %d pools change, want %d", c.name, pools, c.pools)
+		}
+	}
+}
+
 // TestRejections guards against requests that reach an upstream although they cannot be answered.
 func TestRejections(t *testing.T) {
 	cases := []struct {
--- a/core/coordination/router/service.go
+++ b/core/coordination/router/service.go
@@ -23,6 +23,8 @@
 type service struct {
 	name       string
 	row        *tabler.ServiceRow
+	value      *tabler.Value // in effect
+	fleetMax   int           // in effect
 	removed    bool
 	set        selector.Set
 	members    [][]int // indexes in set of the replicas of each group; one group for a point service
@@ -84,8 +86,10 @@
 			m.services = append(m.services, s)
 			m.byName[s.name] = s
 		}
-		s.removed = false
-		m.updateService(now, s, v)
+		if s.removed || s.value != v || s.fleetMax != t.FleetMax() {
+			s.removed = false
+			m.updateService(now, s, v)
+		}
 	}
 }
 
@@ -101,7 +105,7 @@
 	if row.Deadline <= 0 {
 		row.Deadline = tabler.DefaultDeadline
 	}
-	s.row = &row
+	s.row, s.value, s.fleetMax = &row, v, m.table.FleetMax()
 	old := make([]identity, s.set.Len())
 	for i := range old {
 		old[i] = identify(s.set.At(i))
