Count restarted sub-requests, test answered probes and first replies

Sub-requests that a restart sends again were in no counter, so the extra load that the counters show was too low during a change of the index version. Resent counts them.

--- a/core/coordination/router/config.go
+++ b/core/coordination/router/config.go
@@ -31,6 +31,7 @@
 	Retries         uint64 // second attempts that took a token
 	Reroutes        uint64 // second attempts of sub-requests of which no byte was written
 	Restarts        uint64 // searches that changed their index version
+	Resent          uint64 // sub-requests that restarts sent again; neither primaries nor retries
 	BudgetRefusals  uint64
 	LateReplies     uint64 // replies that nothing waited for
 	RejectedReplies uint64 // replies with another version, layout or shard set
--- a/core/coordination/router/decision_test.go
+++ b/core/coordination/router/decision_test.go
@@ -185,11 +185,12 @@
 		for id := range RequestID(5) {
 			w.search(t, id+1, "usual")
 		}
-		before := w.machine.Stats().Restarts
+		before := w.machine.Stats()
 		c.change(w)
 		a, _ := w.search(t, 100, "changed")
-		if a.Outcome != encoder.OutcomeDone || a.Snapshot != c.version || w.machine.Stats().Restarts-before != c.restarts {
-			t.Errorf("%s: outcome %s at version %d after %d restarts", c.name, a.Outcome, a.Snapshot, w.machine.Stats().Restarts-before)
+		if a.Outcome != encoder.OutcomeDone || a.Snapshot != c.version || w.machine.Stats().Restarts-before.Restarts != c.restarts ||
+			w.machine.Stats().Resent-before.Resent != c.restarts*testGroups {
+			t.Errorf("%s: outcome %s at version %d, %+v", c.name, a.Outcome, a.Snapshot, w.machine.Stats())
 		}
 	}
 }
@@ -373,6 +374,65 @@
 	}
 }
 
+// TestProbeAnswered guards against a suspect that fans out before its probe was answered, or not afterwards.
+func TestProbeAnswered(t *testing.T) {
+	w := newWorld(1)
+	w.search(t, 1, "usual")
+	e := RequestArrived{Request: 2, Service: "matching", Kind: encoder.SubSearch, Query: "suspect"}
+	w.step(SuspicionHeard{Signature: signature(&e), Service: "matching", Crashes: 1, Expires: w.now.Add(time.Hour), NextProbe: w.now})
+	before := len(w.sends)
+	w.step(e)
+	if n := len(w.sends) - before; n != 1 {
+		t.Errorf("%d sub-requests before the probe was answered, want 1", n)
+	}
+	w.run(w.now.Add(oneSearch))
+	if a := w.answers[2].(*encoder.SearchAnswer); a.Outcome != encoder.OutcomeDone || len(w.sends)-before != testGroups {
+		t.Errorf("%d sub-requests, answer %+v", len(w.sends)-before, a)
+	}
+	if w.search(t, 3, "suspect"); len(w.sends)-before != 2*testGroups {
+		t.Errorf("%d sub-requests after the suspicion was cleared", len(w.sends)-before)
+	}
+}
+
+// TestFirstReplies guards against the first replies of a machine that knows no snapshot being merged across layouts or
+// rejected for their order.
+func TestFirstReplies(t *testing.T) {
+	cases := []struct {
+		name    string
+		change  func(r *encoder.SubReply)
+		retries uint64
+	}{
+		{"another order", func(r *encoder.SubReply) {
+			slices.Reverse(r.Held[0].Shards)
+			slices.Reverse(r.Results)
+		}, 0},
+		{"another layout of the same version", func(r *encoder.SubReply) {
+			r.Layout, r.Held[0].Layout = "c", "c"
+			retag(r)
+		}, 1},
+		{"a shard outside the layout", func(r *encoder.SubReply) { r.Results[0].Shard = 99 }, 1},
+		{"a shard twice", func(r *encoder.SubReply) { r.Results[0] = r.Results[1] }, 1},
+	}
+	for _, c := range cases {
+		w := newWorld(1)
+		w.draw = func() fault { return faultLost }
+		w.step(RequestArrived{Request: 1, Service: "matching", Kind: encoder.SubSearch})
+		w.draw = nil
+		for k, s := range slices.Clone(w.sends) {
+			r := w.reply(s)
+			if k == 0 {
+				c.change(r)
+			}
+			w.step(ReplyArrived{Attempt: s.Attempt, Reply: r})
+		}
+		w.run(w.now.Add(oneSearch))
+		a := w.answers[1].(*encoder.SearchAnswer)
+		if w.err != nil || a.Outcome != encoder.OutcomeDone || a.Layout != "a" || w.machine.Stats().Retries != c.retries {
+			t.Errorf("%s: error %v, %d retries, answer %+v", c.name, w.err, w.machine.Stats().Retries, a)
+		}
+	}
+}
+
 // TestRejections guards against requests that reach an upstream although they cannot be answered.
 func TestRejections(t *testing.T) {
 	cases := []struct {
--- a/core/coordination/router/dispatch.go
+++ b/core/coordination/router/dispatch.go
@@ -120,10 +120,14 @@
 	a := m.attempts.add()
 	a.request, a.service, a.sub, a.upstream, a.group = r, s, g, i, s.groupOf(i)
 	a.name, a.address, a.sent, a.deadline, a.hedge = u.Row.Upstream, u.Row.Address, now, r.until, hedge
-	if !b.counted && !r.restarted {
+	if !b.counted {
 		b.counted = true
-		s.budget.Primary(1)
-		m.stats.Primaries++
+		if r.restarted {
+			m.stats.Resent++
+		} else {
+			s.budget.Primary(1)
+			m.stats.Primaries++
+		}
 	}
 	b.tried[b.attempts] = i
 	b.attempts++
