--- a/bench/internal/runner/experiment.go
+++ b/bench/internal/runner/experiment.go
@@ -102,6 +102,8 @@
 		faults = append(faults, err)
 	} else if v := e.Deployment.Find(e.Service); v == nil || !v.Search {
 		fault("experiment", "service", "a search service of the deployment")
+	} else if e.Entries > e.Deployment.FleetMax {
+		fault("experiment", "entries", "fleet_max of the deployment at most; further VMs never become ready")
 	} else if load := value(s, "load", 0, (*ini.Key).Float64, fault); load > 0 {
 		e.Rate = load * v.Capacity()
 	}
--- a/bench/internal/runner/runner_test.go
+++ b/bench/internal/runner/runner_test.go
@@ -145,6 +145,27 @@
 	}
 }
 
+// TestFleetMax guards against an experiment whose last entry VMs wait for readiness until it times out.
+func TestFleetMax(t *testing.T) {
+	cases := []struct {
+		entries string
+		ok      bool
+	}{{"6", true}, {"7", false}}
+	for _, c := range cases {
+		f, err := ini.Load([]byte("[experiment]\nname = a\nscenario = none\nservice = catalog\nload = 0.1\nentries = " + c.entries + "\n[policy.a]\n[policy.b]\n"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = convert(f, func(string) (*describer.Deployment, string, error) {
+			d, err := describer.Read(filepath.Join("..", "..", "..", "deployments", "quickstart.ini"))
+			return d, "", err
+		})
+		if (err == nil) != c.ok || (err != nil && !strings.Contains(err.Error(), "fleet_max")) {
+			t.Errorf("%s entries: error %v", c.entries, err)
+		}
+	}
+}
+
 // FuzzExperiment guards against a file that makes the reader panic.
 func FuzzExperiment(f *testing.F) {
 	d, err := describer.Read(filepath.Join("..", "..", "..", "deployments", "quickstart.ini"))
--- a/upstreams/describer/describer_test.go
+++ b/upstreams/describer/describer_test.go
@@ -21,6 +21,7 @@
 		{"haven.ini", 4, map[string]int{"matching": 30, "roster": 45, "profiles": 16, "ledger": 8}},
 		{"magnolia.ini", 3, map[string]int{"booth": 30, "logs": 45, "prizes": 40, "traffic": 20}},
 		{"quickstart.ini", 3, map[string]int{"catalog": 12, "orders": 4}},
+		{"narrow.ini", 3, map[string]int{"catalog": 12}},
 	}
 	for _, c := range cases {
 		d, err := Read(filepath.Join("..", "..", "deployments", c.file))
