--- a/core/coordination/adopter/editor_test.go
+++ b/core/coordination/adopter/editor_test.go
@@ -320,3 +320,26 @@
 		}
 	}
 }
+
+// TestEditorLateRead guards against a verdict that is taken from a read before an uncertain write, and against a write after
+// the time limit.
+func TestEditorLateRead(t *testing.T) {
+	old, now := stored("matching", 4), stored("matching", 5)
+	d := newEditor("mine", "matching.queue = 9")
+	d.Step(start, EditTicked{})                         // read 1
+	d.Step(start.Add(time.Second), EditTicked{})        // read 1 is given up
+	d.Step(start.Add(2*time.Second), EditTicked{})      // read 2
+	d.Step(start.Add(2*time.Second), ValueRead{2, now}) // write 3
+	d.Step(start.Add(2*time.Second), WriteUncertain{3}) // in doubt
+	d.Step(start.Add(2*time.Second), ValueRead{1, old}) // says nothing about write 3
+	d.Step(start.Add(2*time.Second), WriteRefused{4})   // of a write that must not exist
+	got := d.Step(start.Add(DefaultEditLimit), EditTicked{})
+	late := newEditor("late", "matching.queue = 9")
+	late.Step(start, EditTicked{})
+	got = append(got, late.Step(start.Add(DefaultEditLimit), ValueRead{1, now})...)
+	for i, want := range []Verdict{Unknown, Unavailable} {
+		if f, ok := got[min(i, len(got)-1)].(Finished); !ok || f.Verdict != want {
+			t.Errorf("%v instead of verdict %v", got[min(i, len(got)-1)], want)
+		}
+	}
+}
--- a/core/coordination/adopter/watch.go
+++ b/core/coordination/adopter/watch.go
@@ -110,7 +110,6 @@
 	m.seen = max(m.seen, revision)
 	m.watcher.Answered(now)
 	m.prober.Answered(now)
-	m.offline = false
 	// The platform answered at some moment after the call was sent, and an empty answer not before the wait ended. The time
 	// of receipt proves nothing: a paused VM finds old answers in its socket buffers.
 	at := c.sent
--- a/core/coordination/tracker/machine_test.go
+++ b/core/coordination/tracker/machine_test.go
@@ -120,7 +120,8 @@
 	check(4*time.Second, Ticked{}, true)
 	check(3*time.Hour, Ticked{}, true) // silent peers stay known
 	check(3*time.Hour, Listed{Sent: start.Add(3 * time.Hour)}, false)
-	check(4*time.Hour, Ticked{}, false) // the list confirmed that the peer is gone
+	check(4*time.Hour, Ticked{}, false)                        // the list confirmed that the peer is gone
+	check(4*time.Hour, Heard{[]Record{record(1, 5, 4)}}, true) // it is back, and nothing was asked for since
 }
 
 // TestGate guards against a starting VM that takes connections of a full fleet, and against a closed gate after it was open.
--- a/core/state/tabler/codec.go
+++ b/core/state/tabler/codec.go
@@ -93,7 +93,10 @@
 	if err := faults.err(); err != nil {
 		return nil, err
 	}
-	return v, v.Validate()
+	if err := v.Validate(); err != nil {
+		return nil, err
+	}
+	return v, nil
 }
 
 func (s *storedValue) value(service string, revision uint64) (*Value, Faults) {
