Compare whole tables

Cause: a CSV import is compared with the table in effect, service by service, before it becomes edits.

Conclusion: added, removed and changed services are listed cell by cell; a file without the fleet row leaves it unchanged.

--- a/core/state/tabler/change.go
+++ b/core/state/tabler/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -189,6 +190,28 @@
 	return changes
 }
 
+// DiffTables returns the changes that turn one table into another, by service. A service that only the first table has is
+// removed by the changes; the fleet row is never removed.
+func DiffTables(from, to []*Value) []Change {
+	pairs := make(map[string][2]*Value)
+	for i, table := range [][]*Value{from, to} {
+		for _, v := range table {
+			pair := pairs[v.Service.Service]
+			pair[i] = v
+			pairs[v.Service.Service] = pair
+		}
+	}
+	var changes []Change
+	for _, service := range slices.Sorted(maps.Keys(pairs)) {
+		pair := pairs[service]
+		if service == FleetService && pair[1] == nil {
+			continue
+		}
+		changes = append(changes, Diff(pair[0], pair[1])...)
+	}
+	return changes
+}
+
 func existence(service, upstream string, existed bool) Change {
 	if existed {
 		return Change{service, upstream, FieldRow, Present, Absent}
--- a/core/state/tabler/merge_test.go
+++ b/core/state/tabler/merge_test.go
@@ -130,6 +130,25 @@
 	})
 }
 
+// TestDiffTables guards against an import that misses an added or removed service, or that removes the fleet row.
+func TestDiffTables(t *testing.T) {
+	from := exampleTable()
+	roster := &Value{Service: NewServiceRow("roster")}
+	roster.Service.Queue = 9
+	to := []*Value{edit(t, from[1], "matching/m0a.weight = 7"), roster}
+	var got []string
+	for _, c := range DiffTables(from, to) {
+		got = append(got, c.String())
+	}
+	want := []string{
+		`matching/m0a.weight = "7" (was "0")`, `profiles.row = "absent" (was "present")`,
+		`roster.row = "present" (was "absent")`, `roster.queue = "9" (was "256")`,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+}
+
 // TestMergeSymmetric guards against a result that depends on which operator wrote first.
 func TestMergeSymmetric(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
