--- a/bench/internal/prover/prover.go
+++ b/bench/internal/prover/prover.go
@@ -38,6 +38,8 @@
 	{Name: "killed", Promise: "a call runs at most once while entry VMs are killed and frozen", run: killed},
 	{Name: "platform", Promise: "a call runs at most once while the platform is slow, down and loses answers; tickets and searches go on", run: platform},
 	{Name: "silent", Promise: "connections that stop responding are replaced and cost no whole answer", run: silent},
+	{Name: "crossed", Promise: "replies that are crossed or carry a wrong id reach no caller", run: crossed},
+	{Name: "versions", Promise: "every answer comes from one snapshot while versions change and data is repartitioned", run: versions},
 	{Name: "crasher", Promise: "no group loses more than one replica at once to a request that crashes upstreams", run: crasher},
 	{Name: "shutdown", Promise: "a graceful shutdown cuts no request in flight", run: shutdown},
 	{Name: "drain", Promise: "an upstream that drains gets no new work after 3 s", run: drain},
--- a/bench/internal/prover/routing.go
+++ b/bench/internal/prover/routing.go
@@ -1,9 +1,11 @@
 package prover
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -42,6 +44,67 @@
 	return b.check(ctx)
 }
 
+// crossed makes upstreams of one replica number answer with the reply to the request before, and those of another one with wrong
+// request ids.
+func crossed(ctx context.Context, t *trial) error {
+	s := t.searches(matching)
+	err := s.during(ctx, func() error {
+		var steps []at
+		for i, action := range []string{"swap", "wrong_id", "swap", "wrong_id"} {
+			r := i % 3
+			c := controller.Command{Target: controller.Target{Service: matching, Replica: &r}, Action: action, Share: 0.2}
+			off := c
+			off.Off = true
+			steps = append(steps,
+				at{time.Duration(1000+1500*i) * time.Millisecond, func() error { return t.set.Upstreams().Apply(ctx, c) }},
+				at{time.Duration(2000+1500*i) * time.Millisecond, func() error { return t.set.Upstreams().Apply(ctx, off) }})
+		}
+		return schedule(ctx, steps)
+	})
+	if err != nil {
+		return err
+	}
+	s.check()
+	t.counters(ctx)
+	return nil
+}
+
+// versions brings four index versions with changing numbers of shards to one replica of each group after the other, and drops
+// the version before.
+func versions(ctx context.Context, t *trial) error {
+	s := t.searches(matching)
+	d := t.set.Deployment().Find(matching)
+	err := s.during(ctx, func() error {
+		var steps []at
+		for i := range 4 {
+			number, shards := d.Version+uint64(i)+1, d.Shards*(2+i%2)/2
+			layout := "proof-" + string(rune('a'+i))
+			t.set.Checker().Learn(matching, number, layout, shards)
+			for r := range d.Replicas {
+				target := controller.Target{Service: matching, Replica: &r}
+				start := time.Duration(500+2000*i+200*r) * time.Millisecond
+				steps = append(steps,
+					at{start, func() error {
+						return t.set.Upstreams().Apply(ctx, controller.Command{Target: target, Action: "hold", Version: number, Layout: layout, Shards: shards})
+					}},
+					at{start + time.Second, func() error {
+						return t.set.Upstreams().Apply(ctx, controller.Command{Target: target, Action: "drop", Version: number - 1})
+					}})
+			}
+		}
+		slices.SortStableFunc(steps, func(a, b at) int { return cmp.Compare(a.after, b.after) })
+		return schedule(ctx, steps)
+	})
+	if err != nil {
+		return err
+	}
+	s.check()
+	if s.partial > 0 || s.none > 0 {
+		t.fault("%d searches were partial and %d had no answer although every group held a common version at all times", s.partial, s.none)
+	}
+	return nil
+}
+
 // crashDowntime is how long a crashed server of the fake refuses connections.
 const crashDowntime = 2 * time.Second
 
