--- a/core/coordination/router/decision_test.go
+++ b/core/coordination/router/decision_test.go
@@ -45,6 +45,30 @@
 	return TableAdopted{s}
 }
 
+// TestPlainRequests guards against a request without faults that is not answered as done by one sub-request for each group.
+func TestPlainRequests(t *testing.T) {
+	cases := []struct {
+		service string
+		kind    encoder.SubKind
+		sends   int
+	}{{"matching", encoder.SubSearch, testGroups}, {"profiles", encoder.SubLookup, 1}, {"profiles", encoder.SubCall, 1}}
+	for _, c := range cases {
+		w := newWorld(1)
+		w.step(RequestArrived{Request: 1, Service: c.service, Kind: c.kind})
+		w.run(epoch.Add(time.Second))
+		done := false
+		switch a := w.answers[1].(type) {
+		case *encoder.SearchAnswer:
+			done = a.Outcome == encoder.OutcomeDone && a.Snapshot == 7 && len(a.Covered) == testGroups*testShards
+		case *encoder.CallAnswer:
+			done = a.Outcome == encoder.OutcomeDone
+		}
+		if !done || len(w.sends) != c.sends || w.err != nil {
+			t.Errorf("%s: %d sends, error %v, answer %+v", c.kind, len(w.sends), w.err, w.answers[1])
+		}
+	}
+}
+
 // TestMissingReasons guards against a missing shard that is listed with a wrong reason, and against outcomes that say "not
 // run" although a call may have run. Each group has one replica, and every attempt fails in the same way.
 func TestMissingReasons(t *testing.T) {
@@ -322,6 +346,33 @@
 	}
 }
 
+// TestTableChange guards against pools that change with a table that changes nothing for them, and against pools of removed
+// upstreams that stay open.
+func TestTableChange(t *testing.T) {
+	w := newWorld(1)
+	old := w.checker.table
+	added := &tabler.Snapshot{Fleet: old.Fleet, Values: append(slices.Clone(old.Values), &tabler.Value{Service: tabler.ServiceRow{Service: "roster"}})}
+	cases := []struct {
+		name  string
+		table *tabler.Snapshot
+		pools int
+	}{
+		{"same table", old, 0}, {"another service", added, 0}, {"an upstream less", without(old, "u0-0"), 1}, {"back", old, 1},
+		{"another fleet size", &tabler.Snapshot{Fleet: tabler.Fleet{Max: 24}, Values: old.Values}, 12}, {"no service", &tabler.Snapshot{}, 12},
+	}
+	for _, c := range cases {
+		pools := 0
+		for _, a := range w.machine.Step(w.now, TableAdopted{c.table}) {
+			if _, ok := a.(Pool); ok {
+				pools++
+			}
+		}
+		if pools != c.pools {
+			t.Errorf("%s: %d pools change, want %d", c.name, pools, c.pools)
+		}
+	}
+}
+
 // TestRejections guards against requests that reach an upstream although they cannot be answered.
 func TestRejections(t *testing.T) {
 	cases := []struct {
