--- a/upstreams/internal/server/server_test.go
+++ b/upstreams/internal/server/server_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -381,6 +382,27 @@
 	f.Close() // the time limit of the test run reports a Close that hangs
 }
 
+// BenchmarkSub measures how many sub-requests the process serves without any service time, callers included.
+func BenchmarkSub(b *testing.B) {
+	d, err := describer.Parse([]byte(strings.NewReplacer("slots = 1", "slots = 100", "connections = 3", "connections = 100", "median = 1ms", "median = 0s").Replace(testDeployment)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	f := NewFleet(d)
+	if err := f.Listen(); err != nil {
+		b.Fatal(err)
+	}
+	defer f.Close()
+	c := &caller{host: f.hosts[0], http: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			if _, err := c.search(10*time.Second, "r", 0, "q"); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
+
 // FuzzCommand guards against a command that makes the fake panic.
 func FuzzCommand(f *testing.F) {
 	f.Add([]byte(`{"target":{"all":true},"action":"hold","version":2,"layout":"l2","shards":7}`))
