--- /dev/null
+++ b/scripts/without.sh
@@ -0,0 +1,59 @@
+#!/usr/bin/env bash
+# Shows what a mechanism prevents: takes it out of a scratch copy of the committed tree and runs the test that guards it, which has
+# to fail there. Usage: scripts/without.sh [NAME ...]; without a name, all of them. Exit code 1 tells that a test did not notice.
+set -u
+cd "$(dirname "$0")/.."
+copy=$(mktemp -d "${TMPDIR:-/tmp}/comfreyroute-without.XXXXXX") || exit 1
+trap 'rm -rf "$copy"' EXIT
+
+# name | file | sed expression | package | test
+mechanisms='
+snapshot|core/coordination/router/search.go|s/reply.Version != x.version .. reply.Layout != x.layout/false/|core/coordination/router|TestFaultMatrix
+coverage|core/coordination/router/search.go|s/!m.marks.exact(expected, reply.Results, total)/len(expected) < 0/|core/coordination/router|TestFaultMatrix
+budget|core/coordination/budgeter/budget.go|s/if b.tokens < unit {/if b.tokens < -1<<60 {/|core/coordination/budgeter|TestBudgetHoldsInEveryWindow
+draining|core/coordination/selector/upstream.go|s/return !u.Draining .. !u.Leaving .. u.Row.Weight > 0/return u.Row.Weight > 0/|core/coordination/router|TestRandomEvents
+crossed|core/transport/connector/message.go|s/reply.RequestID != id/reply.RequestID == ""/;s/h != "" .. h != id/h == "none"/|core/transport/connector|TestSendEnds
+silent|core/coordination/prober/prober.go|s/return unresponsive$/return nil/|core/transport/connector|TestSendEnds
+claims|core/coordination/claimer/claim.go|s/case rec.State == StateReleased .. slices.Contains(r.abandoned, rec.Nonce):/case rec.State != StateDone:/|core/coordination/claimer|TestAtMostOnce
+revision|core/coordination/claimer/claim.go|s/^	r.revision = 0$/	r.final = false/|core/coordination/claimer|TestAtMostOnce
+tickets|core/coordination/claimer/tickets.go|s/t.VM == s.m.config.VM .. t.Incarnation == s.m.config.Incarnation/t.VM == s.m.config.VM/|core/coordination/claimer|TestTicketOfRestartedVM
+pause|core/coordination/claimer/run.go|s/deadline.Sub(s.now) < s.m.config.Margin/false/|core/coordination/claimer|TestPauseBeforeDispatch
+quarantine|core/coordination/quarantiner/machine.go|s/if s == nil .. s.Service != service {/if true {/|core/coordination/quarantiner|TestCrashingRequest
+outage|core/coordination/quarantiner/evaluate.go|s/^func (m \*Machine) outage(now time.Time, domain string) bool {$/&\n\tif true {\n\t\treturn false\n\t}/|core/coordination/quarantiner|TestOutage
+table|core/state/tabler/snapshot.go|s/v == nil .. v.Revision <= s.Revision(v.Service.Service)/v == nil/|core/state/tabler|TestSnapshotWith
+editid|core/coordination/adopter/editor.go|s/if theirs.HasEdit(d.Edit.ID) {/if false {/|core/coordination/adopter|TestEditorFaultMatrix
+isolation|core/coordination/tracker/gate.go|s/now.Sub(m.contact) <= IsolationAfter/true/|core/coordination/tracker|TestIsolated
+gate|core/coordination/tracker/gate.go|s/m.admitted = others < m.fleetMax/m.admitted = others >= 0/|core/coordination/tracker|TestGate
+shutdown|core/coordination/drainer/machine.go|s/m.phase == Finishing .. e.Work.Empty()/m.phase == Finishing/|core/coordination/drainer|TestShutdown
+return|core/coordination/pacer/pacer.go|s/now.Before(p.next) .. !p.limiter.AllowN(now, 1)/now.Before(p.next)/|core/coordination/pacer|TestReturnOfPlatform
+'
+names="$*"
+status=0
+git archive HEAD | tar -x -C "$copy" || exit 1
+while IFS='|' read -r name file edit package test; do
+	[ -n "$name" ] || continue
+	case " $names " in *" $name "*) ;; *) [ -z "$names" ] || continue ;; esac
+	cp "$copy/$file" "$copy/kept"
+	# "..", any two characters, stands for || and && in the expressions above, because | separates the columns.
+	sed -i "$edit" "$copy/$file"
+	if cmp -s "$copy/kept" "$copy/$file"; then
+		printf '%-11s the mechanism was not found in %s\n' "$name" "$file"
+		status=1
+		continue
+	fi
+	flags=''
+	grep -qs 'rapid.Check' "$copy/$package"/*_test.go && flags='-rapid.shrinktime=1s'
+	# shellcheck disable=SC2086
+	out=$(cd "$copy" && go test -count=1 -timeout 120s -run "^$test\$" "./$package" $flags 2>&1)
+	if [ $? -eq 0 ]; then
+		printf '%-11s NOT NOTICED by %s %s\n' "$name" "$package" "$test"
+		status=1
+	else
+		line=$(printf '%s\n' "$out" | grep -v 'rapid\] draw' | grep -E '_test.go:[0-9]+:|\.go:[0-9]+:[0-9]+:|panic' | grep -v 'rapid\] fail' | head -n 1 | cut -c 1-150)
+		printf '%-11s fails without it: %s:%s\n' "$name" "$test" "$line"
+	fi
+	cp "$copy/kept" "$copy/$file"
+done <<EOF
+$mechanisms
+EOF
+exit $status
