--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -44,7 +44,7 @@
 	flags=''
 	grep -qs 'rapid.Check' "$copy/$package"/*_test.go && flags='-rapid.shrinktime=1s'
 	# shellcheck disable=SC2086
-	out=$(cd "$copy" && go test -count=1 -timeout 120s -run "^$test\$" "./$package" $flags 2>&1)
+	out=$(cd "$copy" && go test -count=1 -timeout 45s -run "^$test\$" "./$package" $flags 2>&1)
 	if [ $? -eq 0 ]; then
 		printf '%-11s NOT NOTICED by %s %s\n' "$name" "$package" "$test"
 		status=1
