Tell a silent connection from a paused process

A late ping now closes its connection only when the upstream answers something that was sent later, or to try one new connection; and a passed read deadline is followed by one more look at the socket, because the process itself may have been paused.

Late connections to two upstreams within 200 ms make all idle connections suspect, so that each is found by a ping instead of by a request.

--- a/core/coordination/prober/prober.go
+++ b/core/coordination/prober/prober.go
@@ -15,7 +15,7 @@
 // Bounds of the time after which a request without a reply is late.
 const (
 	MinLate    = 20 * time.Millisecond
-	meanFactor = 4 // a reply that takes four times the recent mean is unusual
+	meanFactor = 3 // with log-normal times of sigma 0.4, 2 of 1,000 replies take three times the mean
 	meanShare  = 8 // weight of the past in the moving mean of reply times
 )
 
@@ -35,11 +35,10 @@
 	asked  time.Time // start of the last probe
 }
 
-// LateAt returns when a request that was sent at a time counts as late: after half of its allowed time, which leaves the
-// other half to ask the upstream on another connection, but not before four times the recent mean reply time, so that a
-// slow upstream is not asked all the time. It is never after the deadline.
+// LateAt returns when a request that was sent at a time counts as late: after three times the recent mean reply time, and
+// never after the deadline. Being late only makes the caller ask the upstream on another connection.
 func (p *Prober) LateAt(sent, deadline time.Time) time.Time {
-	late := sent.Add(max(MinLate, deadline.Sub(sent)/2, meanFactor*p.mean))
+	late := sent.Add(max(MinLate, meanFactor*p.mean))
 	if late.After(deadline) {
 		return deadline
 	}
--- a/core/transport/connector/conn.go
+++ b/core/transport/connector/conn.go
@@ -57,6 +57,7 @@
 	// Guarded by the pool's lock.
 	job          *job
 	retire       bool      // close after the current request
+	asking       bool      // waits for the reply to a ping or cancel that is late
 	unresponsive bool      // the upstream answered on another connection while this one was late
 	heard        time.Time // last reply
 }
@@ -123,9 +124,10 @@
 
 func (c *conn) carryPing() bool {
 	sent := time.Now()
-	reply, err := c.ping(sent.Add(pingTimeout))
+	c.message.prepare(http.MethodGet, encoder.PathPing, c.pool.owner.nextID(), nil)
+	reply, err := c.ask(sent)
 	if err != nil {
-		c.pool.lostPing(c, isTimeout(err))
+		c.pool.lostPing(c, nil, isTimeout(err))
 		return false
 	}
 	kept := c.pool.finish(c, sent)
@@ -133,41 +135,55 @@
 	return kept
 }
 
-// ping sends a ping and reads the reply.
-func (c *conn) ping(deadline time.Time) (*encoder.SubReply, error) {
+func (c *conn) carryCancel(j *job) bool {
+	sent := time.Now()
+	body, err := json.Marshal(encoder.CancelRequest{RequestID: j.target})
+	if err == nil {
+		c.message.prepare(http.MethodPost, encoder.PathCancel, c.pool.owner.nextID(), body)
+		_, err = c.ask(sent)
+	}
+	if err != nil {
+		c.pool.lostPing(c, nil, isTimeout(err))
+		return false
+	}
+	return c.pool.finish(c, sent)
+}
+
+// ask sends the prepared message, which is no sub-request, and reads the reply. A connection that is late is given up when
+// the upstream answers elsewhere, or at pingLimit.
+func (c *conn) ask(sent time.Time) (*encoder.SubReply, error) {
+	limit := sent.Add(pingLimit)
 	c.pool.owner.counts.pings.Add(1)
-	_ = c.nc.SetDeadline(deadline)
-	id := c.pool.owner.nextID()
-	c.message.prepare(http.MethodGet, encoder.PathPing, id, nil)
+	_ = c.nc.SetDeadline(sent.Add(pingTimeout))
 	if err := c.write(); err != nil {
 		return nil, err
 	}
-	reply, keep, err := c.read(id)
+	for {
+		err := c.peek()
+		if err == nil {
+			break
+		}
+		if !isTimeout(err) || !c.pool.patient(c, sent, limit) {
+			return nil, err
+		}
+	}
+	_ = c.nc.SetReadDeadline(limit)
+	reply, keep, err := c.read(c.message.id)
 	if err == nil && !keep {
 		err = net.ErrClosed
 	}
 	return reply, err
 }
 
-func (c *conn) carryCancel(j *job) bool {
-	sent := time.Now()
-	_ = c.nc.SetDeadline(sent.Add(pingTimeout))
-	body, err := json.Marshal(encoder.CancelRequest{RequestID: j.target})
-	if err == nil {
-		id := c.pool.owner.nextID()
-		c.message.prepare(http.MethodPost, encoder.PathCancel, id, body)
-		if err = c.write(); err == nil {
-			var keep bool
-			if _, keep, err = c.read(id); err == nil && !keep {
-				err = net.ErrClosed
-			}
-		}
-	}
-	if err != nil {
-		c.pool.lostPing(c, isTimeout(err))
-		return false
+// peek waits for the first byte of a reply. When the read deadline has passed it looks once more: after a pause of this
+// process the reply may be in the socket's buffer already.
+func (c *conn) peek() error {
+	_, err := c.br.Peek(1)
+	if isTimeout(err) {
+		_ = c.nc.SetReadDeadline(time.Now().Add(stallGrace))
+		_, err = c.br.Peek(1)
 	}
-	return c.pool.finish(c, sent)
+	return err
 }
 
 func isReset(err error) bool { return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) }
--- a/core/transport/connector/connector.go
+++ b/core/transport/connector/connector.go
@@ -17,13 +17,17 @@
 // Bounds of the transport.
 const (
 	connectTimeout = 250 * time.Millisecond
-	pingTimeout    = 100 * time.Millisecond
-	cancelGrace    = 25 * time.Millisecond // time for the reply of a cancelled request
-	replyGrace     = 10 * time.Millisecond // time after the deadline in which a reply may still arrive
-	maxIdleCall    = time.Second           // a call is preceded by a ping on a connection that was idle longer
-	idlePing       = 2 * time.Second       // an idle connection is pinged this often, so that a silent one is found before a request
+	pingTimeout    = 50 * time.Millisecond // a ping waits for no slot; one without reply for so long is late
+	pingLimit      = 250 * time.Millisecond
+	stallGrace     = 2 * time.Millisecond
+	cancelGrace    = 50 * time.Millisecond  // time for the reply of a cancelled request
+	replyGrace     = 10 * time.Millisecond  // time after the deadline in which a reply may still arrive
+	maxIdleCall    = 100 * time.Millisecond // a call is preceded by a ping on a connection that was idle longer
+	idlePing       = 2 * time.Second        // an idle connection is pinged this often, so that a silent one is found before a request
 	maintainEvery  = 500 * time.Millisecond
-	minPace        = time.Millisecond // shortest time between two openings to one upstream
+	alarmWindow    = 200 * time.Millisecond // late connections to two upstreams within it make all idle connections suspect
+	freshReply     = 20 * time.Millisecond  // a connection that was heard so recently is not suspect
+	minPace        = time.Millisecond       // shortest time between two openings to one upstream
 	minBackoff     = 50 * time.Millisecond
 	maxBackoff     = 2 * time.Second
 )
@@ -68,6 +72,8 @@
 	closed bool
 	pools  map[key]*pool
 
+	alarms alarms
+
 	attemptsMu sync.Mutex // taken last
 	attempts   map[router.AttemptID]*job
 }
@@ -88,6 +94,7 @@
 		done:     make(chan struct{}),
 		pools:    map[key]*pool{},
 		attempts: map[router.AttemptID]*job{},
+		alarms:   alarms{raised: make(chan struct{}, 1)},
 	}
 	c.running.Add(1)
 	go c.maintain()
@@ -219,6 +226,10 @@
 		select {
 		case <-c.context.Done():
 			return
+		case <-c.alarms.raised:
+			for _, p := range c.list() {
+				p.suspectAll()
+			}
 		case now := <-t.C:
 			for _, p := range c.list() {
 				p.pingIdle(now)
--- a/core/transport/connector/message.go
+++ b/core/transport/connector/message.go
@@ -44,6 +44,7 @@
 type message struct {
 	request http.Request
 	body    bytes.Reader
+	id      string
 }
 
 func (m *message) init(host, failureDomain string) {
@@ -54,7 +55,7 @@
 }
 
 func (m *message) prepare(method, path, id string, body []byte) {
-	m.request.Method, m.request.URL.Path = method, path
+	m.request.Method, m.request.URL.Path, m.id = method, path, id
 	m.set(encoder.HeaderRequestID, id)
 	delete(m.request.Header, encoder.HeaderDeadlineMS)
 	delete(m.request.Header, encoder.HeaderIndexVersion)
--- a/core/transport/connector/pool.go
+++ b/core/transport/connector/pool.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -29,6 +31,8 @@
 	opening bool
 	hurry   chan struct{} // ends the back-off of the opener
 	prober  prober.Prober
+	proof   time.Time // when the newest message was sent that the upstream has answered
+	offered time.Time // when a late connection was last closed to make room for a new one
 	suspect time.Time // connections not heard since then are pinged before their next request
 	tried   bool      // the first attempt to open a connection has ended
 }
@@ -104,6 +108,24 @@
 	}
 }
 
+// greet sends the first ping on a new connection and reads the reply.
+func (c *conn) greet(deadline time.Time) (*encoder.SubReply, error) {
+	_ = c.nc.SetDeadline(deadline)
+	c.pool.owner.counts.pings.Add(1)
+	c.message.prepare(http.MethodGet, encoder.PathPing, c.pool.owner.nextID(), nil)
+	if err := c.write(); err != nil {
+		return nil, err
+	}
+	if err := c.peek(); err != nil {
+		return nil, err
+	}
+	reply, keep, err := c.read(c.message.id)
+	if err == nil && !keep {
+		err = net.ErrClosed
+	}
+	return reply, err
+}
+
 // openOne opens and pings one connection. A connection that does not answer its first ping carries no request.
 func (p *pool) openOne(address netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(p.owner.context, connectTimeout)
@@ -115,7 +137,7 @@
 		return false
 	}
 	c := newConn(p, nc)
-	reply, err := c.ping(began.Add(connectTimeout))
+	reply, err := c.greet(began.Add(connectTimeout))
 	if err != nil {
 		_ = nc.Close()
 		p.unreachable(isReset(err))
@@ -154,11 +176,21 @@
 // pool's lock is held.
 func (p *pool) answered(c *conn, sent time.Time) {
 	now := time.Now()
-	c.heard, c.unresponsive = now, false
+	c.heard, c.unresponsive, c.asking = now, false, false
+	if sent.After(p.proof) {
+		p.proof = sent
+	}
 	for _, n := range p.prober.Answered(now, c.number, sent) {
 		for o := range p.conns {
-			o.unresponsive = o.unresponsive || o.number == n
+			if o.number == n {
+				o.unresponsive = true
+				if o.asking {
+					_ = o.nc.SetReadDeadline(past)
+				}
+			}
 		}
+		p.pingSuspects(now)
+		p.owner.alarms.note(now, p.key)
 	}
 }
 
@@ -210,15 +242,46 @@
 	p.changed(open)
 }
 
-// lostPing is lost for a connection that did not answer a ping. If it stayed silent, others may be silent as well, so
-// they are pinged before their next request.
-func (p *pool) lostPing(c *conn, silent bool) {
+// lostPing is lost for a connection that did not answer a ping. The request that waited for the ping, if there is one, goes
+// to another connection. If the connection stayed silent, others may be silent as well.
+func (p *pool) lostPing(c *conn, waiting *job, silent bool) {
+	now := time.Now()
 	if silent {
 		p.mu.Lock()
-		p.suspect = time.Now()
+		p.suspect = now.Add(-freshReply)
 		p.mu.Unlock()
 	}
 	p.lost(c)
+	if waiting != nil {
+		p.again(waiting)
+	}
+	if silent {
+		p.suspectAll()
+		p.owner.alarms.note(now, p.key)
+	}
+}
+
+// patient is called when the reply to a ping or cancel is late. It returns false when the connection is given up: the
+// upstream has answered something that was sent later, the limit has passed, or its place is needed to try a new connection.
+// Otherwise it looks for such an answer: a pause of the upstream makes all its connections late, and they are all kept.
+func (p *pool) patient(c *conn, sent, limit time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if c.unresponsive || p.proof.After(sent) || !now.Before(limit) {
+		return false
+	}
+	full := len(p.idle) == 0 && !p.opening && len(p.conns) >= p.limit
+	if full && now.Sub(p.offered) > pingLimit {
+		p.offered = now
+		return false
+	}
+	if p.prober.Late(now, c.number) {
+		p.ask()
+	}
+	c.asking = true
+	_ = c.nc.SetReadDeadline(limit)
+	return true
 }
 
 // finish records a reply and releases the connection.
@@ -271,20 +334,15 @@
 	return true
 }
 
-// pingIdle pings the idle connections that may have become silent with another one, and one that was idle for long.
+// pingIdle pings an idle connection on which nothing was heard for a while.
 func (p *pool) pingIdle(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	aged := false
-	for _, c := range slices.Clone(p.idle) {
-		old := !aged && now.Sub(c.heard) >= idlePing
-		if !old && !c.heard.Before(p.suspect) {
-			continue
+	for _, c := range p.idle {
+		if now.Sub(c.heard) >= idlePing {
+			p.pingOne(c)
+			return
 		}
-		aged = aged || old
-		i := slices.Index(p.idle, c)
-		p.idle = append(slices.Delete(p.idle, i, i+1), c) // assign takes the last one
-		p.assign(&job{kind: jobPing})
 	}
 }
 
--- a/core/transport/connector/send.go
+++ b/core/transport/connector/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"time"
 
 	"comfreyroute/core/coordination/router"
@@ -13,11 +14,11 @@
 	p, s := c.pool, j.send
 	if p.doubtful(c, s) {
 		sent := time.Now()
-		reply, err := c.ping(earlier(sent.Add(pingTimeout), s.Deadline))
+		c.message.prepare(http.MethodGet, encoder.PathPing, p.owner.nextID(), nil)
+		reply, err := c.ask(sent)
 		if err != nil {
 			// No byte of the request was written: another connection may carry it.
-			p.lostPing(c, isTimeout(err))
-			p.again(j)
+			p.lostPing(c, j, isTimeout(err))
 			return false
 		}
 		p.confirm(c, sent)
@@ -80,7 +81,7 @@
 	p, limit := c.pool, j.send.Deadline.Add(replyGrace)
 	p.setRead(j, late)
 	for {
-		_, err := c.br.Peek(1)
+		err := c.peek()
 		if err == nil {
 			p.setRead(j, limit)
 			return nil
@@ -112,7 +113,6 @@
 	defer p.mu.Unlock()
 	silent := c.unresponsive && isTimeout(err)
 	if silent {
-		p.suspect = time.Now()
 		p.owner.counts.unresponsive.Add(1)
 	}
 	switch {
@@ -204,10 +204,3 @@
 		p.drop(j.conn)
 	}
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
