Let a request wait for a ping that is in progress

With two connections to an upstream, pings of idle connections made searches fail with no_connection at once on all replicas. A request now waits for the ping of a connection, at most until the ping is late (15 ms), and a connection whose ping is late is not offered to the router.

--- a/core/transport/connector/conn.go
+++ b/core/transport/connector/conn.go
@@ -56,6 +56,7 @@
 
 	// Guarded by the pool's lock.
 	job          *job
+	next         *job      // a sub-request that waits for the end of a ping or cancel
 	retire       bool      // close after the current request
 	asking       bool      // waits for the reply to a ping or cancel that is late
 	unresponsive bool      // the upstream answered on another connection while this one was late
@@ -154,7 +155,7 @@
 func (c *conn) ask(sent time.Time) (*encoder.SubReply, error) {
 	limit := sent.Add(pingLimit)
 	c.pool.owner.counts.pings.Add(1)
-	_ = c.nc.SetDeadline(sent.Add(pingTimeout))
+	_ = c.nc.SetDeadline(sent.Add(pingLate))
 	if err := c.write(); err != nil {
 		return nil, err
 	}
@@ -163,7 +164,7 @@
 		if err == nil {
 			break
 		}
-		if !isTimeout(err) || !c.pool.patient(c, sent, limit) {
+		if !isTimeout(err) || !c.pool.patient(c, sent) {
 			return nil, err
 		}
 	}
--- a/core/transport/connector/connector.go
+++ b/core/transport/connector/connector.go
@@ -17,8 +17,9 @@
 // Bounds of the transport.
 const (
 	connectTimeout = 250 * time.Millisecond
-	pingTimeout    = 50 * time.Millisecond // a ping waits for no slot; one without reply for so long is late
-	pingLimit      = 250 * time.Millisecond
+	pingTimeout    = 150 * time.Millisecond // after it an answer on another connection closes the silent one
+	pingLate       = 15 * time.Millisecond // a connection whose ping is late is not offered to the router
+	pingLimit      = 400 * time.Millisecond
 	stallGrace     = 2 * time.Millisecond
 	cancelGrace    = 50 * time.Millisecond  // time for the reply of a cancelled request
 	replyGrace     = 10 * time.Millisecond  // time after the deadline in which a reply may still arrive
--- a/core/transport/connector/connector_test.go
+++ b/core/transport/connector/connector_test.go
@@ -239,3 +239,53 @@
 		}
 	})
 }
+
+// TestSendDuringPing guards against a request that is refused because the only connection is being pinged, and against one
+// that waits for a ping without reply.
+func TestSendDuringPing(t *testing.T) {
+	cases := []struct {
+		name string
+		mute bool
+		want any
+	}{
+		{"answered", false, arrived{1, encoder.StatusOK}},
+		{"silent", true, failed(1, router.FailureNoConnection, false)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fake{}
+			start(t, f, 1, func(t *testing.T, b *bench) {
+				f.mu.Lock()
+				f.mute = func(int) bool { return c.mute }
+				f.mu.Unlock()
+				b.Do(router.Probe{Service: "s", Upstream: "u", Address: address})
+				b.Do(send(1, time.Second))
+				time.Sleep(20 * time.Millisecond)
+				if diff := cmp.Diff([]any{c.want}, b.ends()); diff != "" {
+					t.Errorf("ends (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+// TestPause guards against a paused upstream that loses its connections although it answers a moment later.
+func TestPause(t *testing.T) {
+	f := &fake{}
+	start(t, f, 4, func(t *testing.T, b *bench) {
+		paused := make(chan struct{})
+		f.mu.Lock()
+		f.paused = paused
+		f.mu.Unlock()
+		time.Sleep(idlePing + maintainEvery + 2*pingTimeout/3) // the pings of idle connections fall into the pause
+		close(paused)
+		time.Sleep(time.Second)
+		b.drain()
+		if f.pings < 8 {
+			t.Errorf("%d pings were answered, want one of each connection in the pause", f.pings)
+		}
+		if f.opened > 5 || f.open != 4 {
+			t.Errorf("%d connections were opened and %d are open, want at most 5 and 4", f.opened, f.open)
+		}
+	})
+}
--- a/core/transport/connector/fake_test.go
+++ b/core/transport/connector/fake_test.go
@@ -25,6 +25,7 @@
 	sub      func(nc net.Conn, r *http.Request) bool
 	mute     func(connection int) bool // connections that answer nothing
 	refuse   bool
+	paused   chan struct{} // replies wait until it is closed
 	open     int
 	most     int
 	opened   int
@@ -79,7 +80,7 @@
 			}
 			continue
 		}
-		sub := f.sub
+		sub, paused := f.sub, f.paused
 		switch r.URL.Path {
 		case encoder.PathSub:
 			f.subs, f.lastSub = append(f.subs, r.Header.Get(encoder.HeaderRequestID)), r.Header
@@ -89,6 +90,9 @@
 			f.pings++
 		}
 		f.mu.Unlock()
+		if paused != nil {
+			<-paused
+		}
 		if r.URL.Path == encoder.PathSub && sub != nil {
 			if !sub(nc, r) {
 				return
--- a/core/transport/connector/pool.go
+++ b/core/transport/connector/pool.go
@@ -22,6 +22,9 @@
 	owner *Connector
 	key   key
 
+	telling sync.Mutex // held while the number of usable connections is reported
+	told    int        // guarded by telling
+
 	mu      sync.Mutex
 	address netip.AddrPort
 	limit   int
@@ -154,11 +157,10 @@
 	p.conns[c] = struct{}{}
 	p.idle = append(p.idle, c)
 	p.answered(c, began)
-	open := len(p.conns)
 	p.mu.Unlock()
 	go c.run()
 	p.owner.report(router.UpstreamSeen{Service: p.key.service, Reply: reply})
-	p.changed(open)
+	p.tell()
 	return true
 }
 
@@ -167,8 +169,24 @@
 	p.owner.report(router.UpstreamUnreachable{Service: p.key.service, Upstream: p.key.upstream, Refused: refused})
 }
 
-func (p *pool) changed(open int) {
-	p.owner.report(router.ConnectionsChanged{Service: p.key.service, Upstream: p.key.upstream, Open: open})
+// tell reports how many connections are usable when that has changed. Those whose ping is late are not; those with a late
+// sub-request are, because the router counts the sub-request itself. Reports keep their order.
+func (p *pool) tell() {
+	p.telling.Lock()
+	defer p.telling.Unlock()
+	p.mu.Lock()
+	usable := 0
+	for c := range p.conns {
+		if !c.asking {
+			usable++
+		}
+	}
+	same := usable == p.told
+	p.told = usable
+	p.mu.Unlock()
+	if !same {
+		p.owner.report(router.ConnectionsChanged{Service: p.key.service, Upstream: p.key.upstream, Open: usable})
+	}
 }
 
 // answered records that the upstream answered something that was sent at a time, and notes which connections were silent
@@ -194,11 +212,12 @@
 	}
 }
 
-// dispatch gives a job to an idle connection. It returns false when there is none.
+// dispatch gives a job to an idle connection, or to one that waits for the reply to a ping or cancel, which takes a few
+// milliseconds. It returns false when there is none.
 func (p *pool) dispatch(j *job) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.assign(j)
+	return p.assign(j) || p.enqueue(j)
 }
 
 func (p *pool) assign(j *job) bool {
@@ -207,14 +226,31 @@
 	}
 	c := p.idle[len(p.idle)-1]
 	p.idle = p.idle[:len(p.idle)-1]
-	c.job = j
-	j.conn = c
+	p.give(c, j)
+	return true
+}
+
+// give hands a job to a connection whose goroutine waits in a read; a read deadline in the past wakes it.
+func (p *pool) give(c *conn, j *job) {
+	c.job, j.conn = j, c
 	if j.kind == jobSend {
 		p.owner.enter(j)
 	}
-	// An idle connection waits in a read; a read deadline in the past wakes it.
 	_ = c.nc.SetReadDeadline(past)
-	return true
+}
+
+func (p *pool) enqueue(j *job) bool {
+	if j.kind != jobSend {
+		return false
+	}
+	for c := range p.conns {
+		if c.job != nil && c.job.kind != jobSend && c.next == nil && !c.asking {
+			c.next, j.conn = j, c
+			p.owner.enter(j)
+			return true
+		}
+	}
+	return false
 }
 
 // release returns a connection to the idle ones, or closes it when the pool has shrunk. It returns false when it was closed.
@@ -226,6 +262,11 @@
 		return false
 	}
 	defer p.mu.Unlock()
+	if next := c.next; next != nil {
+		c.next = nil
+		p.give(c, next)
+		return true
+	}
 	c.job = nil
 	_ = c.nc.SetReadDeadline(time.Time{})
 	p.idle = append(p.idle, c)
@@ -237,9 +278,13 @@
 	p.mu.Lock()
 	p.drop(c)
 	p.grow()
-	open := len(p.conns)
+	next := c.next
+	c.next = nil
 	p.mu.Unlock()
-	p.changed(open)
+	if next != nil {
+		p.again(next)
+	}
+	p.tell()
 }
 
 // lostPing is lost for a connection that did not answer a ping. The request that waited for the ping, if there is one, goes
@@ -264,23 +309,33 @@
 // patient is called when the reply to a ping or cancel is late. It returns false when the connection is given up: the
 // upstream has answered something that was sent later, the limit has passed, or its place is needed to try a new connection.
 // Otherwise it looks for such an answer: a pause of the upstream makes all its connections late, and they are all kept.
-func (p *pool) patient(c *conn, sent, limit time.Time) bool {
+func (p *pool) patient(c *conn, sent time.Time) bool {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	now := time.Now()
-	if c.unresponsive || p.proof.After(sent) || !now.Before(limit) {
-		return false
-	}
-	full := len(p.idle) == 0 && !p.opening && len(p.conns) >= p.limit
-	if full && now.Sub(p.offered) > pingLimit {
-		p.offered = now
-		return false
+	next := sent.Add(pingTimeout)
+	if !now.Before(next) {
+		next = sent.Add(pingLimit)
+		full := len(p.idle) == 0 && !p.opening && len(p.conns) >= p.limit && now.Sub(p.offered) > pingLimit
+		if c.unresponsive || p.proof.After(sent) || !now.Before(next) || full {
+			if full {
+				p.offered = now
+			}
+			p.mu.Unlock()
+			return false
+		}
 	}
 	if p.prober.Late(now, c.number) {
 		p.ask()
 	}
 	c.asking = true
-	_ = c.nc.SetReadDeadline(limit)
+	waiting := c.next
+	c.next = nil
+	_ = c.nc.SetReadDeadline(next)
+	p.mu.Unlock()
+	if waiting != nil {
+		p.again(waiting)
+	}
+	p.tell()
 	return true
 }
 
@@ -292,8 +347,12 @@
 
 func (p *pool) confirm(c *conn, sent time.Time) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	late := c.asking
 	p.answered(c, sent)
+	p.mu.Unlock()
+	if late {
+		p.tell()
+	}
 }
 
 // again gives a job whose connection ended before its first byte to another connection.
--- a/core/transport/connector/send.go
+++ b/core/transport/connector/send.go
@@ -189,7 +189,7 @@
 	p := j.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if j.cancelled || j.conn.job != j {
+	if j.cancelled || j.conn.job != j && j.conn.next != j {
 		return // the reply arrived meanwhile
 	}
 	j.cancelled, j.silent = true, j.conn.unresponsive
