Use a connection whose ping is late last instead of never

On the overloaded machine pings of all connections were late at once, and searches failed as unreachable although every upstream was alive. A request now waits on such a connection when the upstream has no other. The pings of all idle connections at once are gone, since they took part in it. The proof silent stays broken: a silenced replica of all ten groups costs more hedges than the budget gives.

--- a/core/transport/connector/conn.go
+++ b/core/transport/connector/conn.go
@@ -168,7 +168,7 @@
 			return nil, err
 		}
 	}
-	_ = c.nc.SetReadDeadline(limit)
+	c.pool.begun(c, limit)
 	reply, keep, err := c.read(c.message.id)
 	if err == nil && !keep {
 		err = net.ErrClosed
--- a/core/transport/connector/connector.go
+++ b/core/transport/connector/connector.go
@@ -18,7 +18,7 @@
 const (
 	connectTimeout = 250 * time.Millisecond
 	pingTimeout    = 150 * time.Millisecond // after it an answer on another connection closes the silent one
-	pingLate       = 15 * time.Millisecond // a connection whose ping is late is not offered to the router
+	pingLate       = 25 * time.Millisecond  // a connection whose ping is late is used last
 	pingLimit      = 400 * time.Millisecond
 	stallGrace     = 2 * time.Millisecond
 	cancelGrace    = 50 * time.Millisecond  // time for the reply of a cancelled request
@@ -26,9 +26,8 @@
 	maxIdleCall    = 100 * time.Millisecond // a call is preceded by a ping on a connection that was idle longer
 	idlePing       = 2 * time.Second        // an idle connection is pinged this often, so that a silent one is found before a request
 	maintainEvery  = 500 * time.Millisecond
-	alarmWindow    = 200 * time.Millisecond // late connections to two upstreams within it make all idle connections suspect
-	freshReply     = 20 * time.Millisecond  // a connection that was heard so recently is not suspect
-	minPace        = time.Millisecond       // shortest time between two openings to one upstream
+	freshReply     = 20 * time.Millisecond // a connection that was heard so recently is not suspect
+	minPace        = time.Millisecond      // shortest time between two openings to one upstream
 	minBackoff     = 50 * time.Millisecond
 	maxBackoff     = 2 * time.Second
 )
@@ -73,8 +72,6 @@
 	closed bool
 	pools  map[key]*pool
 
-	alarms alarms
-
 	attemptsMu sync.Mutex // taken last
 	attempts   map[router.AttemptID]*job
 }
@@ -95,7 +92,6 @@
 		done:     make(chan struct{}),
 		pools:    map[key]*pool{},
 		attempts: map[router.AttemptID]*job{},
-		alarms:   alarms{raised: make(chan struct{}, 1)},
 	}
 	c.running.Add(1)
 	go c.maintain()
@@ -227,10 +223,6 @@
 		select {
 		case <-c.context.Done():
 			return
-		case <-c.alarms.raised:
-			for _, p := range c.list() {
-				p.suspectAll()
-			}
 		case now := <-t.C:
 			for _, p := range c.list() {
 				p.pingIdle(now)
--- a/core/transport/connector/pool.go
+++ b/core/transport/connector/pool.go
@@ -169,8 +169,8 @@
 	p.owner.report(router.UpstreamUnreachable{Service: p.key.service, Upstream: p.key.upstream, Refused: refused})
 }
 
-// tell reports how many connections are usable when that has changed. Those whose ping is late are not; those with a late
-// sub-request are, because the router counts the sub-request itself. Reports keep their order.
+// tell reports how many connections are usable when that has changed. Those whose ping is late are not while there are
+// others; those with a late sub-request are, because the router counts the sub-request itself. Reports keep their order.
 func (p *pool) tell() {
 	p.telling.Lock()
 	defer p.telling.Unlock()
@@ -181,6 +181,9 @@
 			usable++
 		}
 	}
+	if usable == 0 {
+		usable = len(p.conns) // a pause of the upstream or of this process makes all pings late
+	}
 	same := usable == p.told
 	p.told = usable
 	p.mu.Unlock()
@@ -194,7 +197,7 @@
 // pool's lock is held.
 func (p *pool) answered(c *conn, sent time.Time) {
 	now := time.Now()
-	c.heard, c.unresponsive, c.asking = now, false, false
+	c.heard, c.unresponsive = now, false
 	if sent.After(p.proof) {
 		p.proof = sent
 	}
@@ -208,7 +211,6 @@
 			}
 		}
 		p.pingSuspects(now)
-		p.owner.alarms.note(now, p.key)
 	}
 }
 
@@ -239,18 +241,23 @@
 	_ = c.nc.SetReadDeadline(past)
 }
 
+// enqueue lets a sub-request wait for a ping or cancel, on a connection where that is late only when there is no other.
 func (p *pool) enqueue(j *job) bool {
 	if j.kind != jobSend {
 		return false
 	}
+	var chosen *conn
 	for c := range p.conns {
-		if c.job != nil && c.job.kind != jobSend && c.next == nil && !c.asking {
-			c.next, j.conn = j, c
-			p.owner.enter(j)
-			return true
+		if c.job != nil && c.job.kind != jobSend && c.next == nil && (chosen == nil || chosen.asking && !c.asking) {
+			chosen = c
 		}
 	}
-	return false
+	if chosen == nil {
+		return false
+	}
+	chosen.next, j.conn = j, chosen
+	p.owner.enter(j)
+	return true
 }
 
 // release returns a connection to the idle ones, or closes it when the pool has shrunk. It returns false when it was closed.
@@ -301,8 +308,9 @@
 		p.again(waiting)
 	}
 	if silent {
-		p.suspectAll()
-		p.owner.alarms.note(now, p.key)
+		p.mu.Lock()
+		p.pingSuspects(now)
+		p.mu.Unlock()
 	}
 }
 
@@ -328,17 +336,27 @@
 		p.ask()
 	}
 	c.asking = true
-	waiting := c.next
-	c.next = nil
+	if waiting := c.next; waiting != nil && p.assign(waiting) {
+		c.next = nil
+	}
 	_ = c.nc.SetReadDeadline(next)
 	p.mu.Unlock()
-	if waiting != nil {
-		p.again(waiting)
-	}
 	p.tell()
 	return true
 }
 
+// begun is called when the first byte of the reply to a ping or cancel has arrived.
+func (p *pool) begun(c *conn, limit time.Time) {
+	p.mu.Lock()
+	late := c.asking
+	c.asking = false // so that answered does not end the read of the rest
+	_ = c.nc.SetReadDeadline(limit)
+	p.mu.Unlock()
+	if late {
+		p.tell()
+	}
+}
+
 // finish records a reply and releases the connection.
 func (p *pool) finish(c *conn, sent time.Time) bool {
 	p.confirm(c, sent)
@@ -347,12 +365,8 @@
 
 func (p *pool) confirm(c *conn, sent time.Time) {
 	p.mu.Lock()
-	late := c.asking
+	defer p.mu.Unlock()
 	p.answered(c, sent)
-	p.mu.Unlock()
-	if late {
-		p.tell()
-	}
 }
 
 // again gives a job whose connection ended before its first byte to another connection.
