Try a new connection as soon as the ping of the last idle one is late

When all connections to an upstream are silent, no answer can prove it. The connection whose ping is late then makes room for a new one at once, not after 150 ms; at most one in 400 ms, so that a pause costs one connection. Two upstreams with silent connections within 200 ms make all idle connections suspect.

--- a/core/transport/connector/connector.go
+++ b/core/transport/connector/connector.go
@@ -26,8 +26,10 @@
 	maxIdleCall    = 100 * time.Millisecond // a call is preceded by a ping on a connection that was idle longer
 	idlePing       = 2 * time.Second        // an idle connection is pinged this often, so that a silent one is found before a request
 	maintainEvery  = 500 * time.Millisecond
-	freshReply     = 20 * time.Millisecond // a connection that was heard so recently is not suspect
-	minPace        = time.Millisecond      // shortest time between two openings to one upstream
+	alarmWindow    = 200 * time.Millisecond // late connections to two upstreams within it make all idle connections suspect
+	alarmPause     = 500 * time.Millisecond // bounds the pings that a paused process sends
+	freshReply     = 20 * time.Millisecond  // a connection that was heard so recently is not suspect
+	minPace        = time.Millisecond       // shortest time between two openings to one upstream
 	minBackoff     = 50 * time.Millisecond
 	maxBackoff     = 2 * time.Second
 )
@@ -72,6 +74,8 @@
 	closed bool
 	pools  map[key]*pool
 
+	alarms alarms
+
 	attemptsMu sync.Mutex // taken last
 	attempts   map[router.AttemptID]*job
 }
@@ -92,6 +96,7 @@
 		done:     make(chan struct{}),
 		pools:    map[key]*pool{},
 		attempts: map[router.AttemptID]*job{},
+		alarms:   alarms{raised: make(chan struct{}, 1)},
 	}
 	c.running.Add(1)
 	go c.maintain()
@@ -223,6 +228,10 @@
 		select {
 		case <-c.context.Done():
 			return
+		case <-c.alarms.raised:
+			for _, p := range c.list() {
+				p.suspectAll()
+			}
 		case now := <-t.C:
 			for _, p := range c.list() {
 				p.pingIdle(now)
--- a/core/transport/connector/pool.go
+++ b/core/transport/connector/pool.go
@@ -211,6 +211,7 @@
 			}
 		}
 		p.pingSuspects(now)
+		p.owner.alarms.note(now, p.key)
 	}
 }
 
@@ -320,14 +321,16 @@
 func (p *pool) patient(c *conn, sent time.Time) bool {
 	p.mu.Lock()
 	now := time.Now()
+	full := len(p.idle) == 0 && !p.opening && len(p.conns) >= p.limit
+	if full && now.Sub(p.offered) > pingLimit {
+		p.offered = now
+		p.mu.Unlock()
+		return false
+	}
 	next := sent.Add(pingTimeout)
 	if !now.Before(next) {
 		next = sent.Add(pingLimit)
-		full := len(p.idle) == 0 && !p.opening && len(p.conns) >= p.limit && now.Sub(p.offered) > pingLimit
-		if c.unresponsive || p.proof.After(sent) || !now.Before(next) || full {
-			if full {
-				p.offered = now
-			}
+		if c.unresponsive || p.proof.After(sent) || !now.Before(next) {
 			p.mu.Unlock()
 			return false
 		}
