Take the queue of the listener before the daemon ends

The queue is now taken and its connections are served before the shutdown of the HTTP server. A socket filter that keeps new connections out was tried first; the kernel here does not support it.

--- a/entry/internal/runner/daemon.go
+++ b/entry/internal/runner/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
@@ -55,6 +56,7 @@
 	reporting   measurer.Reporting
 	receiver    receiver.Receiver
 	server      http.Server
+	listener    *net.TCPListener
 	callers     netip.AddrPort // that the HTTP listener has
 	counts      measurer.Actions
 	served      atomic.Pointer[tabler.Snapshot] // given to the router
@@ -264,10 +266,23 @@
 	return d.settings.VM.ID + "-" + strconv.FormatUint(d.incarnation, 36) + "-r"
 }
 
+// stopListening closes the caller address and gives the connections of its queue to the HTTP server.
+func (d *daemon) stopListening() {
+	conns, err := stopListening(d.listener)
+	if err != nil {
+		d.log.Warn("entry: the queue of the listener was not taken", logger.Cause(err))
+	}
+	q := newQueued(d.listener, conns)
+	go func() { _ = d.server.Serve(q) }()
+	<-q.taken
+	time.Sleep(takeWait)
+}
+
 // end ends all parts, those first that use others.
 func (d *daemon) end() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	d.stopListening()
 	if err := d.server.Shutdown(ctx); err != nil {
 		_ = d.server.Close()
 	}
--- a/entry/internal/runner/listen.go
+++ b/entry/internal/runner/listen.go
@@ -38,10 +38,11 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers on %s", address)
 	}
+	d.listener = listener.(*net.TCPListener)
 	d.callers = listener.Addr().(*net.TCPAddr).AddrPort()
 	d.server = http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 	go func() {
-		if err := d.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := d.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !d.refusing.Load() {
 			d.log.Error("entry: the HTTP listener failed", logger.Cause(err))
 		}
 	}()
