--- a/core/coordination/router/machine.go
+++ b/core/coordination/router/machine.go
@@ -206,7 +206,10 @@
 		}
 	}
 	if out.request != nil {
-		m.failed(now, &out, failure{reason: reasonOf(e.Failure), possiblyRun: e.Written, unsent: !e.Written})
+		m.failed(now, &out, failure{
+			reason: reasonOf(e.Failure), possiblyRun: e.Written, unsent: !e.Written, busy: e.Failure == FailureNoConnection && !e.Written,
+			lost: e.Failure == FailureUnresponsive && out.request.kind != encoder.SubCall,
+		})
 	}
 	m.drain(out.service, out.group)
 }
--- a/core/transport/connector/conn.go
+++ b/core/transport/connector/conn.go
@@ -35,6 +35,7 @@
 	pool   *pool // of a jobSend
 	send   *router.Send
 	target string // id of the attempt that a jobCancel ends
+	about  *job   // late request that a jobPing asks about
 
 	// Guarded by the pool's lock.
 	conn      *conn
@@ -42,6 +43,8 @@
 	silent    bool      // its connection was unresponsive when it was cancelled
 	writing   bool      // from before the first byte
 	until     time.Time // when a cancelled request is given up
+	lost      time.Time // when a request is given up that the upstream does not have; zero while that is not known
+	asked     bool      // the upstream has answered the question about it
 }
 
 // conn is one connection. Its goroutine alone reads and writes it.
@@ -115,7 +118,7 @@
 func (c *conn) carry(j *job) bool {
 	switch j.kind {
 	case jobPing:
-		return c.carryPing()
+		return c.carryPing(j)
 	case jobCancel:
 		return c.carryCancel(j)
 	default:
@@ -123,14 +126,20 @@
 	}
 }
 
-func (c *conn) carryPing() bool {
+func (c *conn) carryPing(j *job) bool {
 	sent := time.Now()
 	c.message.prepare(http.MethodGet, encoder.PathPing, c.pool.owner.nextID(), nil)
+	if j.about != nil {
+		c.message.set(encoder.HeaderAskID, c.pool.owner.attemptID(j.about.send.Attempt))
+	}
 	reply, err := c.ask(sent)
 	if err != nil {
 		c.pool.lostPing(c, nil, isTimeout(err))
 		return false
 	}
+	if j.about != nil {
+		c.pool.learned(j.about, reply.Asked)
+	}
 	kept := c.pool.finish(c, sent)
 	c.pool.seen(reply)
 	return kept
--- a/core/transport/connector/pool.go
+++ b/core/transport/connector/pool.go
@@ -208,6 +208,9 @@
 				if o.asking {
 					_ = o.nc.SetReadDeadline(past)
 				}
+				if j := o.job; j != nil && j.kind == jobSend && j.writing && !j.asked && !j.cancelled {
+					p.assign(&job{kind: jobPing, about: j})
+				}
 			}
 		}
 		p.pingSuspects(now)
@@ -336,18 +339,41 @@
 		}
 	}
 	if p.prober.Late(now, c.number) {
-		p.ask()
+		p.ask(nil)
 	}
 	c.asking = true
-	if waiting := c.next; waiting != nil && p.assign(waiting) {
-		c.next = nil
-	}
+	p.move(c)
 	_ = c.nc.SetReadDeadline(next)
 	p.mu.Unlock()
 	p.tell()
 	return true
 }
 
+// move gives the sub-request that waits for a late ping on a connection to an idle one. The pool's lock is held.
+func (p *pool) move(c *conn) {
+	switch {
+	case c.next != nil && p.assign(c.next):
+		c.next = nil
+	case c.job.kind == jobSend && p.assign(c.job):
+		c.job = &job{kind: jobPing}
+	}
+}
+
+// learned takes the answer of the upstream to the question about a late request. One that the upstream does not have is
+// given up after the time that a reply on its way may take: it was lost with its connection, so that sending it again is no
+// extra work for the upstream. A call is not given up: it may have been lost or still be on its way, and only its deadline
+// bounds that.
+func (p *pool) learned(j *job, a encoder.Asked) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j.asked = true
+	if a != encoder.AskedAbsent || j.conn.job != j || j.cancelled || j.send.Kind == encoder.SubCall {
+		return
+	}
+	j.lost = time.Now().Add(absentGrace)
+	_ = j.conn.nc.SetReadDeadline(j.lost)
+}
+
 // begun is called when the first byte of the reply to a ping or cancel has arrived.
 func (p *pool) begun(c *conn, limit time.Time) {
 	p.mu.Lock()
@@ -389,9 +415,10 @@
 	}
 }
 
-// ask pings the upstream on an idle connection, or opens a new one when none is idle. The pool's lock is held.
-func (p *pool) ask() {
-	if !p.assign(&job{kind: jobPing}) {
+// ask pings the upstream on an idle connection, also about a late request if there is one, or opens a new one when none is
+// idle. The pool's lock is held.
+func (p *pool) ask(about *job) {
+	if !p.assign(&job{kind: jobPing, about: about}) {
 		p.expand()
 	}
 }
--- a/core/transport/connector/send.go
+++ b/core/transport/connector/send.go
@@ -16,11 +16,20 @@
 		sent := time.Now()
 		c.message.prepare(http.MethodGet, encoder.PathPing, p.owner.nextID(), nil)
 		reply, err := c.ask(sent)
+		moved := p.moved(c, j)
 		if err != nil {
 			// No byte of the request was written: another connection may carry it.
+			if moved {
+				j = nil
+			}
 			p.lostPing(c, j, isTimeout(err))
 			return false
 		}
+		if moved {
+			kept := p.finish(c, sent)
+			p.seen(reply)
+			return kept
+		}
 		p.confirm(c, sent)
 		p.seen(reply)
 	}
@@ -139,6 +148,13 @@
 	return s.Kind == encoder.SubCall && time.Since(c.heard) > maxIdleCall || c.heard.Before(p.suspect)
 }
 
+// moved tells whether another connection has taken a request that waited for a ping on this one.
+func (p *pool) moved(c *conn, j *job) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.job != j
+}
+
 // begin marks a request as being written, unless it was cancelled, and returns when its reply is late.
 func (p *pool) begin(c *conn, j *job) (late time.Time, ok bool) {
 	p.mu.Lock()
@@ -169,11 +185,14 @@
 	if j.cancelled {
 		next = j.until
 	}
+	if !j.lost.IsZero() && j.lost.Before(next) {
+		next = j.lost
+	}
 	if !now.Before(next) {
 		return false
 	}
 	if !j.cancelled && p.prober.Late(now, c.number) {
-		p.ask()
+		p.ask(j)
 	}
 	_ = c.nc.SetReadDeadline(next)
 	return true
