--- a/core/transport/connector/conn.go
+++ b/core/transport/connector/conn.go
@@ -44,6 +44,7 @@
 	writing   bool      // from before the first byte
 	until     time.Time // when a cancelled request is given up
 	lost      time.Time // when a request is given up that the upstream does not have; zero while that is not known
+	asked     bool      // the upstream has answered the question about it
 }
 
 // conn is one connection. Its goroutine alone reads and writes it.
@@ -58,7 +59,9 @@
 
 	// Guarded by the pool's lock.
 	job          *job
+	next         *job      // a sub-request that waits for the end of a ping or cancel
 	retire       bool      // close after the current request
+	asking       bool      // waits for the reply to a ping or cancel that is late
 	unresponsive bool      // the upstream answered on another connection while this one was late
 	heard        time.Time // last reply
 }
@@ -125,61 +128,72 @@
 
 func (c *conn) carryPing(j *job) bool {
 	sent := time.Now()
-	ask := ""
+	c.message.prepare(http.MethodGet, encoder.PathPing, c.pool.owner.nextID(), nil)
 	if j.about != nil {
-		ask = c.pool.owner.attemptID(j.about.send.Attempt)
+		c.message.set(encoder.HeaderAskID, c.pool.owner.attemptID(j.about.send.Attempt))
 	}
-	reply, err := c.ping(sent.Add(pingTimeout), ask)
+	reply, err := c.ask(sent)
 	if err != nil {
-		c.pool.lostPing(c, isTimeout(err))
+		c.pool.lostPing(c, nil, isTimeout(err))
 		return false
 	}
-	kept := c.pool.finish(c, sent)
-	if reply.Asked == encoder.AskedAbsent {
-		c.pool.absent(j.about, sent)
+	if j.about != nil {
+		c.pool.learned(j.about, reply.Asked)
 	}
+	kept := c.pool.finish(c, sent)
 	c.pool.seen(reply)
 	return kept
 }
 
-// ping sends a ping and reads the reply. ask is the id of a sub-request that the upstream is asked about, or empty.
-func (c *conn) ping(deadline time.Time, ask string) (*encoder.SubReply, error) {
-	c.pool.owner.counts.pings.Add(1)
-	_ = c.nc.SetDeadline(deadline)
-	id := c.pool.owner.nextID()
-	c.message.prepare(http.MethodGet, encoder.PathPing, id, nil)
-	if ask != "" {
-		c.message.set(encoder.HeaderAskID, ask)
+func (c *conn) carryCancel(j *job) bool {
+	sent := time.Now()
+	body, err := json.Marshal(encoder.CancelRequest{RequestID: j.target})
+	if err == nil {
+		c.message.prepare(http.MethodPost, encoder.PathCancel, c.pool.owner.nextID(), body)
+		_, err = c.ask(sent)
+	}
+	if err != nil {
+		c.pool.lostPing(c, nil, isTimeout(err))
+		return false
 	}
+	return c.pool.finish(c, sent)
+}
+
+// ask sends the prepared message, which is no sub-request, and reads the reply. A connection that is late is given up when
+// the upstream answers elsewhere, or at pingLimit.
+func (c *conn) ask(sent time.Time) (*encoder.SubReply, error) {
+	limit := sent.Add(pingLimit)
+	c.pool.owner.counts.pings.Add(1)
+	_ = c.nc.SetDeadline(sent.Add(pingLate))
 	if err := c.write(); err != nil {
 		return nil, err
 	}
-	reply, keep, err := c.read(id)
+	for {
+		err := c.peek()
+		if err == nil {
+			break
+		}
+		if !isTimeout(err) || !c.pool.patient(c, sent) {
+			return nil, err
+		}
+	}
+	c.pool.begun(c, limit)
+	reply, keep, err := c.read(c.message.id)
 	if err == nil && !keep {
 		err = net.ErrClosed
 	}
 	return reply, err
 }
 
-func (c *conn) carryCancel(j *job) bool {
-	sent := time.Now()
-	_ = c.nc.SetDeadline(sent.Add(pingTimeout))
-	body, err := json.Marshal(encoder.CancelRequest{RequestID: j.target})
-	if err == nil {
-		id := c.pool.owner.nextID()
-		c.message.prepare(http.MethodPost, encoder.PathCancel, id, body)
-		if err = c.write(); err == nil {
-			var keep bool
-			if _, keep, err = c.read(id); err == nil && !keep {
-				err = net.ErrClosed
-			}
-		}
+// peek waits for the first byte of a reply. When the read deadline has passed it looks once more: after a pause of this
+// process the reply may be in the socket's buffer already.
+func (c *conn) peek() error {
+	_, err := c.br.Peek(1)
+	if isTimeout(err) {
+		_ = c.nc.SetReadDeadline(time.Now().Add(stallGrace))
+		_, err = c.br.Peek(1)
 	}
-	if err != nil {
-		c.pool.lostPing(c, isTimeout(err))
-		return false
-	}
-	return c.pool.finish(c, sent)
+	return err
 }
 
 func isReset(err error) bool { return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) }
--- a/core/transport/connector/connector_test.go
+++ b/core/transport/connector/connector_test.go
@@ -239,3 +239,47 @@
 		}
 	})
 }
+
+// TestSendDuringPing guards against a request that is refused because the only connection is being pinged, and against one
+// that ends with a silent connection whose ping it waits for.
+func TestSendDuringPing(t *testing.T) {
+	for _, mute := range []bool{false, true} {
+		f := &fake{}
+		start(t, f, 1, func(t *testing.T, b *bench) {
+			f.mu.Lock()
+			f.mute = func(n int) bool { return mute && n == 0 }
+			f.mu.Unlock()
+			b.Do(router.Probe{Service: "s", Upstream: "u", Address: address})
+			b.Do(send(1, time.Second))
+			time.Sleep(time.Second)
+			want := []any{arrived{1, encoder.StatusOK}}
+			if mute {
+				want = []any{failed(1, router.FailureNoConnection, false)} // no other connection is open when this one is closed
+			}
+			if diff := cmp.Diff(want, b.ends()); diff != "" {
+				t.Errorf("silent %v: ends (-want +got):\n%s", mute, diff)
+			}
+		})
+	}
+}
+
+// TestPause guards against a paused upstream that loses its connections although it answers a moment later.
+func TestPause(t *testing.T) {
+	f := &fake{}
+	start(t, f, 4, func(t *testing.T, b *bench) {
+		paused := make(chan struct{})
+		f.mu.Lock()
+		f.paused = paused
+		f.mu.Unlock()
+		time.Sleep(idlePing + maintainEvery + 2*pingTimeout/3) // the pings of idle connections fall into the pause
+		close(paused)
+		time.Sleep(time.Second)
+		b.drain()
+		if f.pings < 8 {
+			t.Errorf("%d pings were answered, want one of each connection in the pause", f.pings)
+		}
+		if f.opened > 5 || f.open != 4 {
+			t.Errorf("%d connections were opened and %d are open, want at most 5 and 4", f.opened, f.open)
+		}
+	})
+}
--- a/core/transport/connector/fake_test.go
+++ b/core/transport/connector/fake_test.go
@@ -26,6 +26,7 @@
 	mute     func(connection int) bool // connections that answer nothing
 	refuse   bool
 	asked    encoder.Asked // answer to a question about a sub-request
+	paused   chan struct{} // replies wait until it is closed
 	open     int
 	most     int
 	opened   int
@@ -80,7 +81,7 @@
 			}
 			continue
 		}
-		sub, asked := f.sub, encoder.Asked("")
+		sub, paused, asked := f.sub, f.paused, encoder.Asked("")
 		if r.Header.Get(encoder.HeaderAskID) != "" {
 			asked = f.asked
 		}
@@ -93,6 +94,9 @@
 			f.pings++
 		}
 		f.mu.Unlock()
+		if paused != nil {
+			<-paused
+		}
 		if r.URL.Path == encoder.PathSub && sub != nil {
 			if !sub(nc, r) {
 				return
--- a/core/transport/connector/pool.go
+++ b/core/transport/connector/pool.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -20,6 +22,9 @@
 	owner *Connector
 	key   key
 
+	telling sync.Mutex // held while the number of usable connections is reported
+	told    int        // guarded by telling
+
 	mu      sync.Mutex
 	address netip.AddrPort
 	limit   int
@@ -29,6 +34,8 @@
 	opening bool
 	hurry   chan struct{} // ends the back-off of the opener
 	prober  prober.Prober
+	proof   time.Time // when the newest message was sent that the upstream has answered
+	offered time.Time // when a late connection was last closed to make room for a new one
 	suspect time.Time // connections not heard since then are pinged before their next request
 	tried   bool      // the first attempt to open a connection has ended
 }
@@ -104,6 +111,24 @@
 	}
 }
 
+// greet sends the first ping on a new connection and reads the reply.
+func (c *conn) greet(deadline time.Time) (*encoder.SubReply, error) {
+	_ = c.nc.SetDeadline(deadline)
+	c.pool.owner.counts.pings.Add(1)
+	c.message.prepare(http.MethodGet, encoder.PathPing, c.pool.owner.nextID(), nil)
+	if err := c.write(); err != nil {
+		return nil, err
+	}
+	if err := c.peek(); err != nil {
+		return nil, err
+	}
+	reply, keep, err := c.read(c.message.id)
+	if err == nil && !keep {
+		err = net.ErrClosed
+	}
+	return reply, err
+}
+
 // openOne opens and pings one connection. A connection that does not answer its first ping carries no request.
 func (p *pool) openOne(address netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(p.owner.context, connectTimeout)
@@ -115,7 +140,7 @@
 		return false
 	}
 	c := newConn(p, nc)
-	reply, err := c.ping(began.Add(connectTimeout), "")
+	reply, err := c.greet(began.Add(connectTimeout))
 	if err != nil {
 		_ = nc.Close()
 		p.unreachable(isReset(err))
@@ -132,11 +157,10 @@
 	p.conns[c] = struct{}{}
 	p.idle = append(p.idle, c)
 	p.answered(c, began)
-	open := len(p.conns)
 	p.mu.Unlock()
 	go c.run()
 	p.owner.report(router.UpstreamSeen{Service: p.key.service, Reply: reply})
-	p.changed(open)
+	p.tell()
 	return true
 }
 
@@ -145,8 +169,27 @@
 	p.owner.report(router.UpstreamUnreachable{Service: p.key.service, Upstream: p.key.upstream, Refused: refused})
 }
 
-func (p *pool) changed(open int) {
-	p.owner.report(router.ConnectionsChanged{Service: p.key.service, Upstream: p.key.upstream, Open: open})
+// tell reports how many connections are usable when that has changed. Those whose ping is late are not while there are
+// others; those with a late sub-request are, because the router counts the sub-request itself. Reports keep their order.
+func (p *pool) tell() {
+	p.telling.Lock()
+	defer p.telling.Unlock()
+	p.mu.Lock()
+	usable := 0
+	for c := range p.conns {
+		if !c.asking {
+			usable++
+		}
+	}
+	if usable == 0 {
+		usable = len(p.conns) // a pause of the upstream or of this process makes all pings late
+	}
+	same := usable == p.told
+	p.told = usable
+	p.mu.Unlock()
+	if !same {
+		p.owner.report(router.ConnectionsChanged{Service: p.key.service, Upstream: p.key.upstream, Open: usable})
+	}
 }
 
 // answered records that the upstream answered something that was sent at a time, and notes which connections were silent
@@ -155,49 +198,32 @@
 func (p *pool) answered(c *conn, sent time.Time) {
 	now := time.Now()
 	c.heard, c.unresponsive = now, false
+	if sent.After(p.proof) {
+		p.proof = sent
+	}
 	for _, n := range p.prober.Answered(now, c.number, sent) {
 		for o := range p.conns {
-			o.unresponsive = o.unresponsive || o.number == n
-		}
-	}
-}
-
-// absent gives up a late request that the upstream does not have, after the time that a reply on its way may take. The
-// request was lost with its connection, so that sending it again is no extra work for the upstream. A call is not given up:
-// it may have been lost or still be on its way, and only its deadline bounds that.
-func (p *pool) absent(j *job, asked time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if j == nil || j.conn.job != j || j.cancelled || j.send.Kind == encoder.SubCall {
-		return
-	}
-	j.lost = time.Now().Add(absentGrace)
-	_ = j.conn.nc.SetReadDeadline(j.lost)
-	p.suspect = asked
-	p.pingSuspects()
-}
-
-// pingSuspects pings the idle connections that may have become silent with another one. The pool's lock is held.
-func (p *pool) pingSuspects() {
-	for _, c := range slices.Clone(p.idle) {
-		if c.heard.Before(p.suspect) {
-			p.pingOne(c)
+			if o.number == n {
+				o.unresponsive = true
+				if o.asking {
+					_ = o.nc.SetReadDeadline(past)
+				}
+				if j := o.job; j != nil && j.kind == jobSend && j.writing && !j.asked && !j.cancelled {
+					p.assign(&job{kind: jobPing, about: j})
+				}
+			}
 		}
+		p.pingSuspects(now)
+		p.owner.alarms.note(now, p.key)
 	}
 }
 
-// pingOne pings one idle connection. The pool's lock is held.
-func (p *pool) pingOne(c *conn) {
-	i := slices.Index(p.idle, c)
-	p.idle = append(slices.Delete(p.idle, i, i+1), c) // assign takes the last one
-	p.assign(&job{kind: jobPing})
-}
-
-// dispatch gives a job to an idle connection. It returns false when there is none.
+// dispatch gives a job to an idle connection, or to one that waits for the reply to a ping or cancel, which takes a few
+// milliseconds. It returns false when there is none.
 func (p *pool) dispatch(j *job) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.assign(j)
+	return p.assign(j) || p.enqueue(j)
 }
 
 func (p *pool) assign(j *job) bool {
@@ -206,13 +232,35 @@
 	}
 	c := p.idle[len(p.idle)-1]
 	p.idle = p.idle[:len(p.idle)-1]
-	c.job = j
-	j.conn = c
+	p.give(c, j)
+	return true
+}
+
+// give hands a job to a connection whose goroutine waits in a read; a read deadline in the past wakes it.
+func (p *pool) give(c *conn, j *job) {
+	c.job, j.conn = j, c
 	if j.kind == jobSend {
 		p.owner.enter(j)
 	}
-	// An idle connection waits in a read; a read deadline in the past wakes it.
 	_ = c.nc.SetReadDeadline(past)
+}
+
+// enqueue lets a sub-request wait for a ping or cancel, on a connection where that is late only when there is no other.
+func (p *pool) enqueue(j *job) bool {
+	if j.kind != jobSend {
+		return false
+	}
+	var chosen *conn
+	for c := range p.conns {
+		if c.job != nil && c.job.kind != jobSend && c.next == nil && (chosen == nil || chosen.asking && !c.asking) {
+			chosen = c
+		}
+	}
+	if chosen == nil {
+		return false
+	}
+	chosen.next, j.conn = j, chosen
+	p.owner.enter(j)
 	return true
 }
 
@@ -225,6 +273,11 @@
 		return false
 	}
 	defer p.mu.Unlock()
+	if next := c.next; next != nil {
+		c.next = nil
+		p.give(c, next)
+		return true
+	}
 	c.job = nil
 	_ = c.nc.SetReadDeadline(time.Time{})
 	p.idle = append(p.idle, c)
@@ -236,20 +289,101 @@
 	p.mu.Lock()
 	p.drop(c)
 	p.grow()
-	open := len(p.conns)
+	next := c.next
+	c.next = nil
 	p.mu.Unlock()
-	p.changed(open)
+	if next != nil {
+		p.again(next)
+	}
+	p.tell()
 }
 
-// lostPing is lost for a connection that did not answer a ping. If it stayed silent, others may be silent as well, so
-// they are pinged before their next request.
-func (p *pool) lostPing(c *conn, silent bool) {
+// lostPing is lost for a connection that did not answer a ping. The request that waited for the ping, if there is one, goes
+// to another connection. If the connection stayed silent, others may be silent as well.
+func (p *pool) lostPing(c *conn, waiting *job, silent bool) {
+	now := time.Now()
 	if silent {
 		p.mu.Lock()
-		p.suspect = time.Now()
+		p.suspect = now.Add(-freshReply)
 		p.mu.Unlock()
 	}
 	p.lost(c)
+	if waiting != nil {
+		p.again(waiting)
+	}
+	if silent {
+		p.mu.Lock()
+		p.pingSuspects(now)
+		p.mu.Unlock()
+	}
+}
+
+// patient is called when the reply to a ping or cancel is late. It returns false when the connection is given up: the
+// upstream has answered something that was sent later, the limit has passed, or its place is needed to try a new connection.
+// Otherwise it looks for such an answer: a pause of the upstream makes all its connections late, and they are all kept.
+func (p *pool) patient(c *conn, sent time.Time) bool {
+	p.mu.Lock()
+	now := time.Now()
+	full := len(p.idle) == 0 && !p.opening && len(p.conns) >= p.limit
+	if full && now.Sub(p.offered) > pingLimit {
+		p.offered = now
+		p.mu.Unlock()
+		return false
+	}
+	next := sent.Add(pingTimeout)
+	if !now.Before(next) {
+		next = sent.Add(pingLimit)
+		if c.unresponsive || p.proof.After(sent) || !now.Before(next) {
+			p.mu.Unlock()
+			return false
+		}
+	}
+	if p.prober.Late(now, c.number) {
+		p.ask(nil)
+	}
+	c.asking = true
+	p.move(c)
+	_ = c.nc.SetReadDeadline(next)
+	p.mu.Unlock()
+	p.tell()
+	return true
+}
+
+// move gives the sub-request that waits for a late ping on a connection to an idle one. The pool's lock is held.
+func (p *pool) move(c *conn) {
+	switch {
+	case c.next != nil && p.assign(c.next):
+		c.next = nil
+	case c.job.kind == jobSend && p.assign(c.job):
+		c.job = &job{kind: jobPing}
+	}
+}
+
+// learned takes the answer of the upstream to the question about a late request. One that the upstream does not have is
+// given up after the time that a reply on its way may take: it was lost with its connection, so that sending it again is no
+// extra work for the upstream. A call is not given up: it may have been lost or still be on its way, and only its deadline
+// bounds that.
+func (p *pool) learned(j *job, a encoder.Asked) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j.asked = true
+	if a != encoder.AskedAbsent || j.conn.job != j || j.cancelled || j.send.Kind == encoder.SubCall {
+		return
+	}
+	j.lost = time.Now().Add(absentGrace)
+	_ = j.conn.nc.SetReadDeadline(j.lost)
+}
+
+// begun is called when the first byte of the reply to a ping or cancel has arrived.
+func (p *pool) begun(c *conn, limit time.Time) {
+	p.mu.Lock()
+	late := c.asking
+	c.asking = false // so that answered does not end the read of the rest
+	_ = c.nc.SetReadDeadline(limit)
+	p.mu.Unlock()
+	if late {
+		p.tell()
+	}
 }
 
 // finish records a reply and releases the connection.
@@ -281,8 +415,8 @@
 	}
 }
 
-// ask pings the upstream about a late request on an idle connection, or opens a new one when none is idle. The pool's lock
-// is held.
+// ask pings the upstream on an idle connection, also about a late request if there is one, or opens a new one when none is
+// idle. The pool's lock is held.
 func (p *pool) ask(about *job) {
 	if !p.assign(&job{kind: jobPing, about: about}) {
 		p.expand()
@@ -303,11 +437,10 @@
 	return true
 }
 
-// pingIdle pings the idle connections that may have become silent with another one, and one that was idle for long.
+// pingIdle pings an idle connection on which nothing was heard for a while.
 func (p *pool) pingIdle(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pingSuspects()
 	for _, c := range p.idle {
 		if now.Sub(c.heard) >= idlePing {
 			p.pingOne(c)
--- a/core/transport/connector/send.go
+++ b/core/transport/connector/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"time"
 
 	"comfreyroute/core/coordination/router"
@@ -13,13 +14,22 @@
 	p, s := c.pool, j.send
 	if p.doubtful(c, s) {
 		sent := time.Now()
-		reply, err := c.ping(earlier(sent.Add(checkTimeout), s.Deadline), "")
+		c.message.prepare(http.MethodGet, encoder.PathPing, p.owner.nextID(), nil)
+		reply, err := c.ask(sent)
+		moved := p.moved(c, j)
 		if err != nil {
 			// No byte of the request was written: another connection may carry it.
-			p.lostPing(c, isTimeout(err))
-			p.again(j)
+			if moved {
+				j = nil
+			}
+			p.lostPing(c, j, isTimeout(err))
 			return false
 		}
+		if moved {
+			kept := p.finish(c, sent)
+			p.seen(reply)
+			return kept
+		}
 		p.confirm(c, sent)
 		p.seen(reply)
 	}
@@ -80,7 +90,7 @@
 	p, limit := c.pool, j.send.Deadline.Add(replyGrace)
 	p.setRead(j, late)
 	for {
-		_, err := c.br.Peek(1)
+		err := c.peek()
 		if err == nil {
 			p.setRead(j, limit)
 			return nil
@@ -112,7 +122,6 @@
 	defer p.mu.Unlock()
 	silent := c.unresponsive && isTimeout(err)
 	if silent {
-		p.suspect = time.Now()
 		p.owner.counts.unresponsive.Add(1)
 	}
 	switch {
@@ -139,6 +148,13 @@
 	return s.Kind == encoder.SubCall && time.Since(c.heard) > maxIdleCall || c.heard.Before(p.suspect)
 }
 
+// moved tells whether another connection has taken a request that waited for a ping on this one.
+func (p *pool) moved(c *conn, j *job) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.job != j
+}
+
 // begin marks a request as being written, unless it was cancelled, and returns when its reply is late.
 func (p *pool) begin(c *conn, j *job) (late time.Time, ok bool) {
 	p.mu.Lock()
@@ -169,8 +185,8 @@
 	if j.cancelled {
 		next = j.until
 	}
-	if !j.lost.IsZero() {
-		next = earlier(next, j.lost)
+	if !j.lost.IsZero() && j.lost.Before(next) {
+		next = j.lost
 	}
 	if !now.Before(next) {
 		return false
@@ -192,7 +208,7 @@
 	p := j.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if j.cancelled || j.conn.job != j {
+	if j.cancelled || j.conn.job != j && j.conn.next != j {
 		return // the reply arrived meanwhile
 	}
 	j.cancelled, j.silent = true, j.conn.unresponsive
@@ -207,10 +223,3 @@
 		p.drop(j.conn)
 	}
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
