Bring a crashed server back as a new incarnation by every command

Cause: ending a refusal on a server that had crashed opened its listener without a new life, so that it accepted connections and cut every request. TestComesBack found it; opening the listener is now one path, which keeps the incarnation only while the server has not stopped.

go test -race -count=5 passes.

--- a/upstreams/internal/server/command.go
+++ b/upstreams/internal/server/command.go
@@ -151,7 +151,7 @@
 		return func(h *host) error { h.darken(!c.Off); return nil }, nil
 	case Refuse:
 		if c.Off {
-			return (*host).resume, nil
+			return (*host).start, nil
 		}
 		return func(h *host) error { h.mu.Lock(); defer h.mu.Unlock(); h.refuse(); return nil }, nil
 	case Leave:
--- a/upstreams/internal/server/host.go
+++ b/upstreams/internal/server/host.go
@@ -70,7 +70,8 @@
 	return h
 }
 
-// start opens the listener with a new incarnation. A host that listens already stays as it is.
+// start opens the listener. A host that crashed, restarted or left comes back with a new incarnation; one that only refused
+// connections, or listens already, keeps its own.
 func (h *host) start() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -80,6 +81,9 @@
 	if err := h.listen(); err != nil {
 		return err
 	}
+	if h.life != nil && h.life.Err() == nil {
+		return nil
+	}
 	h.cold = h.incarnation != 0
 	h.incarnation = max(h.incarnation+1, uint64(time.Now().UnixMilli()))
 	h.served = 0
@@ -123,16 +127,6 @@
 	}
 }
 
-// resume opens the listener again without a new incarnation.
-func (h *host) resume() error {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.listener != nil {
-		return nil
-	}
-	return h.listen()
-}
-
 // crash resets all connections and comes back after a time with a new incarnation and a cold start.
 func (h *host) crash(down time.Duration) {
 	h.count(func(s *Stats) { s.Crashes++ })
--- a/upstreams/internal/server/server_test.go
+++ b/upstreams/internal/server/server_test.go
@@ -136,6 +136,9 @@
 		{name: "shed", after: `{"target":{"service":"find"},"action":"shed"}`, want: "shed"},
 		{name: "drain", after: `{"target":{"group":0},"action":"drain"}`, want: "draining", state: "draining"},
 		{name: "drain elsewhere", after: `{"target":{"service":"find","group":1},"action":"drain"}`, want: "ok"},
+		{name: "leave", after: `{"target":{"group":0},"action":"leave"}`, want: "draining", state: "draining"},
+		{name: "restart", after: `{"target":{"group":0},"action":"restart","for_ms":60000}`, want: "draining", state: "draining"},
+		{name: "refuse keeps connections", after: `{"target":{"group":0},"action":"refuse"}`, want: "ok"},
 		{name: "wrong id", after: `{"target":{"replica":0},"action":"wrong_id"}`, want: "ok", id: "r2-wrong"},
 		{name: "swap", before: `{"target":{"upstream":"find-g00-r0"},"action":"swap"}`, want: "ok", id: "r1"},
 		{name: "dark", after: `{"target":{"failure_domain":"d1"},"action":"dark"}`, want: "silent"},
@@ -403,6 +406,40 @@
 	})
 }
 
+// TestComesBack guards against a server that does not go away when it leaves, restarts or refuses, or that does not come back.
+func TestComesBack(t *testing.T) {
+	cases := []struct {
+		away, back string
+		same       bool // incarnation
+	}{
+		{`{"target":{"all":true},"action":"refuse"}`, `{"target":{"all":true},"action":"refuse","off":true}`, true},
+		{`{"target":{"all":true},"action":"leave"}`, `{"target":{"all":true},"action":"leave","off":true}`, false},
+		{`{"target":{"all":true},"action":"crash","for_ms":60000}`, `{"target":{"all":true},"action":"refuse","off":true}`, false},
+	}
+	f := fleet(t)
+	address := f.hosts[0].server.Address.String()
+	for _, c := range cases {
+		before := f.Stats()[0].Incarnation
+		apply(t, f, c.away)
+		for { // a leaving server first drains
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				break
+			}
+			_ = conn.Close()
+			time.Sleep(time.Millisecond)
+		}
+		apply(t, f, c.back)
+		reply, err := newCaller(t, f.hosts[0]).search(10*time.Second, "r", 0, "q")
+		if err != nil || reply.Status != encoder.StatusOK {
+			t.Fatalf("%s: %+v, error %v", c.away, reply, err)
+		}
+		if (reply.Incarnation == before) != c.same {
+			t.Errorf("%s: incarnation %d, before %d", c.away, reply.Incarnation, before)
+		}
+	}
+}
+
 // FuzzCommand guards against a command that makes the fake panic.
 func FuzzCommand(f *testing.F) {
 	f.Add([]byte(`{"target":{"all":true},"action":"hold","version":2,"layout":"l2","shards":7}`))
