Measure the cost of an entry VM with bench slope

CPU time, resident memory and added latency per sub-request on real processes were not known at more than 15 groups. bench slope starts the fakes and one entry VM for each number of groups and reads /proc/<pid>/stat. It sends a constant rate of sub-requests, so that the sizes differ in groups only.

Ruled out: 500 and more groups. The upstreams fake has 250 addresses for a service, and changing its addresses would change every deployment. Trial runs without a pause after the warm-up counted the opening of 5,000 connections as idle time (383 ms/s in place of 57) and gave a negative cost; the pause of 3 s removes that.

--- /dev/null
+++ b/bench/internal/measurer/slope.go
@@ -0,0 +1,169 @@
+package measurer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"comfreyroute/bench/internal/loader"
+	"comfreyroute/bench/internal/runner"
+)
+
+// Constants of a measurement.
+const (
+	service   = "slope"
+	fileMode  = 0o600
+	openTime  = 3 * time.Second // the entry VM opens its connections, which must not count as idle time
+	idleTime  = 3 * time.Second
+	settle    = 500 * time.Millisecond
+	maxGroups = 250 // addresses of one service in the fake
+)
+
+// Config describes a measurement. Median is the constant service time of every upstream; the fakes add no network delay.
+type Config struct {
+	Bin         string
+	Groups      int
+	SubRequests float64 // per second
+	Duration    time.Duration
+	Median      time.Duration
+	Seed        uint64
+}
+
+// Result is the outcome for one number of groups.
+type Result struct {
+	Groups   int
+	Report   *loader.Report
+	Idle     time.Duration // CPU time of the entry VM per second without load
+	CPU      time.Duration // CPU time of the entry VM per second under load
+	Upstream time.Duration // CPU time of the upstreams fake per second under load
+	Start    int64         // resident bytes of the entry VM before the load
+	Resident int64         // resident bytes after it
+	Most     int           // connections open to one upstream at once
+	PerSub   time.Duration // CPU time of a sub-request received by the upstreams, idle time subtracted
+}
+
+// Run measures one number of groups. All started processes have ended when it returns.
+func Run(ctx context.Context, c Config) (result *Result, err error) {
+	if c.Groups < 1 || c.Groups > maxGroups || !(c.SubRequests > 0) || c.Duration < time.Second {
+		return nil, eris.Errorf("%d groups, %v sub-requests/s for %v: allowed are 1 to %d groups, a positive rate and at least 1s",
+			c.Groups, c.SubRequests, c.Duration, maxGroups)
+	}
+	directory, err := os.MkdirTemp("", "comfreyroute-slope-")
+	if err != nil {
+		return nil, eris.Wrap(err, "slope")
+	}
+	path := filepath.Join(directory, "slope.ini")
+	if err := os.WriteFile(path, []byte(deployment(c)), fileMode); err != nil {
+		return nil, eris.Wrap(err, "slope")
+	}
+	s, err := runner.StartSet(ctx, runner.SetConfig{Bin: c.Bin, Directory: directory, Deployment: path, Entries: 1, Seed: c.Seed})
+	if err != nil {
+		return nil, eris.Wrapf(err, "settings and logs are in %s", directory)
+	}
+	defer func() {
+		if err = errors.Join(err, s.Stop()); err == nil {
+			err = eris.Wrap(os.RemoveAll(directory), "remove logs")
+		}
+	}()
+	return measure(ctx, c, s)
+}
+
+func measure(ctx context.Context, c Config, s *runner.Set) (*Result, error) {
+	r := &Result{Groups: c.Groups}
+	l := loader.New(s.Checker())
+	defer l.Close()
+	mix, err := loader.ParseMix(service, s.Deployment())
+	if err != nil {
+		return nil, err
+	}
+	load := loader.Config{
+		Entries: s.Entries(), Rate: c.SubRequests / float64(c.Groups), Duration: c.Duration, Seed: c.Seed, Mix: mix,
+	}
+	warm := load
+	warm.Duration, warm.Seed = time.Second, c.Seed+1
+	l.Run(ctx, warm) // fills the latency distribution
+	time.Sleep(openTime)
+	idle, err := cost(s, func() { time.Sleep(idleTime) })
+	if err != nil {
+		return nil, err
+	}
+	before, err := s.Upstreams().Total(ctx, service)
+	if err != nil {
+		return nil, err
+	}
+	start := time.Now()
+	used, err := cost(s, func() {
+		r.Report = l.Run(ctx, load)
+		time.Sleep(settle)
+	})
+	if err != nil {
+		return nil, err
+	}
+	elapsed := time.Since(start).Seconds()
+	after, err := s.Upstreams().Total(ctx, service)
+	if err != nil {
+		return nil, err
+	}
+	r.Report.Received, r.Report.Shed = after.Received-before.Received, after.Shed-before.Shed
+	if r.Report.Received == 0 {
+		return nil, eris.New("the upstreams received no sub-request")
+	}
+	r.Most = after.MaxConnections
+	r.Start, r.Resident = idle.resident, used.resident
+	r.Idle = perSecond(idle.entry, idleTime.Seconds())
+	r.CPU, r.Upstream = perSecond(used.entry, elapsed), perSecond(used.upstreams, elapsed)
+	r.PerSub = time.Duration(((r.CPU - r.Idle).Seconds() * elapsed / float64(r.Report.Received)) * float64(time.Second))
+	return r, nil
+}
+
+func perSecond(d time.Duration, seconds float64) time.Duration {
+	return time.Duration(float64(d) / seconds)
+}
+
+// costs is the CPU time during a part of a measurement and the resident bytes of the entry VM at its end.
+type costs struct {
+	entry, upstreams time.Duration
+	resident         int64
+}
+
+func cost(s *runner.Set, run func()) (costs, error) {
+	var u [4]Usage
+	var errs [4]error
+	u[0], errs[0] = ReadUsage(s.EntryPID(0))
+	u[1], errs[1] = ReadUsage(s.UpstreamsPID())
+	run()
+	u[2], errs[2] = ReadUsage(s.EntryPID(0))
+	u[3], errs[3] = ReadUsage(s.UpstreamsPID())
+	return costs{u[2].CPU - u[0].CPU, u[3].CPU - u[1].CPU, u[2].Resident}, errors.Join(errs[:]...)
+}
+
+// deployment returns a file with one search service of one replica for each group. A constant service time lets added
+// latency be read from the answers.
+func deployment(c Config) string {
+	return fmt.Sprintf(`[deployment]
+name = slope
+network = 127.30.0.0
+port = 7000
+fleet_max = 1
+[failure_domains]
+names = a
+delay = 0s
+[service.%s]
+kind = search
+prefer = coverage
+groups = %d
+replicas = 1
+slots = 20
+queue = 20
+connections = 20
+connect_cost = 1ms
+median = %v
+sigma = 0
+shards = %d
+`, service, c.Groups, c.Median, c.Groups)
+}
--- a/bench/internal/runner/set.go
+++ b/bench/internal/runner/set.go
@@ -102,3 +102,9 @@
 		return eris.Errorf("%s has not ended", p.name)
 	}
 }
+
+// EntryPID returns the process id of an entry VM.
+func (s *Set) EntryPID(vm int) int { return s.stack.processes[fakes+vm].cmd.Process.Pid }
+
+// UpstreamsPID returns the process id of the upstreams fake.
+func (s *Set) UpstreamsPID() int { return s.stack.processes[fakes-1].cmd.Process.Pid }
--- a/bench/main.go
+++ b/bench/main.go
@@ -17,6 +17,7 @@
 	subcommands.Register(&loadCommand{}, "")
 	subcommands.Register(&experimentCommand{}, "")
 	subcommands.Register(&proveCommand{}, "")
+	subcommands.Register(&slopeCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	status := subcommands.Execute(ctx)
