--- a/core/coordination/router/dispatch.go
+++ b/core/coordination/router/dispatch.go
@@ -13,6 +13,8 @@
 	reason      string
 	possiblyRun bool // the upstream may have run it
 	unsent      bool // no byte was written
+	busy        bool // the transport had no free connection
+	lost        bool // the request was lost on an unresponsive connection
 	retryAfter  int64
 }
 
@@ -43,6 +45,31 @@
 	})
 }
 
+// pickAgain chooses a replica for a last attempt after each replica failed once, if the last failure was one of a connection:
+// the only replica that works may have lost the connection of its first attempt. Replicas that refused are left out.
+func (m *Machine) pickAgain(now time.Time, r *request, g int) (int, bool) {
+	b := &r.subs[g]
+	var exclude [maxAttempts]int
+	n := 0
+	for k, i := range b.tried[:b.attempts] {
+		if b.refused&(1<<k) != 0 {
+			exclude[n] = i
+			n++
+		}
+	}
+	if g >= len(r.service.members) || int(b.attempts) > len(r.service.members[g]) {
+		return 0, false
+	}
+	switch b.reason {
+	case reasonUnreachable, reasonReset, reasonUnresponsive, reasonTimeout:
+		return r.service.set.Pick(now, m.random, selector.Query{
+			Group: r.group(g), Version: r.version(), Exclude: exclude[:n], Policy: m.config.Selection,
+		})
+	default:
+		return 0, false
+	}
+}
+
 // blocked returns why waiting for a replica is useless, or "" when one may become free.
 func (m *Machine) blocked(r *request, g int) string {
 	s, b := r.service, &r.subs[g]
@@ -93,7 +120,8 @@
 	a := m.attempts.add()
 	a.request, a.service, a.sub, a.upstream, a.group = r, s, g, i, s.groupOf(i)
 	a.name, a.address, a.sent, a.deadline, a.hedge = u.Row.Upstream, u.Row.Address, now, r.until, hedge
-	if b.attempts == 0 && !r.restarted {
+	if !b.counted && !r.restarted {
+		b.counted = true
 		s.budget.Primary(1)
 		m.stats.Primaries++
 	}
@@ -113,22 +141,22 @@
 	}
 }
 
-// retry sends another attempt of a sub-request that has none in flight. An attempt of which no byte was written is replaced
-// without a token. It returns false when the sub-request has failed.
+// retry sends another attempt of a sub-request that has none in flight. An attempt that cost its upstream no work is replaced
+// without a token: no byte of it was written, or it was lost on an unresponsive connection. It returns false when the sub-request has failed.
 func (m *Machine) retry(now time.Time, r *request, g int, free bool) bool {
 	b := &r.subs[g]
 	if b.attempts >= maxAttempts || m.attempts.full() {
 		return false
 	}
 	i, ok := m.pick(now, r, g)
-	if !ok {
-		if m.blocked(r, g) != "" {
-			return false
-		}
+	if !ok && m.blocked(r, g) == "" {
 		m.enqueue(now, r, g, !free)
 		return true
 	}
-	if !m.pay(r, b, free) {
+	if !ok {
+		i, ok = m.pickAgain(now, r, g)
+	}
+	if !ok || !m.pay(r, b, free) {
 		return false
 	}
 	m.send(now, r, g, i, false)
@@ -159,6 +187,13 @@
 	}
 	b.possiblyRun = b.possiblyRun || f.possiblyRun
 	b.reason, b.retryAfter = f.reason, f.retryAfter
+	if f.unsent && !f.busy {
+		for k, i := range b.tried[:b.attempts] {
+			if i == a.upstream {
+				b.refused |= 1 << k
+			}
+		}
+	}
 	b.notHeld = b.notHeld || f.reason == reasonVersionNotHeld
 	if r.probeGroup != noProbe && f.possiblyRun && f.reason == reasonReset {
 		m.probeReset(now, a)
@@ -181,7 +216,7 @@
 	if f.reason == reasonReset && f.possiblyRun && m.hold(now, r, a.sub) {
 		return
 	}
-	if m.retry(now, r, a.sub, f.unsent) {
+	if m.retry(now, r, a.sub, f.unsent || f.lost) || f.busy && m.pause(now, r, a.sub) {
 		return
 	}
 	if f.reason == reasonVersionNotHeld && b.reason != reasonBudget && m.restart(now, r) {
@@ -237,6 +272,23 @@
 	return w.request.state != stateRunning || w.request.subs[w.sub].state != subWaiting
 }
 
+// pause makes a sub-request wait that found no free connection at any replica. Connections are opened one at a time, so that
+// after a fault a free one may be a few milliseconds away. The attempts were not sent and do not count.
+func (m *Machine) pause(now time.Time, r *request, g int) bool {
+	b := &r.subs[g]
+	if b.pauses >= maxPauses {
+		return false
+	}
+	b.resumeAt = now.Add(min(firstPause<<b.pauses, maxPause))
+	b.pauses++
+	b.attempts, b.refused = 0, 0
+	m.enqueue(now, r, g, false)
+	if r.state == stateRunning {
+		m.soon(r, b.resumeAt)
+	}
+	return true
+}
+
 func dropStale(q []waiter) []waiter {
 	kept := q[:0]
 	for _, w := range q {
@@ -277,6 +329,10 @@
 			continue
 		}
 		r, b := w.request, &w.request.subs[w.sub]
+		if now.Before(b.resumeAt) {
+			s.waiting[g] = append(s.waiting[g], w)
+			continue
+		}
 		i, ok := m.pick(now, r, w.sub)
 		if !ok {
 			if reason := m.blocked(r, w.sub); reason != "" {
--- a/core/transport/connector/connector.go
+++ b/core/transport/connector/connector.go
@@ -18,6 +18,8 @@
 const (
 	connectTimeout = 250 * time.Millisecond
 	pingTimeout    = 100 * time.Millisecond
+	checkTimeout   = 15 * time.Millisecond // of a ping before a request; several round trips, so that the request may still go elsewhere
+	absentGrace    = 5 * time.Millisecond  // time for a reply that left the upstream before it was asked about the request
 	cancelGrace    = 25 * time.Millisecond // time for the reply of a cancelled request
 	replyGrace     = 10 * time.Millisecond // time after the deadline in which a reply may still arrive
 	maxIdleCall    = time.Second           // a call is preceded by a ping on a connection that was idle longer
@@ -139,8 +141,8 @@
 		p = &pool{owner: c, key: k, conns: map[*conn]struct{}{}}
 		c.pools[k] = p
 	}
+	p.resize(a) // before the unlock, so that forget does not drop a pool that is about to be used
 	c.mu.Unlock()
-	p.resize(a)
 }
 
 func (c *Connector) probe(a router.Probe) {
@@ -152,7 +154,7 @@
 func (c *Connector) send(s *router.Send) router.Event {
 	refuse := router.AttemptFailed{Attempt: s.Attempt, Failure: router.FailureNoConnection}
 	p := c.pool(key{s.Service, s.Upstream})
-	if p == nil || !p.dispatch(&job{kind: jobSend, send: s}) {
+	if p == nil || !p.dispatch(&job{kind: jobSend, pool: p, send: s}) {
 		return refuse
 	}
 	return nil
@@ -223,6 +225,21 @@
 			for _, p := range c.list() {
 				p.pingIdle(now)
 			}
+			c.forget()
+		}
+	}
+}
+
+// forget drops the pools of upstreams that the table no longer has, once their connections are closed.
+func (c *Connector) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for k, p := range c.pools {
+		p.mu.Lock()
+		unused := p.limit == 0 && len(p.conns) == 0 && !p.opening
+		p.mu.Unlock()
+		if unused {
+			delete(c.pools, k)
 		}
 	}
 }
--- a/entry/internal/updater/updater.go
+++ b/entry/internal/updater/updater.go
@@ -17,6 +17,8 @@
 	"comfreyroute/core/protocol/exchanger"
 	"comfreyroute/core/state/tabler"
 	"comfreyroute/core/transport/keeper"
+	"comfreyroute/entry/internal/logger"
+	"comfreyroute/entry/internal/measurer"
 )
 
 const eventCapacity = 256
@@ -146,7 +148,7 @@
 		u.Push(a.To, a.Revisions)
 	case adopter.Refuse:
 		u.Log.Error("updater: a table value is not valid and is not adopted",
-			zap.String("service", a.Service), zap.Uint64("revision", a.Revision), zap.Error(a.Err))
+			zap.String("service", a.Service), zap.Uint64("revision", a.Revision), logger.Cause(a.Err))
 	}
 }
 
@@ -164,6 +166,7 @@
 func (u *Updater) read(ctx context.Context, a adopter.ReadTable) adopter.Event {
 	sent := time.Now()
 	r := u.Keeper.Range(ctx, tabler.KeyPrefix, 0)
+	measurer.Platform("read", len(r.Items)/keeper.DefaultPage+1)
 	if r.Status != keeper.OK {
 		u.failed("read", r.Err)
 		return adopter.PlatformFailed(a)
@@ -174,6 +177,7 @@
 
 func (u *Updater) watch(ctx context.Context, a adopter.Watch) adopter.Event {
 	sent := time.Now()
+	measurer.Platform("watch", 1)
 	r := u.Keeper.Watch(ctx, tabler.KeyPrefix, a.After, a.Wait)
 	if r.Status != keeper.OK {
 		u.failed("watch", r.Err)
@@ -185,7 +189,7 @@
 
 func (u *Updater) failed(call string, err error) {
 	if u.context.Err() == nil {
-		u.Log.Warn("updater: the platform does not answer", zap.String("call", call), zap.Error(err))
+		u.Log.Warn("updater: the platform does not answer", zap.String("call", call), logger.Cause(err))
 	}
 }
 
