Allow 1,000 servers in a deployment of one service

bench slope could not measure more than 250 groups, because a service of the upstreams fake had 250 addresses. A service that is alone in its deployment may now use the addresses of the following services. Deployments in use keep their addresses.

Ruled out: wider address blocks for every service, which would change all deployments. A file with two services of which one has more than 250 servers is refused, and a test guards the addresses.

--- a/bench/internal/measurer/slope.go
+++ b/bench/internal/measurer/slope.go
@@ -21,7 +21,7 @@
 	openTime  = 3 * time.Second // the entry VM opens its connections, which must not count as idle time
 	idleTime  = 3 * time.Second
 	settle    = 500 * time.Millisecond
-	maxGroups = 250 // addresses of one service in the fake
+	maxGroups = 1000 // addresses of the only service in the fake
 )
 
 // Config describes a measurement. Median is the constant service time of every upstream; the fakes add no network delay.
--- a/bench/slope.go
+++ b/bench/slope.go
@@ -34,7 +34,7 @@
 
 func (c *slopeCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.config.Bin, "bin", "bin", "directory of the programs entry, platform and upstreams")
-	f.StringVar(&c.groups, "groups", "10,50,150,250", "numbers of shard groups, separated by commas; up to 250")
+	f.StringVar(&c.groups, "groups", "10,50,150,500", "numbers of shard groups, separated by commas; up to 1000")
 	f.Float64Var(&c.config.SubRequests, "rate", 3000, "sub-requests per second")
 	f.DurationVar(&c.config.Duration, "duration", 6*time.Second, "measured time of each number of groups")
 	f.DurationVar(&c.config.Median, "service", 8*time.Millisecond, "constant service time of the upstreams")
--- a/upstreams/describer/deployment.go
+++ b/upstreams/describer/deployment.go
@@ -10,7 +10,7 @@
 // Deployment describes all upstream servers of one user.
 type Deployment struct {
 	Name           string
-	Network        netip.Addr // first address; server n of service s has the address Network + s*256 + n + 1
+	Network        netip.Addr // first address; server n of service s has the address Network + s*256 + n + 1 up to n = 249
 	Port           uint16
 	FleetMax       int
 	Seed           uint64
@@ -55,8 +55,12 @@
 	FailureDomain string
 }
 
-// maxServers is the number of host addresses of one service.
-const maxServers = 250
+// Numbers of servers of one service. Servers above maxServers take the addresses of the following services, so only a service
+// that is alone may have them.
+const (
+	maxServers = 250
+	maxAlone   = 1000
+)
 
 // Servers lists the servers of all services. Replicas of one group are in different failure domains while there are enough.
 func (d *Deployment) Servers() []Server {
@@ -84,8 +88,8 @@
 
 func (d *Deployment) host(service, server int) netip.Addr {
 	a := d.Network.As4()
-	a[2] += byte(service)
-	a[3] = byte(server + 1)
+	a[2] += byte(service + server/maxServers)
+	a[3] = byte(server%maxServers + 1)
 	return netip.AddrFrom4(a)
 }
 
--- a/upstreams/describer/describer_test.go
+++ b/upstreams/describer/describer_test.go
@@ -1,6 +1,7 @@
 package describer
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -77,6 +78,26 @@
 	}
 }
 
+// TestLargeService guards against two servers with one address when a service has more servers than one network of 250.
+func TestLargeService(t *testing.T) {
+	const service = "[service.%s]\nkind = search\ngroups = 500\nshards = 500\n"
+	base := "[deployment]\nnetwork = 127.20.0.0\n[failure_domains]\nnames = a\n" + fmt.Sprintf(service, "x")
+	d, err := Parse([]byte(base))
+	if err != nil {
+		t.Fatal(err)
+	}
+	addresses := map[string]bool{}
+	for _, s := range d.Servers() {
+		addresses[s.Address.String()] = true
+	}
+	if len(addresses) != 500 {
+		t.Errorf("%d addresses of 500 servers", len(addresses))
+	}
+	if _, err := Parse([]byte(base + fmt.Sprintf(service, "y"))); err == nil {
+		t.Error("two services of 500 servers are accepted, although their addresses are the same")
+	}
+}
+
 // FuzzParse guards against a file that makes the reader panic, or that passes and has no usable servers.
 func FuzzParse(f *testing.F) {
 	for _, name := range []string{"quickstart.ini", "haven.ini"} {
--- a/upstreams/describer/read.go
+++ b/upstreams/describer/read.go
@@ -58,6 +58,11 @@
 	if len(d.Services) == 0 || len(d.Services) > 16 {
 		faults = append(faults, eris.Errorf("%d services, allowed: 1 to 16", len(d.Services)))
 	}
+	for i := range d.Services {
+		if s := &d.Services[i]; len(d.Services) > 1 && s.Groups*s.Replicas > maxServers {
+			faults = append(faults, eris.Errorf("section service.%s: %d servers, allowed: up to 250 beside other services", s.Name, s.Groups*s.Replicas))
+		}
+	}
 	if !d.Network.Is4() || !d.Network.IsLoopback() || d.Network.As4()[2] > 240 {
 		faults = append(faults, eris.Errorf("section deployment: network %s, allowed: 127.x.y.z with y up to 240", d.Network))
 	}
@@ -103,7 +108,7 @@
 		Name:         name,
 		Search:       r.choice("kind", "search", "point") == "search",
 		Prefer:       r.choice("prefer", "coverage", "latency"),
-		Groups:       r.integer("groups", 1, 1, maxServers),
+		Groups:       r.integer("groups", 1, 1, maxAlone),
 		Replicas:     r.integer("replicas", 1, 1, maxServers),
 		Slots:        r.integer("slots", 2, 1, 1000),
 		Queue:        r.integer("queue", 4, 0, 1000),
@@ -119,8 +124,8 @@
 		Layout:       r.text("layout", "l1"),
 		Shards:       r.integer("shards", 1, 1, 100000),
 	}
-	if name == "" || s.Groups*s.Replicas > maxServers {
-		r.fault("groups", name, "a service name, and at most 250 servers in one service")
+	if name == "" || s.Groups*s.Replicas > maxAlone {
+		r.fault("groups", name, "a service name, and at most 250 servers in one service, or 1000 if it is the only one")
 	}
 	if !s.Search && s.Groups != 1 {
 		r.fault("groups", name, "one group in a point service")
