Keep one benchmark of a search

The slope benchmarks keep only what it lacks: the heap of an upstream and the adoption of one changed row.

--- a/core/coordination/router/slope_test.go
+++ b/core/coordination/router/slope_test.go
@@ -29,58 +29,22 @@
 	return &tabler.Snapshot{Fleet: tabler.Fleet{Max: 12}, Values: []*tabler.Value{v}}
 }
 
-// slopeMachine is a machine that knows the state of all its upstreams, and the reply of each group.
-func slopeMachine(b *testing.B, groups int) (*Machine, map[string]*encoder.SubReply) {
+// slopeMachine is a machine that knows the state of all its upstreams.
+func slopeMachine(groups int) *Machine {
 	m := &Machine{}
 	m.Configure(Config{FailureDomain: "d0", VM: "vm1", Random: rand.New(rand.NewPCG(1, 2))})
 	t := slopeTable(groups)
 	m.Step(epoch, TableAdopted{t})
-	replies := make(map[string]*encoder.SubReply)
 	for i := range t.Values[0].Upstreams {
 		u := &t.Values[0].Upstreams[i]
 		r := &encoder.SubReply{
-			Upstream: u.Upstream, Incarnation: 1, Status: encoder.StatusOK, Version: 7, Layout: "a",
-			Held:    []encoder.HeldVersion{{Version: 7, Layout: "a", ShardsTotal: groups, Shards: []int{u.Group}}},
-			Results: []encoder.ShardResult{{Shard: u.Group, Items: []string{"x"}}},
+			Upstream: u.Upstream, Incarnation: 1, Status: encoder.StatusOK,
+			Held: []encoder.HeldVersion{{Version: 7, Layout: "a", ShardsTotal: groups, Shards: []int{u.Group}}},
 		}
-		replies[u.Upstream] = r
 		m.Step(epoch, ConnectionsChanged{Service: "matching", Upstream: u.Upstream, Open: 20})
 		m.Step(epoch, UpstreamSeen{Service: "matching", Reply: r})
 	}
-	return m, replies
-}
-
-// BenchmarkSearch measures one search in the router: the request, a reply of each group and the answer, without transport.
-func BenchmarkSearch(b *testing.B) {
-	for _, groups := range slopeGroups {
-		b.Run(fmt.Sprint(groups), func(b *testing.B) {
-			m, replies := slopeMachine(b, groups)
-			now := epoch
-			var id RequestID
-			b.ReportAllocs()
-			for b.Loop() {
-				id++
-				now = now.Add(10 * time.Millisecond)
-				answered := false
-				sends := m.Step(now, RequestArrived{Request: id, Service: "matching", Kind: encoder.SubSearch, Query: "q"})
-				for _, a := range sends {
-					s, ok := a.(Send)
-					if !ok {
-						continue
-					}
-					for _, x := range m.Step(now.Add(8*time.Millisecond), ReplyArrived{Attempt: s.Attempt, Reply: replies[s.Upstream]}) {
-						if y, ok := x.(AnswerSearch); ok {
-							answered = y.Answer.Outcome == encoder.OutcomeDone && len(y.Answer.Covered) == groups
-						}
-					}
-				}
-				if !answered {
-					b.Fatal("a search has no whole answer")
-				}
-			}
-			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(groups), "ns/sub-request")
-		})
-	}
+	return m
 }
 
 // BenchmarkSlopeMemory reports the heap bytes of a router for each upstream, replies included in its state.
@@ -92,7 +56,7 @@
 				var before, after runtime.MemStats
 				runtime.GC()
 				runtime.ReadMemStats(&before)
-				m, _ := slopeMachine(b, groups)
+				m := slopeMachine(groups)
 				runtime.GC()
 				runtime.ReadMemStats(&after)
 				size = after.HeapAlloc - min(before.HeapAlloc, after.HeapAlloc)
@@ -107,7 +71,7 @@
 func BenchmarkSlopeTable(b *testing.B) {
 	for _, groups := range slopeGroups {
 		b.Run(fmt.Sprint(groups), func(b *testing.B) {
-			m, _ := slopeMachine(b, groups)
+			m := slopeMachine(groups)
 			tables := []*tabler.Snapshot{slopeTable(groups), slopeTable(groups)}
 			tables[1].Values[0].Upstreams[0].Weight = 50
 			i := 0
