--- a/bench/internal/prover/routing.go
+++ b/bench/internal/prover/routing.go
@@ -44,6 +44,22 @@
 	return b.check(ctx)
 }
 
+// calm sends searches at a third of the capacity without any fault.
+func calm(ctx context.Context, t *trial) error {
+	const load = 0.33
+	s := t.searches(matching)
+	s.pause = time.Duration(float64(time.Second) / (load * t.set.Deployment().Find(matching).Capacity()))
+	if err := s.during(ctx, func() error { return sleep(ctx, 8*time.Second) }); err != nil {
+		return err
+	}
+	s.check()
+	t.counters(ctx)
+	if s.partial+s.notRun+s.none > 0 {
+		t.fault("%d searches were partial, %d were refused and %d had no answer", s.partial, s.notRun, s.none)
+	}
+	return nil
+}
+
 // crossed makes upstreams of one replica number answer with the reply to the request before, and those of another one with wrong
 // request ids.
 func crossed(ctx context.Context, t *trial) error {
