--- a/core/transport/connector/absent_test.go
+++ b/core/transport/connector/absent_test.go
@@ -1,6 +1,8 @@
 package connector
 
 import (
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -50,3 +52,23 @@
 		})
 	}
 }
+
+// TestAbsentAfterBusy guards against a late request that is never asked about because every other connection was busy.
+func TestAbsentAfterBusy(t *testing.T) {
+	f := &fake{asked: encoder.AskedAbsent, sub: func(nc net.Conn, r *http.Request) bool {
+		time.Sleep(30 * time.Millisecond)
+		return reply(nc, r.Header.Get(encoder.HeaderRequestID))
+	}}
+	start(t, f, 2, func(t *testing.T, b *bench) {
+		f.mu.Lock()
+		f.mute = func(n int) bool { return n == 1 }
+		f.mu.Unlock()
+		b.Do(send(1, 72*time.Millisecond))
+		b.Do(send(2, 72*time.Millisecond))
+		time.Sleep(50 * time.Millisecond)
+		want := []any{arrived{2, encoder.StatusOK}, failed(1, router.FailureUnresponsive, true)}
+		if diff := cmp.Diff(want, b.ends()); diff != "" {
+			t.Errorf("ends within 50ms (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/core/transport/connector/pool.go
+++ b/core/transport/connector/pool.go
@@ -25,19 +25,20 @@
 	telling sync.Mutex // held while the number of usable connections is reported
 	told    int        // guarded by telling
 
-	mu      sync.Mutex
-	address netip.AddrPort
-	limit   int
-	pace    time.Duration
-	conns   map[*conn]struct{} // those that are open, idle or not
-	idle    []*conn            // the one used last is at the end
-	opening bool
-	hurry   chan struct{} // ends the back-off of the opener
-	prober  prober.Prober
-	proof   time.Time // when the newest message was sent that the upstream has answered
-	offered time.Time // when a late connection was last closed to make room for a new one
-	suspect time.Time // connections not heard since then are pinged before their next request
-	tried   bool      // the first attempt to open a connection has ended
+	mu       sync.Mutex
+	address  netip.AddrPort
+	limit    int
+	pace     time.Duration
+	conns    map[*conn]struct{} // those that are open, idle or not
+	idle     []*conn            // the one used last is at the end
+	opening  bool
+	hurry    chan struct{} // ends the back-off of the opener
+	prober   prober.Prober
+	proof    time.Time // when the newest message was sent that the upstream has answered
+	offered  time.Time // when a late connection was last closed to make room for a new one
+	suspect  time.Time // connections not heard since then are pinged before their next request
+	question *job      // late request to ask about on the next connection that is free
+	tried    bool      // the first attempt to open a connection has ended
 }
 
 func (p *pool) resize(a router.Pool) {
@@ -208,8 +209,8 @@
 				if o.asking {
 					_ = o.nc.SetReadDeadline(past)
 				}
-				if j := o.job; j != nil && j.kind == jobSend && j.writing && !j.asked && !j.cancelled {
-					p.assign(&job{kind: jobPing, about: j})
+				if j := o.job; j != nil && j.kind == jobSend && j.writing && !j.asked && !j.cancelled && !p.assign(&job{kind: jobPing, about: j}) {
+					p.question = j
 				}
 			}
 		}
@@ -278,6 +279,13 @@
 		p.give(c, next)
 		return true
 	}
+	if q := p.question; q != nil {
+		p.question = nil
+		if q.conn.job == q && !q.asked && !q.cancelled {
+			p.give(c, &job{kind: jobPing, about: q})
+			return true
+		}
+	}
 	c.job = nil
 	_ = c.nc.SetReadDeadline(time.Time{})
 	p.idle = append(p.idle, c)
@@ -416,10 +424,10 @@
 }
 
 // ask pings the upstream on an idle connection, also about a late request if there is one, or opens a new one when none is
-// idle. The pool's lock is held.
+// idle. Without room the next connection that is free asks. The pool's lock is held.
 func (p *pool) ask(about *job) {
-	if !p.assign(&job{kind: jobPing, about: about}) {
-		p.expand()
+	if !p.assign(&job{kind: jobPing, about: about}) && !p.expand() && about != nil {
+		p.question = about
 	}
 }
 
