Let the first ping of a new connection ask about a late request

When all connections to an upstream are silent, the connection that replaces one of them asks at once. It is still broken: what is left are requests whose loss is known too late for another attempt within 72 ms.

--- a/core/transport/connector/absent_test.go
+++ b/core/transport/connector/absent_test.go
@@ -72,3 +72,21 @@
 		}
 	})
 }
+
+// TestAbsentAllSilent guards against a search that waits for its deadline because no old connection can ask about it.
+func TestAbsentAllSilent(t *testing.T) {
+	f := &fake{asked: encoder.AskedAbsent}
+	start(t, f, 2, func(t *testing.T, b *bench) {
+		f.mu.Lock()
+		f.mute = func(n int) bool { return n < 2 }
+		f.mu.Unlock()
+		b.Do(send(1, 72*time.Millisecond))
+		time.Sleep(50 * time.Millisecond)
+		if diff := cmp.Diff([]any{failed(1, router.FailureUnresponsive, true)}, b.ends()); diff != "" {
+			t.Errorf("ends within 50ms (-want +got):\n%s", diff)
+		}
+		if f.most > 2 {
+			t.Errorf("%d connections were open at once, the bound is 2", f.most)
+		}
+	})
+}
--- a/core/transport/connector/conn.go
+++ b/core/transport/connector/conn.go
@@ -40,8 +40,9 @@
 	// Guarded by the pool's lock.
 	conn      *conn
 	cancelled bool
-	silent    bool      // its connection was unresponsive when it was cancelled
-	writing   bool      // from before the first byte
+	silent    bool // its connection was unresponsive when it was cancelled
+	writing   bool // from before the first byte
+	late      bool
 	until     time.Time // when a cancelled request is given up
 	lost      time.Time // when a request is given up that the upstream does not have; zero while that is not known
 	asked     bool      // the upstream has answered the question about it
--- a/core/transport/connector/connector.go
+++ b/core/transport/connector/connector.go
@@ -18,7 +18,7 @@
 const (
 	connectTimeout = 250 * time.Millisecond
 	pingTimeout    = 150 * time.Millisecond // after it an answer on another connection closes the silent one
-	pingLate       = 15 * time.Millisecond  // a connection whose ping is late is used last
+	pingLate       = 10 * time.Millisecond  // a connection whose ping is late is used last
 	absentGrace    = 5 * time.Millisecond   // time for a reply that left the upstream before it was asked about the request
 	pingLimit      = 400 * time.Millisecond
 	stallGrace     = 2 * time.Millisecond
--- a/core/transport/connector/pool.go
+++ b/core/transport/connector/pool.go
@@ -112,11 +112,26 @@
 	}
 }
 
-// greet sends the first ping on a new connection and reads the reply.
-func (c *conn) greet(deadline time.Time) (*encoder.SubReply, error) {
+// lateJob returns a late request that the upstream was not asked about, or nil.
+func (p *pool) lateJob() *job {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if j := c.job; j != nil && j.late && !j.asked && !j.cancelled {
+			return j
+		}
+	}
+	return nil
+}
+
+// greet sends the first ping on a new connection, which may ask about a late request, and reads the reply.
+func (c *conn) greet(deadline time.Time, about *job) (*encoder.SubReply, error) {
 	_ = c.nc.SetDeadline(deadline)
 	c.pool.owner.counts.pings.Add(1)
 	c.message.prepare(http.MethodGet, encoder.PathPing, c.pool.owner.nextID(), nil)
+	if about != nil {
+		c.message.set(encoder.HeaderAskID, c.pool.owner.attemptID(about.send.Attempt))
+	}
 	if err := c.write(); err != nil {
 		return nil, err
 	}
@@ -141,7 +156,8 @@
 		return false
 	}
 	c := newConn(p, nc)
-	reply, err := c.greet(began.Add(connectTimeout))
+	about := p.lateJob()
+	reply, err := c.greet(began.Add(connectTimeout), about)
 	if err != nil {
 		_ = nc.Close()
 		p.unreachable(isReset(err))
@@ -157,6 +173,9 @@
 	_ = nc.SetDeadline(time.Time{})
 	p.conns[c] = struct{}{}
 	p.idle = append(p.idle, c)
+	if about != nil {
+		p.learn(about, reply.Asked)
+	}
 	p.answered(c, began)
 	p.mu.Unlock()
 	go c.run()
@@ -374,6 +393,10 @@
 func (p *pool) learned(j *job, a encoder.Asked) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.learn(j, a)
+}
+
+func (p *pool) learn(j *job, a encoder.Asked) {
 	j.asked = true
 	if a != encoder.AskedAbsent || j.conn.job != j || j.cancelled || j.send.Kind == encoder.SubCall {
 		return
--- a/core/transport/connector/send.go
+++ b/core/transport/connector/send.go
@@ -191,6 +191,7 @@
 	if !now.Before(next) {
 		return false
 	}
+	j.late = true
 	if !j.cancelled && p.prober.Late(now, c.number) {
 		p.ask(j)
 	}
