--- a/bench/main.go
+++ b/bench/main.go
@@ -18,6 +18,7 @@
 	subcommands.Register(&experimentCommand{}, "")
 	subcommands.Register(&replayCommand{}, "")
 	subcommands.Register(&proveCommand{}, "")
+	subcommands.Register(&slopeCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	status := subcommands.Execute(ctx)
