--- a/operator/internal/commander/table.go
+++ b/operator/internal/commander/table.go
@@ -7,15 +7,12 @@
 	"flag"
 	"fmt"
 	"os"
-	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/google/subcommands"
-	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
-	"comfreyroute/core/coordination/adopter"
 	"comfreyroute/core/state/tabler"
 	"comfreyroute/operator/internal/editor"
 )
@@ -68,15 +65,24 @@
 	return []*tabler.Value{v}, nil
 }
 
-func (e *environment) show(ctx context.Context, arguments []string) subcommands.ExitStatus {
+// values reads the value of the named service, or every value when none is named.
+func (e *environment) values(ctx context.Context, services []string) ([]*tabler.Value, subcommands.ExitStatus) {
 	_, t, done, code := e.read(ctx)
 	if code != ExitDone {
-		return code
+		return nil, code
 	}
 	defer done()
-	values, err := only(t, arguments)
+	values, err := only(t, services)
 	if err != nil {
-		return e.fail(ExitUsage, err)
+		return nil, e.fail(ExitUsage, err)
+	}
+	return values, ExitDone
+}
+
+func (e *environment) show(ctx context.Context, arguments []string) subcommands.ExitStatus {
+	values, code := e.values(ctx, arguments)
+	if code != ExitDone {
+		return code
 	}
 	if e.json {
 		return e.printJSON(values)
@@ -117,16 +123,15 @@
 	if len(arguments) != 1 {
 		return e.fail(ExitUsage, eris.New("export: one file is needed"))
 	}
-	_, t, done, code := e.read(ctx)
+	values, code := e.values(ctx, nil)
 	if code != ExitDone {
 		return code
 	}
-	defer done()
 	f, err := os.Create(arguments[0])
 	if err != nil {
 		return e.fail(ExitUsage, eris.Wrap(err, "export"))
 	}
-	err = tabler.WriteCSV(f, t.All())
+	err = tabler.WriteCSV(f, values)
 	if err = errors.Join(err, f.Close()); err != nil {
 		return e.fail(ExitUsage, eris.Wrap(err, "export"))
 	}
@@ -162,172 +167,11 @@
 	return ExitDone
 }
 
-// apply prints the difference between a file and the table, and brings the table to the state of the file unless dry is set.
-func (e *environment) apply(ctx context.Context, arguments []string, prune, dry bool) subcommands.ExitStatus {
-	wanted, code := e.load(arguments)
-	if code != ExitDone {
-		return code
-	}
-	d, t, done, code := e.read(ctx)
-	if code != ExitDone {
-		return code
-	}
-	defer done()
-	plan := editor.Plan(t, wanted, prune)
-	var results []result
-	for _, service := range editor.Services(plan) {
-		r := result{Service: service, Changes: texts(plan[service]), Verdict: "differs"}
-		if !dry {
-			r.take(d.Edit(ctx, e.newEdit(plan[service]), service, editor.Find(t.All(), service), plan[service]))
-		}
-		results = append(results, r)
-	}
-	code = e.report(results)
-	if dry && len(results) > 0 {
-		return ExitDiffers
-	}
-	return code
-}
-
-func (e *environment) edit(ctx context.Context, arguments []string) subcommands.ExitStatus {
-	var changes []tabler.Change
-	for _, a := range arguments {
-		c, err := tabler.ParseChange(a)
-		if err != nil {
-			return e.fail(ExitFaults, err)
-		}
-		if len(changes) > 0 && changes[0].Service != c.Service {
-			return e.fail(ExitUsage, eris.Errorf("edit: cells of %q and %q can't be changed by one edit", changes[0].Service, c.Service))
-		}
-		changes = append(changes, c)
-	}
-	if len(changes) == 0 {
-		return e.fail(ExitUsage, eris.New("edit: a cell is needed, such as 'matching.deadline = 72ms'"))
-	}
-	d, t, done, code := e.read(ctx)
-	if code != ExitDone {
-		return code
-	}
-	defer done()
-	service := changes[0].Service
-	base := editor.Find(t.All(), service)
-	if base == nil {
-		base = tabler.NewValue(service)
-	}
-	wanted, err := base.Apply(changes)
-	if err != nil {
-		return e.fail(ExitFaults, err)
-	}
-	if changes = tabler.Diff(base, wanted); len(changes) == 0 {
-		return e.report(nil)
-	}
-	r := result{Service: service, Changes: texts(changes)}
-	r.take(d.Edit(ctx, e.newEdit(changes), service, base, changes))
-	return e.report([]result{r})
-}
-
-func (e *environment) newEdit(changes []tabler.Change) tabler.Edit {
-	return tabler.Edit{ID: uuid.NewString(), Who: e.who, When: time.Now().UTC(), Summary: editor.Summary(changes)}
-}
-
-func texts(changes []tabler.Change) []string {
-	var out []string
-	for _, c := range changes {
-		out = append(out, c.String())
-	}
-	return out
-}
-
-// result is how the edit of one service ended.
-type result struct {
-	Service   string            `json:"service"`
-	Changes   []string          `json:"changes"`
-	Verdict   string            `json:"verdict"`
-	Revision  uint64            `json:"revision,omitempty"`
-	Conflicts []tabler.Conflict `json:"conflicts,omitempty"`
-	Error     string            `json:"error,omitempty"`
-	code      subcommands.ExitStatus
-}
-
-func (r *result) take(f adopter.Finished) {
-	r.Verdict, r.Revision, r.Conflicts = f.Verdict.String(), f.Revision, f.Conflicts
-	if f.Err != nil {
-		r.Error = f.Err.Error()
-	}
-	switch f.Verdict {
-	case adopter.Accepted:
-		r.code = ExitDone
-	case adopter.Conflicting:
-		r.code = ExitConflict
-	case adopter.Invalid:
-		r.code = ExitFaults
-	case adopter.Unavailable:
-		r.code = ExitUnavailable
-	default:
-		r.code = ExitUnknown
-	}
-}
-
-// report prints the results and returns the exit code of the first one that was not accepted.
-func (e *environment) report(results []result) subcommands.ExitStatus {
-	code := subcommands.ExitStatus(ExitDone)
-	for _, r := range results {
-		if code == ExitDone {
-			code = r.code
-		}
-	}
-	if e.json {
-		if results == nil {
-			results = []result{}
-		}
-		_ = json.NewEncoder(e.out).Encode(results)
-		return code
-	}
-	if len(results) == 0 {
-		_, _ = fmt.Fprintln(e.out, "no difference")
-	}
-	for _, r := range results {
-		_, _ = fmt.Fprint(e.out, r.text())
-	}
-	return code
-}
-
-func (r *result) text() string {
-	var b strings.Builder
-	for _, c := range r.Changes {
-		fmt.Fprintf(&b, "  %s\n", c)
-	}
-	fmt.Fprintf(&b, "%s: %s", r.Service, r.Verdict)
-	if r.Revision > 0 {
-		fmt.Fprintf(&b, " at revision %d", r.Revision)
-	}
-	if r.Error != "" {
-		fmt.Fprintf(&b, ": %s", r.Error)
-	}
-	b.WriteByte('\n')
-	for _, c := range r.Conflicts {
-		row := c.Service
-		if c.Upstream != "" {
-			row += "/" + c.Upstream
-		}
-		fmt.Fprintf(&b, "  %s was edited by someone else meanwhile\n    yours:  %s\n    theirs: %s\n", row, c.Mine, c.Theirs)
-	}
-	if r.Verdict == adopter.Unknown.String() {
-		b.WriteString("  the key-value service gave no clear answer; look at the history, then repeat the edit\n")
-	}
-	return b.String()
-}
-
 func (e *environment) history(ctx context.Context, arguments []string) subcommands.ExitStatus {
-	_, t, done, code := e.read(ctx)
+	values, code := e.values(ctx, arguments)
 	if code != ExitDone {
 		return code
 	}
-	defer done()
-	values, err := only(t, arguments)
-	if err != nil {
-		return e.fail(ExitUsage, err)
-	}
 	type row struct {
 		Service string      `json:"service"`
 		Edit    tabler.Edit `json:"edit"`
