--- a/bench/internal/prover/prover.go
+++ b/bench/internal/prover/prover.go
@@ -38,6 +38,7 @@
 	{Name: "killed", Promise: "a call runs at most once while entry VMs are killed and frozen", run: killed},
 	{Name: "platform", Promise: "a call runs at most once while the platform is slow, down and loses answers; tickets and searches go on", run: platform},
 	{Name: "calm", Promise: "without a fault every search is whole", run: calm},
+	{Name: "dark", Promise: "coverage is whole while a failure domain is dark and every group has a replica outside it", run: dark},
 	{Name: "silent", Promise: "connections that stop responding are replaced and cost no whole answer", run: silent},
 	{Name: "crossed", Promise: "replies that are crossed or carry a wrong id reach no caller", run: crossed},
 	{Name: "versions", Promise: "every answer comes from one snapshot while versions change and data is repartitioned", run: versions},
--- a/core/coordination/adopter/machine.go
+++ b/core/coordination/adopter/machine.go
@@ -96,17 +96,23 @@
 // RevisionsFor returns up to n revisions for a message: the highest ones, which changed last, for half of it, and the others
 // in turn, so that a peer that missed an old change hears of it too.
 func (m *Machine) RevisionsFor(n int) []Revision {
-	list := m.Revisions()
+	out := SelectRevisions(m.Revisions(), n, m.told)
+	m.told++
+	return out
+}
+
+// SelectRevisions is RevisionsFor for a list that was taken from a machine. Turn counts the messages.
+func SelectRevisions(list []Revision, n, turn int) []Revision {
 	if len(list) <= n {
 		return list
 	}
+	list = slices.Clone(list)
 	slices.SortFunc(list, func(a, b Revision) int { return cmp.Compare(b.Revision, a.Revision) })
-	newest, rest := list[:n/2], list[n/2:]
+	newest, rest, more := list[:n/2], list[n/2:], n-n/2
 	out := slices.Clone(newest)
-	for i := range n - n/2 {
-		out = append(out, rest[(m.told+i)%len(rest)])
+	for i := range more {
+		out = append(out, rest[(turn*more+i)%len(rest)])
 	}
-	m.told += n - n/2
 	return out
 }
 
--- a/core/coordination/router/catalog.go
+++ b/core/coordination/router/catalog.go
@@ -21,6 +21,7 @@
 	groups  []holding
 	covered int // groups with a holder that gets new work
 	holders int // upstreams that hold it
+	least   int // fewest holders of a covered group, -1 when not computed since the last report
 }
 
 type holding struct {
@@ -32,17 +33,42 @@
 // catalog holds the indexes that the upstreams of a service reported.
 type catalog struct{ indexes []*index }
 
-// best returns the index that covers the most groups, the newest on a tie, or nil.
+// best returns the index that covers the most groups, or nil. Of several, it returns the newest that is replicated enough: its
+// least replicated group has at least half of the holders that another one of them offers. While a version spreads, the first
+// replicas that hold it would otherwise get the load of all: with one of three, a third of the capacity.
 func (c *catalog) best() *index {
+	covered, most := 1, 0
+	for _, x := range c.indexes {
+		if x.covered > covered {
+			covered, most = x.covered, 0
+		}
+		if x.covered == covered {
+			most = max(most, x.leastHolders())
+		}
+	}
 	var b *index
 	for _, x := range c.indexes {
-		if x.covered > 0 && (b == nil || x.covered > b.covered || x.covered == b.covered && x.newer(b)) {
+		if x.covered == covered && 2*x.leastHolders() >= most && (b == nil || x.newer(b)) {
 			b = x
 		}
 	}
 	return b
 }
 
+// leastHolders returns the fewest holders of a covered group.
+func (x *index) leastHolders() int {
+	if x.least >= 0 {
+		return x.least
+	}
+	x.least = 0
+	for _, h := range x.groups {
+		if h.holders > 0 && (x.least == 0 || h.holders < x.least) {
+			x.least = h.holders
+		}
+	}
+	return x.least
+}
+
 func (x *index) newer(o *index) bool {
 	return x.version > o.version || x.version == o.version && x.layout < o.layout
 }
@@ -59,6 +85,7 @@
 // refresh takes the reports of all replicas of a group anew.
 func (c *catalog) refresh(set *selector.Set, group int, members []int) {
 	for _, x := range c.indexes {
+		x.least = -1
 		if group < len(x.groups) {
 			h := &x.groups[group]
 			if h.holders > 0 {
@@ -82,7 +109,7 @@
 func (c *catalog) add(set *selector.Set, group int, members []int, held *encoder.HeldVersion, isAvailable bool) {
 	x := c.find(held.Version, held.Layout, held.ShardsTotal)
 	if x == nil {
-		x = &index{version: held.Version, layout: held.Layout, total: held.ShardsTotal}
+		x = &index{version: held.Version, layout: held.Layout, total: held.ShardsTotal, least: -1}
 		c.indexes = append(c.indexes, x)
 		slices.SortFunc(c.indexes, func(a, b *index) int {
 			return cmp.Or(cmp.Compare(a.version, b.version), cmp.Compare(a.layout, b.layout), cmp.Compare(a.total, b.total))
--- a/core/coordination/router/decision_test.go
+++ b/core/coordination/router/decision_test.go
@@ -212,6 +212,8 @@
 		{"replicas count once", map[string][]encoder.HeldVersion{"u0-0": {held(2, "a", 0)}, "u0-1": {held(2, "a", 0)}, "u1-0": {held(1, "a", 1)}, "u2-0": {held(1, "a", 2)}}, "", 1, "a"},
 		{"two layouts", map[string][]encoder.HeldVersion{"u0-0": {held(2, "b", 0)}, "u1-0": {held(2, "a", 1)}, "u2-0": {held(2, "a", 2)}}, "", 2, "a"},
 		{"draining holders do not count", map[string][]encoder.HeldVersion{"u0-0": {held(2, "a", 0)}, "u1-0": {held(1, "a", 1)}}, "u0-0", 1, "a"},
+		{"held by one replica of three", map[string][]encoder.HeldVersion{"u0-0": {held(1, "a", 0), held(2, "a", 0)}, "u0-1": {held(1, "a", 0)}, "u0-2": {held(1, "a", 0)}}, "", 1, "a"},
+		{"held by two replicas of three", map[string][]encoder.HeldVersion{"u0-0": {held(1, "a", 0), held(2, "a", 0)}, "u0-1": {held(2, "a", 0)}, "u0-2": {held(1, "a", 0)}}, "", 2, "a"},
 		{"invalid reports do not count", map[string][]encoder.HeldVersion{"u0-0": {held(3, "a", 6)}, "u1-0": {held(4, "a", 1, 1)}, "u2-0": {held(1, "a", 2)}}, "", 1, "a"},
 	}
 	for _, c := range cases {
--- a/core/protocol/encoder/upstream.go
+++ b/core/protocol/encoder/upstream.go
@@ -8,7 +8,9 @@
 	HeaderDeadlineMS   = "X-Deadline-Ms"
 	HeaderIndexVersion = "X-Index-Version"
 	HeaderCaller       = "X-Caller"
-	HeaderAskID        = "X-Ask-Id" // on a ping: whether the upstream has the sub-request with this id
+	// HeaderFailureDomain names the failure domain of the sending VM. Without it, the sender counts as being in the upstream's.
+	HeaderFailureDomain = "X-Failure-Domain"
+	HeaderAskID         = "X-Ask-Id" // on a ping: whether the upstream has the sub-request with this id
 )
 
 // Paths of an upstream.
--- a/core/transport/connector/connector.go
+++ b/core/transport/connector/connector.go
@@ -11,9 +11,6 @@
 	"comfreyroute/core/coordination/router"
 )
 
-// HeaderFailureDomain tells an upstream in which failure domain the sending VM runs.
-const HeaderFailureDomain = "X-Failure-Domain"
-
 // Bounds of the transport.
 const (
 	connectTimeout = 250 * time.Millisecond
--- a/core/transport/connector/connector_test.go
+++ b/core/transport/connector/connector_test.go
@@ -87,7 +87,7 @@
 		b.drain()
 		want := http.Header{
 			encoder.HeaderRequestID: {"vm-7-5"}, encoder.HeaderDeadlineMS: {"1500"}, encoder.HeaderIndexVersion: {"3"},
-			encoder.HeaderCaller: {"c"}, HeaderFailureDomain: {"d1"}, "Content-Type": {"application/json"},
+			encoder.HeaderCaller: {"c"}, encoder.HeaderFailureDomain: {"d1"}, "Content-Type": {"application/json"},
 			"Content-Length": {"43"},
 		}
 		if diff := cmp.Diff(want, f.lastSub); diff != "" {
--- a/core/transport/connector/message.go
+++ b/core/transport/connector/message.go
@@ -50,7 +50,7 @@
 func (m *message) init(host, failureDomain string) {
 	m.request = http.Request{
 		URL: &url.URL{Host: host}, Host: host, ProtoMajor: 1, ProtoMinor: 1,
-		Header: http.Header{"User-Agent": {""}, HeaderFailureDomain: {failureDomain}, "Content-Type": {"application/json"}},
+		Header: http.Header{"User-Agent": {""}, encoder.HeaderFailureDomain: {failureDomain}, "Content-Type": {"application/json"}},
 	}
 }
 
--- a/core/transport/connector/send.go
+++ b/core/transport/connector/send.go
@@ -122,6 +122,7 @@
 	defer p.mu.Unlock()
 	silent := c.unresponsive && isTimeout(err)
 	if silent {
+		p.pingSuspects(time.Now())
 		p.owner.counts.unresponsive.Add(1)
 	}
 	switch {
--- a/core/transport/connector/suspect.go
+++ b/core/transport/connector/suspect.go
@@ -28,11 +28,16 @@
 				}
 			}
 		}
-		p.pingSuspects(now)
-		p.owner.alarms.note(now, p.key)
 	}
 }
 
+// silence acts on a connection that is known to be silent: others may have become silent with it. A request that is only late
+// is no such sign, because each slow request would then make the VM ping all of its connections. The pool's lock is held.
+func (p *pool) silence(now time.Time) {
+	p.pingSuspects(now)
+	p.owner.alarms.note(now, p.key)
+}
+
 // lostPing is lost for a connection that did not answer a ping. The request that waited for the ping, if there is one, goes
 // to another connection. If the connection stayed silent, others may be silent as well.
 func (p *pool) lostPing(c *conn, waiting *job, silent bool) {
@@ -48,7 +53,7 @@
 	}
 	if silent {
 		p.mu.Lock()
-		p.pingSuspects(now)
+		p.silence(now)
 		p.mu.Unlock()
 	}
 }
@@ -106,6 +111,9 @@
 
 func (p *pool) learn(j *job, a encoder.Asked) {
 	j.asked = true
+	if a == encoder.AskedAbsent && j.conn.job == j {
+		p.silence(time.Now())
+	}
 	if a != encoder.AskedAbsent || j.conn.job != j || j.cancelled || j.send.Kind == encoder.SubCall {
 		return
 	}
--- a/entry/internal/registrar/registrar.go
+++ b/entry/internal/registrar/registrar.go
@@ -24,6 +24,8 @@
 	eventCapacity   = 256
 	exchangeTimeout = 400 * time.Millisecond // below the interval of heartbeats
 	farFuture       = time.Hour
+	viewInterval    = time.Second // the view is copied at least this often, because readiness and addresses change without notice
+	maxRevisions    = 16          // of one message, so that its size does not grow with the number of services
 )
 
 // Registrar is the membership concern. The exported fields are set before Start.
@@ -46,6 +48,8 @@
 	news     news
 	view     atomic.Pointer[View]
 	contact  time.Time
+	copied   time.Time // when the members of the view were copied
+	messages int
 	listed   time.Time // last read of the VM list
 	listing  bool
 	leaving  map[Upstream]bool // upstreams that the VM list shows as leaving
@@ -146,19 +150,24 @@
 	case tracker.Listed:
 		r.touch(e.Sent)
 	}
+	before := r.view.Load()
+	members := before.Members
+	if now.Sub(r.copied) >= viewInterval {
+		members, r.copied = r.Machine.Members(), now
+	}
 	for _, a := range r.Machine.Step(now, ev) {
 		switch a := a.(type) {
 		case tracker.Exchange:
 			r.exchange(a.To)
 		case tracker.ViewChanged:
+			members = a.Members
 			r.changed(a.Members)
 		case tracker.Replaced:
 			r.Log.Error("registrar: another process uses the id of this VM", zap.Uint64("incarnation", a.Record.Incarnation))
 		}
 	}
-	before := r.view.Load()
 	r.view.Store(&View{
-		Members: r.Machine.Members(), Admitted: r.Machine.Admitted(), contact: r.contact, knows: r.Machine.Isolated(now.Add(farFuture)),
+		Members: members, Admitted: r.Machine.Admitted(), contact: r.contact, knows: r.Machine.Isolated(now.Add(farFuture)),
 	})
 	if !before.Admitted && r.Machine.Admitted() {
 		r.Admitted()
@@ -218,7 +227,8 @@
 		}
 		n.Members = append(n.Members, x.Message())
 	}
-	for _, x := range r.Revisions() {
+	r.messages++
+	for _, x := range adopter.SelectRevisions(r.Revisions(), maxRevisions, r.messages) {
 		n.Revisions = append(n.Revisions, &exchanger.Revision{Service: x.Service, Revision: x.Revision})
 	}
 	if c := r.Contact(); !c.IsZero() {
--- a/upstreams/internal/server/handle.go
+++ b/upstreams/internal/server/handle.go
@@ -12,9 +12,6 @@
 	"comfreyroute/upstreams/indexer"
 )
 
-// HeaderFailureDomain names the failure domain of the client. Without it, the client counts as being in the same one.
-const HeaderFailureDomain = "X-Failure-Domain"
-
 // maxDeadline bounds the work of one sub-request without a deadline or with a very long one.
 const maxDeadline = time.Minute
 
@@ -27,7 +24,7 @@
 // handle answers one request. The HTTP status is 200 for every sub-reply; the envelope tells the status.
 func (f *Fleet) handle(w http.ResponseWriter, r *http.Request) {
 	h := r.Context().Value(hostKey{}).(*host)
-	oneWay := f.deployment.OneWay(r.Header.Get(HeaderFailureDomain), h.server.FailureDomain)
+	oneWay := f.deployment.OneWay(r.Header.Get(encoder.HeaderFailureDomain), h.server.FailureDomain)
 	reply := &encoder.SubReply{RequestID: r.Header.Get(encoder.HeaderRequestID), Status: encoder.StatusOK}
 	var request encoder.SubRequest
 	var cancel encoder.CancelRequest
