--- a/bench/internal/runner/runner_test.go
+++ b/bench/internal/runner/runner_test.go
@@ -49,7 +49,7 @@
 // TestRestartOrder guards against a rolling restart that takes neighbouring replicas of one group away together: it has to
 // reach all groups before it comes back to the first one.
 func TestRestartOrder(t *testing.T) {
-	e, err := Read(filepath.Join("..", "..", "..", "experiments", "restart.ini"))
+	e, err := Read(filepath.Join("..", "..", "..", "experiments", "magnolia-restart.ini"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -71,7 +71,7 @@
 
 // TestIndexSteps guards against an index change that leaves a group without any version that another group holds.
 func TestIndexSteps(t *testing.T) {
-	e, err := Read(filepath.Join("..", "..", "..", "experiments", "index.ini"))
+	e, err := Read(filepath.Join("..", "..", "..", "experiments", "haven-index.ini"))
 	if err != nil {
 		t.Fatal(err)
 	}
