--- a/core/coordination/admitter/verdict.go
+++ b/core/coordination/admitter/verdict.go
@@ -14,8 +14,8 @@
 
 // Reasons of a rejection.
 const (
-	ReasonDeadline  = "deadline cannot be met"
-	ReasonQueueFull = "queue is full"
+	ReasonDeadline  = "deadline"
+	ReasonQueueFull = "queue_full"
 )
 
 // Verdict is the answer to an offer. Reason and RetryAfter are set on a rejection.
--- a/core/coordination/quarantiner/verdict.go
+++ b/core/coordination/quarantiner/verdict.go
@@ -24,8 +24,8 @@
 
 // Reasons of a rejection.
 const (
-	ReasonSuspect   = "request may crash upstreams and waits for a probe"
-	ReasonConfirmed = "request crashes upstreams"
+	ReasonSuspect   = "suspect"
+	ReasonConfirmed = "crashes_upstreams"
 )
 
 // Verdict is the answer to a check. Reason and RetryAfter are set on a rejection. Group is the group for a probe, -1 when
