Leave a ping without an answer out of the alarm

Conclusion: only an upstream that says it does not have a request proves a silence that may concern other upstreams.

--- a/core/transport/connector/suspect.go
+++ b/core/transport/connector/suspect.go
@@ -53,7 +53,7 @@
 	}
 	if silent {
 		p.mu.Lock()
-		p.silence(now)
+		p.pingSuspects(now)
 		p.mu.Unlock()
 	}
 }
