--- a/core/coordination/adopter/machine.go
+++ b/core/coordination/adopter/machine.go
@@ -48,7 +48,6 @@
 	synced  bool              // the changes after seen are all that this VM lacks
 	probe   bool              // a value that peers did not give is wanted from the platform
 	offline bool              // the platform did not answer before the table was complete
-	told    int               // rotates RevisionsFor
 	peers   []Member
 	last    CallID
 	contact time.Time // latest moment at which the platform is known to have answered somebody
@@ -93,15 +92,8 @@
 	return list
 }
 
-// RevisionsFor returns up to n revisions for a message: the highest ones, which changed last, for half of it, and the others
-// in turn, so that a peer that missed an old change hears of it too.
-func (m *Machine) RevisionsFor(n int) []Revision {
-	out := SelectRevisions(m.Revisions(), n, m.told)
-	m.told++
-	return out
-}
-
-// SelectRevisions is RevisionsFor for a list that was taken from a machine. Turn counts the messages.
+// SelectRevisions returns up to n revisions for a message: the highest ones, which changed last, for half of it, and the others
+// in turn, so that a peer that missed an old change hears of it too. Turn counts the messages.
 func SelectRevisions(list []Revision, n, turn int) []Revision {
 	if len(list) <= n {
 		return list
--- a/core/coordination/adopter/machine_test.go
+++ b/core/coordination/adopter/machine_test.go
@@ -213,8 +213,8 @@
 		t.Errorf("revisions (-want +got):\n%s", diff)
 	}
 	heard := map[string]bool{}
-	for range 7 {
-		list := m.RevisionsFor(6)
+	for turn := range 7 {
+		list := SelectRevisions(m.Revisions(), 6, turn)
 		if len(list) != 6 || list[0].Revision != 20 {
 			t.Errorf("revisions %v", list)
 		}
--- a/entry/internal/runner/admin.go
+++ b/entry/internal/runner/admin.go
@@ -77,8 +77,9 @@
 	if !v.Contact.IsZero() {
 		s.ContactMS = time.Since(v.Contact).Milliseconds()
 	}
-	d.loop.Inspect(func(looper.Machine) { s.Router = d.machine.Stats() })
-	s.overview(d.inspect())
+	var o router.Overview
+	d.loop.Inspect(func(looper.Machine) { s.Router, o = d.machine.Stats(), d.machine.Overview() })
+	s.overview(o)
 	for _, r := range v.Revisions {
 		s.Revisions[r.Service] = r.Revision
 	}
--- a/entry/internal/runner/fleet.go
+++ b/entry/internal/runner/fleet.go
@@ -13,7 +13,6 @@
 	"comfreyroute/core/coordination/tracker"
 	"comfreyroute/core/protocol/exchanger"
 	"comfreyroute/core/transport/keeper"
-	"comfreyroute/entry/internal/looper"
 )
 
 const fleetTimeout = time.Second
@@ -149,10 +148,3 @@
 	}
 	return false
 }
-
-// inspect reads the overview in the routing loop.
-func (d *daemon) inspect() router.Overview {
-	var o router.Overview
-	d.loop.Inspect(func(looper.Machine) { o = d.machine.Overview() })
-	return o
-}
