Move the stand-in of the platform to keystore, and add a gateway for the users' platform

The folder platform/ becomes the adapter: package translator decodes settings, manifest, server entries and headers. Package forwarder decides about forwarded requests, requester carries them, and the gateway program joins them. Not measured yet.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets for developers; .ci/run calls the same ones.
-MODULES := core entry operator platform upstreams bench
+MODULES := core platform gateway entry operator keystore upstreams bench
 GO ?= go
 export CGO_ENABLED := 1
 
@@ -7,7 +7,7 @@
 
 build:
 	@mkdir -p bin
-	@for m in entry operator platform upstreams bench; do \
+	@for m in gateway entry operator keystore upstreams bench; do \
 		if ls $$m/*.go >/dev/null 2>&1; then $(GO) build -o bin/$$m ./$$m || exit 1; fi; \
 	done
 
--- /dev/null
+++ b/core/coordination/forwarder/config.go
@@ -0,0 +1,61 @@
+package forwarder
+
+import "time"
+
+// Config holds what a VM knows before its first manifest. The zero value allows no extra sends.
+type Config struct {
+	FailureDomain string
+	FleetMax      int     // most VMs that share the connections and the budget; 0 takes the default of the table
+	ExtraShare    float64 // extra sends to a service for each request, over all VMs
+	ExtraSlack    int     // extra sends in each budget window on top of the share, over all VMs
+	Seed          uint64
+}
+
+const (
+	// budgetPart is the part of the allowed extra sends that is used. Requests are counted here when they arrive and by the
+	// service's owner in fixed windows, so that a whole share could exceed the bound at the edge of a window.
+	budgetPart = 0.8
+
+	// answerMargin is how long before its deadline a request is answered at the latest: the way to the caller (1 to 3 ms), and
+	// the delay of a timer on a small VM.
+	answerMargin = 10 * time.Millisecond
+	// targetMargin is how long before the latency objective a gathered answer goes out without its last shards. It covers the
+	// way from and to the caller.
+	targetMargin = 6 * time.Millisecond
+	// marginShare bounds both margins to a part of the time that is left.
+	marginShare = 5
+
+	// maxSends bounds the sends of one sub-request, those included that did not run.
+	maxSends = 5
+	// maxLive is how many attempts of one sub-request run at once: one and its hedge.
+	maxLive = 2
+	// defaultAttempts holds for a route that sets none.
+	defaultAttempts = 1
+	// defaultTimeout holds for a request without a deadline on a route without a timeout.
+	defaultTimeout = 30 * time.Second
+
+	// hedgeQuantile of the latencies of a route is its hedge delay. One sub-request in ten is sent twice, half of the usual budget.
+	hedgeQuantile = 0.9
+	// hedgeLeast and hedgeMost bound the hedge delay to parts of the latency objective, so that a hedge has time to reply.
+	hedgeLeast = 0.08
+	hedgeMost  = 0.35
+	// minSamples is the number of latencies below which hedgeMost is the delay.
+	minSamples = 50
+	// delayLife is how long the hedge delay is used before it is computed again.
+	delayLife = 50 * time.Millisecond
+
+	// waitShare is the part of the latency objective for which a sub-request waits for an upstream that is not full. A refusal
+	// within a quarter of the objective leaves the caller time for another try.
+	waitShare = 0.22
+
+	// retryShare is the part of the latency objective after which a refused caller may come back, and a random part of the
+	// same length is added, so that callers do not return together.
+	retryShare = 0.1
+	// retryUnknown is when callers come back that were refused because this VM knows no manifest yet.
+	retryUnknown = 300 * time.Millisecond
+	// minRetryAfter bounds the time of a return from below.
+	minRetryAfter = 5 * time.Millisecond
+
+	// idleForget is how long the latencies of a route that left the manifest are kept: a route often comes back under its name.
+	idleForget = time.Minute
+)
--- /dev/null
+++ b/core/coordination/forwarder/machine.go
@@ -0,0 +1,88 @@
+package forwarder
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Machine is the state machine of the requests of one VM. The zero value is usable and knows no manifest. It is not safe for
+// concurrent use.
+type Machine struct {
+	Config Config // not changed after the first Step
+
+	random      *rand.Rand
+	manifest    *Manifest
+	listed      bool
+	services    map[string]*service
+	policies    map[string]*policy
+	requests    map[RequestID]*request
+	attempts    map[AttemptID]*attempt
+	lastAttempt AttemptID
+	timers      timers
+	wake        time.Time // time of the last Wake that did not fire yet
+	actions     []Action
+}
+
+// Step applies one event and returns the actions to carry out, in order. The slice is valid until the next Step. Events come
+// with times that do not decrease.
+func (m *Machine) Step(now time.Time, ev Event) []Action {
+	m.start()
+	m.actions = m.actions[:0]
+	switch e := ev.(type) {
+	case ManifestAdopted:
+		m.adopt(now, e.Manifest)
+	case UpstreamsListed:
+		m.list(now, e.Upstreams)
+	case RequestArrived:
+		m.arrive(now, e)
+	case CallerGone:
+		if r := m.requests[e.Request]; r != nil {
+			m.abandon(r)
+		}
+	case AttemptEnded:
+		m.ended(now, e)
+	case TimerFired:
+		m.wake = time.Time{}
+	}
+	for len(m.timers) > 0 && !m.timers[0].due.After(now) {
+		m.look(now, m.timers[0])
+	}
+	m.armWake(now)
+	return m.actions
+}
+
+// start makes the zero value usable.
+func (m *Machine) start() {
+	if m.random != nil {
+		return
+	}
+	m.random = rand.New(rand.NewPCG(m.Config.Seed, m.Config.Seed))
+	m.requests = map[RequestID]*request{}
+	m.attempts = map[AttemptID]*attempt{}
+}
+
+func (m *Machine) emit(a Action) { m.actions = append(m.actions, a) }
+
+// Ready tells whether a manifest and the upstreams are known.
+func (m *Machine) Ready() bool { return m.manifest != nil && m.listed }
+
+// Manifest returns the manifest in force, nil before the first one.
+func (m *Machine) Manifest() *Manifest { return m.manifest }
+
+// Requests returns how many requests have no answer yet.
+func (m *Machine) Requests() int { return len(m.requests) }
+
+// Attempts returns how many attempts have not ended.
+func (m *Machine) Attempts() int { return len(m.attempts) }
+
+// armWake asks for a timer when the next due time is earlier than the one asked for.
+func (m *Machine) armWake(now time.Time) {
+	if len(m.timers) == 0 {
+		return
+	}
+	next := m.timers[0].due
+	if m.wake.IsZero() || !m.wake.After(now) || next.Before(m.wake) {
+		m.wake = next
+		m.emit(Wake{At: next})
+	}
+}
--- a/core/coordination/selector/cost.go
+++ b/core/coordination/selector/cost.go
@@ -17,6 +17,9 @@
 	usualLatency = 10 * time.Millisecond
 	// errorWeight scales the share of errors in a score.
 	errorWeight = 4
+	// remoteFactor raises the score of an upstream in another failure domain under the policy Near: traffic between failure
+	// domains is billed, and an idle upstream nearby is worth a short queue.
+	remoteFactor = 1.4
 )
 
 // cost returns what a policy minimizes. The random part decides between equals.
@@ -29,6 +32,12 @@
 		return (float64(u.InFlight) + spread*r.Float64()) / weight
 	case P2C:
 		return (u.running(now) + spread*r.Float64()) / u.slots() / weight
+	case Near:
+		cost := s.score(now, u) * (1 + spread*r.Float64()) / weight
+		if u.Row.FailureDomain != s.own {
+			cost *= remoteFactor
+		}
+		return cost
 	default:
 		return s.score(now, u) * (1 + spread*r.Float64()) / weight
 	}
--- a/core/coordination/selector/policy_string.go
+++ b/core/coordination/selector/policy_string.go
@@ -12,11 +12,12 @@
 	_ = x[P2C-1]
 	_ = x[Least-2]
 	_ = x[Random-3]
+	_ = x[Near-4]
 }
 
-const _Policy_name = "scorep2cleastrandom"
+const _Policy_name = "scorep2cleastrandomnear"
 
-var _Policy_index = [...]uint8{0, 5, 8, 13, 19}
+var _Policy_index = [...]uint8{0, 5, 8, 13, 19, 23}
 
 func (i Policy) String() string {
 	idx := int(i) - 0
--- a/core/coordination/selector/resultkind_string.go
+++ b/core/coordination/selector/resultkind_string.go
@@ -15,11 +15,12 @@
 	_ = x[TimedOut-4]
 	_ = x[Cancelled-5]
 	_ = x[Unattributed-6]
+	_ = x[Errored-7]
 }
 
-const _ResultKind_name = "okshedrefusedresettimed_outcancelledunattributed"
+const _ResultKind_name = "okshedrefusedresettimed_outcancelledunattributederrored"
 
-var _ResultKind_index = [...]uint8{0, 2, 6, 13, 18, 27, 36, 48}
+var _ResultKind_index = [...]uint8{0, 2, 6, 13, 18, 27, 36, 48, 55}
 
 func (i ResultKind) String() string {
 	idx := int(i) - 0
--- a/core/coordination/selector/set.go
+++ b/core/coordination/selector/set.go
@@ -178,6 +178,10 @@
 		s.missed(now, u, unanswered)
 	case Unattributed:
 		u.domain.withdrawn(start, u.serial)
+	case Errored:
+		u.replied(now)
+		u.domain.replied()
+		u.recordError(now)
 	}
 }
 
@@ -250,6 +254,24 @@
 	u.leavingIncarnation = incarnation
 }
 
+// SetStarted records when an upstream started, for upstreams whose replies do not tell their incarnation. Zero is unknown.
+func (s *Set) SetStarted(now time.Time, i int, started time.Time) {
+	u := &s.upstreams[i]
+	if started.IsZero() {
+		return
+	}
+	if incarnation := uint64(started.UnixMilli()); incarnation > u.Incarnation {
+		s.setIncarnation(now, u, incarnation)
+	}
+}
+
+// SetLoad records the load that an upstream reported.
+func (s *Set) SetLoad(now time.Time, i int, running, queued int) {
+	u := &s.upstreams[i]
+	u.Load.Running, u.Load.Queued, u.loadAt = running, queued, now
+	u.othersAtLoad = max(0, running+queued-u.InFlight)
+}
+
 // SetConnections records how many usable connections are open.
 func (s *Set) SetConnections(_ time.Time, i int, open int) { s.upstreams[i].Connections = open }
 
--- a/core/coordination/selector/types.go
+++ b/core/coordination/selector/types.go
@@ -11,6 +11,7 @@
 	P2C                  // p2c
 	Least                // least
 	Random               // random
+	Near                 // near
 )
 
 // ResultKind says how a sub-request ended.
@@ -26,6 +27,7 @@
 	TimedOut                       // timed_out
 	Cancelled                      // cancelled
 	Unattributed                   // unattributed
+	Errored                        // errored
 )
 
 // Result is the end of a sub-request. Latency is the time since Started, whatever the kind.
--- /dev/null
+++ b/gateway/internal/logger/logger.go
@@ -0,0 +1,54 @@
+// Package logger makes the structured log of the gateway.
+//
+// Under load a log must neither grow without bound nor delay requests: lines are buffered, and beyond a rate they are counted
+// instead of written.
+package logger
+
+import (
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// linesPerSecond and lineBurst bound the lines: about twice the requests of one VM on a busy day.
+	linesPerSecond = 200
+	lineBurst      = 400
+	bufferBytes    = 64 << 10
+	flushInterval  = time.Second
+)
+
+// Logger writes bounded lines. Dropped counts those that were left out.
+type Logger struct {
+	*zap.Logger
+	Dropped atomic.Uint64
+	limiter *rate.Limiter
+	buffer  *zapcore.BufferedWriteSyncer
+}
+
+// New returns a logger that writes JSON lines to a sink.
+func New(sink zapcore.WriteSyncer, vm string) *Logger {
+	c := zap.NewProductionEncoderConfig()
+	c.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	c.EncodeDuration = zapcore.MillisDurationEncoder
+	b := &zapcore.BufferedWriteSyncer{WS: sink, Size: bufferBytes, FlushInterval: flushInterval}
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), b, zapcore.InfoLevel)
+	return &Logger{
+		Logger: zap.New(core).With(zap.String("vm", vm)), limiter: rate.NewLimiter(linesPerSecond, lineBurst), buffer: b,
+	}
+}
+
+// Decision logs a line about a request, unless too many were logged lately.
+func (l *Logger) Decision(message string, fields ...zap.Field) {
+	if !l.limiter.Allow() {
+		l.Dropped.Add(1)
+		return
+	}
+	l.Info(message, fields...)
+}
+
+// Close writes what is buffered.
+func (l *Logger) Close() error { return l.buffer.Stop() }
--- /dev/null
+++ b/gateway/internal/receiver/receiver.go
@@ -0,0 +1,172 @@
+// Package receiver is the HTTP interface of the gateway to callers and to the load balancer.
+//
+// A request is read as a whole before it is forwarded, so that a caller that breaks off costs no upstream anything.
+package receiver
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"comfreyroute/core/coordination/forwarder"
+	"comfreyroute/gateway/internal/logger"
+	"comfreyroute/platform/translator"
+)
+
+// defaultBodyBytes bounds a request while no manifest sets a limit.
+const defaultBodyBytes = 1 << 20
+
+// Requests takes the requests of callers.
+type Requests interface {
+	Submit(forwarder.RequestArrived) (forwarder.RequestID, <-chan forwarder.Answer)
+	Leave(forwarder.RequestID)
+}
+
+// Receiver answers callers. Its exported fields are set before the first request.
+type Receiver struct {
+	Requests Requests
+	Log      *logger.Logger
+	Metrics  *Metrics
+
+	manifest atomic.Pointer[forwarder.Manifest]
+	listed   atomic.Bool
+	leaving  atomic.Bool
+}
+
+// SetManifest sets the manifest whose limits hold for callers.
+func (r *Receiver) SetManifest(m *forwarder.Manifest) { r.manifest.Store(m) }
+
+// SetListed records that the upstreams are known.
+func (r *Receiver) SetListed() { r.listed.Store(true) }
+
+// Leave makes every answer close its connection, so that callers move to other VMs.
+func (r *Receiver) Leave() { r.leaving.Store(true) }
+
+// Ready tells whether the load balancer may send callers.
+func (r *Receiver) Ready() bool { return r.manifest.Load() != nil && r.listed.Load() && !r.leaving.Load() }
+
+// ServeReady answers the load balancer.
+func (r *Receiver) ServeReady(w http.ResponseWriter, _ *http.Request) {
+	if !r.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// ServeHTTP answers one request of a caller.
+func (r *Receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	received := time.Now()
+	if r.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	body, status := r.read(w, request)
+	if status != 0 {
+		r.Metrics.rejected.Inc()
+		r.Log.Decision("receiver: request body rejected", zap.String("path", request.URL.Path), zap.Int("status", status))
+		w.WriteHeader(status)
+		return
+	}
+	e := translator.DecodeRequest(request, body, received)
+	id, answers := r.Requests.Submit(e)
+	select {
+	case a := <-answers:
+		if r.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		status := translator.WriteAnswer(w, e.Message, a.Outcome)
+		r.note(e.Message, &a, status, time.Since(received))
+	case <-request.Context().Done():
+		r.Requests.Leave(id)
+		r.Metrics.gone.Inc()
+		r.Log.Decision("receiver: caller left", zap.String("request", e.Message.RequestID), zap.Duration("after", time.Since(received)))
+	}
+}
+
+// read returns the body of a request, or the status that rejects it.
+func (r *Receiver) read(w http.ResponseWriter, request *http.Request) ([]byte, int) {
+	if request.Body == nil || request.Body == http.NoBody {
+		return nil, 0
+	}
+	limit := int64(defaultBodyBytes)
+	if m := r.manifest.Load(); m != nil && m.Limits.BodyBytes > 0 {
+		limit = m.Limits.BodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, limit))
+	if err == nil {
+		return body, 0
+	}
+	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	return nil, http.StatusBadRequest
+}
+
+// note measures and logs an answer.
+func (r *Receiver) note(m *forwarder.Message, a *forwarder.Answer, status int, took time.Duration) {
+	outcome, reason := describe(a.Outcome)
+	r.Metrics.observe(outcome, took)
+	fields := make([]zap.Field, 0, 12)
+	fields = append(fields, zap.String("request", m.RequestID), zap.String("route", a.Report.Route), zap.Uint64("manifest", a.Report.Manifest),
+		zap.Stringer("outcome", outcome), zap.Int("status", status), zap.Duration("took", took), zap.Int("sends", a.Report.Sends))
+	if reason != forwarder.None {
+		fields = append(fields, zap.Stringer("reason", reason))
+	}
+	if a.Report.Hedges > 0 {
+		fields = append(fields, zap.Int("hedges", a.Report.Hedges))
+	}
+	if a.Report.Retries > 0 {
+		fields = append(fields, zap.Int("retries", a.Report.Retries))
+	}
+	if refused, ok := a.Outcome.(forwarder.Refused); ok {
+		fields = append(fields, zap.Duration("retry_after", refused.RetryAfter))
+	}
+	if len(a.Report.Missing) > 0 {
+		fields = append(fields, zap.Any("missing", missing(a.Report.Missing)))
+	}
+	r.Log.Decision("receiver: answered", fields...)
+}
+
+// missing formats the shards that an answer lacks, one text each.
+func missing(shards []forwarder.MissingShard) []string {
+	out := make([]string, 0, len(shards))
+	for _, s := range shards {
+		out = append(out, s.Service+" "+s.Reason.String()+" "+s.Upstream)
+	}
+	return out
+}
+
+func describe(o forwarder.Outcome) (Outcome, forwarder.Reason) {
+	switch o := o.(type) {
+	case forwarder.Gathered:
+		if o.Missing > 0 {
+			return Partial, forwarder.None
+		}
+		return Whole, forwarder.None
+	case forwarder.Refused:
+		return Rejected, o.Reason
+	case forwarder.Unknown:
+		return Failed, o.Reason
+	case forwarder.Relayed:
+		if o.Reply.Status >= http.StatusInternalServerError {
+			return UpstreamFailed, forwarder.Errored
+		}
+	}
+	return Whole, forwarder.None
+}
+
+// NewMetrics registers the metrics of a receiver in a set.
+func NewMetrics(set *metrics.Set) *Metrics {
+	m := &Metrics{
+		rejected: set.NewCounter(`comfreyroute_gateway_rejected_bodies_total`),
+		gone:     set.NewCounter(`comfreyroute_gateway_callers_gone_total`),
+	}
+	for o := Whole; o <= UpstreamFailed; o++ {
+		m.answers = append(m.answers, set.NewCounter(`comfreyroute_gateway_answers_total{outcome="`+o.String()+`"}`))
+		m.latency = append(m.latency, set.NewHistogram(`comfreyroute_gateway_answer_seconds{outcome="`+o.String()+`"}`))
+	}
+	return m
+}
--- /dev/null
+++ b/gateway/internal/runner/gateway.go
@@ -0,0 +1,186 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"comfreyroute/core/coordination/forwarder"
+	"comfreyroute/core/transport/requester"
+	"comfreyroute/gateway/internal/driver"
+	"comfreyroute/gateway/internal/logger"
+	"comfreyroute/gateway/internal/receiver"
+	"comfreyroute/gateway/internal/watcher"
+	"comfreyroute/platform/translator"
+)
+
+const (
+	// headerTimeout and idleTimeout hold for callers' connections. They are above the limits that the manifests set (3 s and
+	// 15 s), because net/http takes them once, before the first manifest is known.
+	headerTimeout = 6 * time.Second
+	idleTimeout   = 60 * time.Second
+	headerBytes   = 64 << 10
+	// memoryShare is the part of the allowed memory at which the collector works harder.
+	memoryShare = 0.7
+)
+
+// Gateway is the daemon. Settings and Path are set before Run.
+type Gateway struct {
+	Settings *translator.Settings
+	Path     string
+
+	driver   driver.Driver
+	client   requester.Client
+	store    translator.Store
+	receiver receiver.Receiver
+	log      *logger.Logger
+	metrics  *metrics.Set
+	callers  http.Server
+	ready    http.Server
+	inspect  http.Server
+	done     chan struct{}
+}
+
+// Run serves callers until SIGTERM. An error means that an address cannot be used.
+func (g *Gateway) Run(ctx context.Context) error {
+	began := time.Now()
+	s := g.Settings
+	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	g.log = logger.New(os.Stdout, s.VM)
+	defer func() { _ = g.log.Close() }() // standard output may be closed already
+	g.assemble()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := g.listen(); err != nil {
+		return err
+	}
+	g.follow(ctx)
+	g.log.Info("runner: started", zap.Stringer("callers", s.Callers), zap.Stringer("store", s.Store),
+		zap.String("domain", s.FailureDomain), zap.Int("cores", runtime.GOMAXPROCS(0)), zap.Duration("took", time.Since(began)))
+	for {
+		select {
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				g.reload()
+				continue
+			}
+			g.stop(signals)
+			return nil
+		case <-ctx.Done():
+			g.stop(signals)
+			return nil
+		}
+	}
+}
+
+// assemble connects the parts.
+func (g *Gateway) assemble() {
+	s := g.Settings
+	g.done = make(chan struct{})
+	g.metrics = metrics.NewSet()
+	g.store.Address = s.Store
+	g.client.Protocol = translator.Upstreams{}
+	g.client.Report = func(e forwarder.AttemptEnded) { g.driver.Post(e) }
+	g.driver.Transport = &g.client
+	g.driver.Machine.Config = forwarder.Config{
+		FailureDomain: s.FailureDomain, ExtraShare: s.ExtraShare, ExtraSlack: s.ExtraSlack, Seed: uint64(time.Now().UnixNano()),
+	}
+	g.receiver.Requests, g.receiver.Log, g.receiver.Metrics = &g.driver, g.log, receiver.NewMetrics(g.metrics)
+	g.measure()
+}
+
+// listen opens the addresses.
+func (g *Gateway) listen() error {
+	s := g.Settings
+	g.callers = http.Server{
+		Handler: &g.receiver, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+	}
+	readiness := http.NewServeMux()
+	readiness.HandleFunc("/ready", g.receiver.ServeReady)
+	g.ready = http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout}
+	inspect := http.NewServeMux()
+	inspect.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { g.metrics.WritePrometheus(w) })
+	g.inspect = http.Server{Handler: inspect, ReadHeaderTimeout: headerTimeout}
+	if err := serve(&g.callers, s.Callers); err != nil {
+		return err
+	}
+	if err := serve(&g.ready, s.Readiness); err != nil {
+		return err
+	}
+	if len(s.Internal) == 0 {
+		return nil
+	}
+	return serve(&g.inspect, netip.AddrPortFrom(s.Callers.Addr(), s.Internal[0]))
+}
+
+func serve(h *http.Server, address netip.AddrPort) error {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := h.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			panic(err) // a listener fails only when the process is out of descriptors or broken
+		}
+	}()
+	return nil
+}
+
+// follow starts to follow the store.
+func (g *Gateway) follow(ctx context.Context) {
+	w := &watcher.Watcher{
+		Store: &g.store, Drain: g.Settings.Drain, Settle: g.Settings.UpstreamSlack, Log: g.log,
+		Manifest: func(m *forwarder.Manifest) {
+			g.driver.Post(forwarder.ManifestAdopted{Manifest: m})
+			g.receiver.SetManifest(m)
+		},
+		List: func(u []forwarder.Upstream) {
+			g.driver.Post(forwarder.UpstreamsListed{Upstreams: u})
+			g.receiver.SetListed()
+		},
+	}
+	go w.RunUpstreams(ctx)
+	go func() {
+		defer close(g.done)
+		w.RunManifest(ctx)
+	}()
+}
+
+// reload reads the settings again. Only the address of the store may change in a running process.
+func (g *Gateway) reload() {
+	s, err := translator.LoadSettings(g.Path)
+	if err != nil {
+		g.log.Warn("runner: settings not reloaded", zap.String("error", err.Error()))
+		return
+	}
+	g.log.Info("runner: settings reloaded", zap.Bool("store_moved", s.Store != g.Settings.Store))
+}
+
+func (g *Gateway) measure() {
+	count := func(name string, f func() uint64) {
+		g.metrics.NewGauge("comfreyroute_gateway_"+name, func() float64 { return float64(f()) })
+	}
+	c := &g.client.Counts
+	count("connections_opened_total", c.Opened.Load)
+	count("connections_failed_total", c.Unreachable.Load)
+	count("attempts_reset_total", c.Reset.Load)
+	count("attempts_timed_out_total", c.TimedOut.Load)
+	count("attempts_mismatched_total", c.Mismatched.Load)
+	count("attempts_cancelled_total", c.Cancelled.Load)
+	count("attempts_sent_total", c.Sent.Load)
+	count("store_calls_total", g.store.Calls.Load)
+	count("log_lines_dropped_total", g.log.Dropped.Load)
+}
--- /dev/null
+++ b/gateway/internal/runner/stop.go
@@ -0,0 +1,53 @@
+package runner
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"comfreyroute/core/coordination/forwarder"
+)
+
+const (
+	// leaveTime is how long a VM that stops goes on taking requests: the load balancer asks once a second and takes a VM out
+	// after two misses.
+	leaveTime = 2800 * time.Millisecond
+	// endShare is the part of the grace time after which requests that still run are given up. Their callers would lose them
+	// with the end by force.
+	endShare = 0.93
+)
+
+// stop finishes the requests in flight and ends. A second signal to stop ends at once.
+func (g *Gateway) stop(signals <-chan os.Signal) {
+	began := time.Now()
+	g.receiver.Leave()
+	g.log.Info("runner: stopping", zap.Int("requests", g.requests()))
+	limit := time.Duration(float64(g.Settings.Grace) * endShare)
+	if limit <= 0 {
+		limit = leaveTime
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	select {
+	case <-time.After(min(leaveTime, limit/2)):
+	case sig := <-signals:
+		for sig == syscall.SIGHUP {
+			sig = <-signals
+		}
+	}
+	err := g.callers.Shutdown(ctx)
+	if err != nil {
+		_ = g.callers.Close()
+	}
+	g.client.Close()
+	g.log.Info("runner: stopped", zap.Duration("took", time.Since(began)), zap.Int("lost", g.requests()))
+}
+
+func (g *Gateway) requests() int {
+	n := 0
+	g.driver.Inspect(func(m *forwarder.Machine) { n = m.Requests() })
+	return n
+}
--- a/platform/internal/server/server.go
+++ b/keystore/internal/server/server.go
@@ -11,7 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"comfreyroute/core/protocol/encoder"
-	"comfreyroute/platform/internal/storer"
+	"comfreyroute/keystore/internal/storer"
 )
 
 // Bounds of a request.
--- a/platform/main.go
+++ b/keystore/main.go
@@ -1,4 +1,4 @@
-// Command platform is the fake of the platform for tests and experiments: the key-value service and the lagging VM list,
+// Command keystore is the fake of the platform for tests and experiments: the key-value service and the lagging VM list,
 // over HTTP and JSON, with run-time control of its faults.
 package main
 
@@ -14,7 +14,7 @@
 
 	"go.uber.org/zap"
 
-	"comfreyroute/platform/internal/server"
+	"comfreyroute/keystore/internal/server"
 )
 
 func main() {
@@ -28,7 +28,7 @@
 		os.Exit(1)
 	}
 	if err := run(*address, *control, server.Command{Reads: reads, Writes: writes}, log); err != nil {
-		log.Error("platform: stopped", zap.Error(err))
+		log.Error("keystore: stopped", zap.Error(err))
 		os.Exit(1)
 	}
 }
@@ -53,7 +53,7 @@
 		defer func() { _ = h.Close() }()
 		go func() { _ = h.Serve(l) }()
 	}
-	log.Info("platform: ready", zap.Stringer("address", s.Address()), zap.String("control", control))
+	log.Info("keystore: ready", zap.Stringer("address", s.Address()), zap.String("control", control))
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
 	<-stop
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -39,7 +39,7 @@
 	fi
 done
 
-start platform bin/platform -address "$platform"
+start platform bin/keystore -address "$platform"
 bin/entry wait -address "$platform" -path /v1/calls || fail 'the start of the platform'
 start upstreams bin/upstreams -deployment deployments/quickstart.ini -publish "$platform" -list "$platform"
 bin/entry announce -platform "$platform" -vms entry1=127.0.0.1:18421@d1,entry2=127.0.0.1:18422@d2,entry3=127.0.0.1:18423@d3 \
