--- a/core/coordination/forwarder/request.go
+++ b/core/coordination/forwarder/request.go
@@ -251,4 +251,6 @@
 }
 
 // jitter returns a random time between d and twice d.
-func (m *Machine) jitter(d time.Duration) time.Duration { return d + time.Duration(m.random.Int64N(int64(d))) }
+func (m *Machine) jitter(d time.Duration) time.Duration {
+	return d + time.Duration(m.random.Int64N(int64(d)))
+}
