--- /dev/null
+++ b/core/transport/requester/requester_test.go
@@ -0,0 +1,318 @@
+package requester
+
+import (
+	"bufio"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"comfreyroute/core/coordination/forwarder"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// lines is a protocol of lines: the path goes there, a status word comes back.
+type lines struct{}
+
+func (lines) Append(b []byte, s *forwarder.Send, _ time.Duration) []byte {
+	b = append(b, s.Message.Path...)
+	b = append(b, s.Message.Body...)
+	return append(b, '\n')
+}
+
+func (lines) Read(r *bufio.Reader, _ *forwarder.Send) (Response, error) {
+	text, err := r.ReadString('\n')
+	if err != nil {
+		return Response{}, err
+	}
+	text = strings.TrimSpace(text)
+	if text == "mismatched" {
+		return Response{}, ErrMismatched
+	}
+	return Response{Reply: &forwarder.Reply{Status: 200, Body: []byte(text)}, Keep: text != "close"}, nil
+}
+
+// upstream is a fake that answers each line by what its handler says; "" means no answer.
+type upstream struct {
+	address  netip.AddrPort
+	accepted chan net.Conn
+	listener net.Listener
+}
+
+func newUpstream(t *testing.T, handle func(line string) string) *upstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{address: netip.MustParseAddrPort(l.Addr().String()), accepted: make(chan net.Conn, 16), listener: l}
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.accepted <- nc
+			go func() {
+				defer func() { _ = nc.Close() }()
+				for r := bufio.NewReader(nc); ; {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						return
+					}
+					if answer := handle(strings.TrimSpace(line)); answer != "" {
+						if _, err := nc.Write([]byte(answer + "\n")); err != nil {
+							return
+						}
+					}
+				}
+			}()
+		}
+	}()
+	t.Cleanup(func() { _ = l.Close() })
+	return u
+}
+
+type harness struct {
+	t      *testing.T
+	client Client
+	events chan forwarder.AttemptEnded
+	next   forwarder.AttemptID
+}
+
+func newHarness(t *testing.T) *harness {
+	h := &harness{t: t, events: make(chan forwarder.AttemptEnded, 16)}
+	h.client.Protocol = lines{}
+	h.client.Report = func(e forwarder.AttemptEnded) { h.events <- e }
+	t.Cleanup(h.client.Close)
+	return h
+}
+
+// send starts a request and returns the event that ends it at once, if there is one.
+func (h *harness) send(u *upstream, path string, change func(*forwarder.Send)) forwarder.Event {
+	h.next++
+	s := forwarder.Send{
+		Attempt: h.next, Upstream: "u", Address: u.address, Message: &forwarder.Message{Path: path}, Deadline: time.Now().Add(2 * time.Second),
+		Connections: 2,
+	}
+	if change != nil {
+		change(&s)
+	}
+	return h.client.Do(s)
+}
+
+// result waits for the end of an attempt: the body of its reply, or its failure.
+func (h *harness) result() string {
+	h.t.Helper()
+	select {
+	case e := <-h.events:
+		switch r := e.Result.(type) {
+		case forwarder.Replied:
+			return string(r.Reply.Body)
+		case forwarder.Failed:
+			if r.Written {
+				return r.Failure.String() + " written"
+			}
+			return r.Failure.String()
+		}
+	case <-time.After(5 * time.Second):
+		h.t.Fatal("an attempt does not end")
+	}
+	return ""
+}
+
+func echo(line string) string { return line }
+
+// TestConnectionsAreReused guards against a new connection for each request, and against one that is kept after it said close, sent
+// more than was asked for or a reply to another request.
+func TestConnectionsAreReused(t *testing.T) {
+	cases := []struct {
+		name    string
+		answers []string // to the requests, in turn
+		want    []string
+		opened  uint64
+	}{
+		{"kept", []string{"a", "b", "c"}, []string{"a", "b", "c"}, 1},
+		{"closed", []string{"close", "b"}, []string{"close", "b"}, 2},
+		{"extra bytes", []string{"a\nextra", "b"}, []string{"a", "b"}, 2},
+		{"mismatched", []string{"mismatched", "b"}, []string{"mismatched written", "b"}, 2},
+	}
+	for _, c := range cases {
+		h := newHarness(t)
+		answers := c.answers
+		u := newUpstream(t, func(string) string {
+			a := answers[0]
+			answers = answers[1:]
+			return a
+		})
+		var got []string
+		for range c.answers {
+			if ev := h.send(u, "x", nil); ev != nil {
+				t.Fatalf("%s: %+v", c.name, ev)
+			}
+			got = append(got, h.result())
+		}
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", c.name, diff)
+		}
+		if n := h.client.Counts.Opened.Load(); n != c.opened {
+			t.Errorf("%s: %d connections opened, want %d", c.name, n, c.opened)
+		}
+	}
+}
+
+// TestLimit guards against more connections than an upstream accepts.
+func TestLimit(t *testing.T) {
+	h := newHarness(t)
+	u := newUpstream(t, func(string) string { return "" })
+	for range 2 {
+		if ev := h.send(u, "x", nil); ev != nil {
+			t.Fatalf("%+v", ev)
+		}
+	}
+	want := forwarder.AttemptEnded{Attempt: 3, Result: forwarder.Failed{Failure: forwarder.NoConnection}}
+	if diff := cmp.Diff(forwarder.Event(want), h.send(u, "x", nil)); diff != "" {
+		t.Errorf("third request (-want +got):\n%s", diff)
+	}
+}
+
+// TestCancel guards against work that an upstream goes on with: the connection is closed.
+func TestCancel(t *testing.T) {
+	h := newHarness(t)
+	received := make(chan struct{})
+	u := newUpstream(t, func(string) string { close(received); return "" })
+	h.send(u, "x", nil)
+	nc := <-u.accepted
+	<-received
+	h.client.Do(forwarder.Cancel{Attempt: 1})
+	if got := h.result(); got != "cancelled written" {
+		t.Errorf("result %s", got)
+	}
+	_ = nc.SetReadDeadline(time.Now().Add(5 * time.Second))
+	for b := make([]byte, 16); ; {
+		if _, err := nc.Read(b); err != nil {
+			if e, ok := err.(net.Error); ok && e.Timeout() {
+				t.Error("the connection stays open")
+			}
+			return
+		}
+	}
+}
+
+// TestFailures guards against failures that are taken for another one: only what was never written may run elsewhere for free.
+func TestFailures(t *testing.T) {
+	silent := newUpstream(t, func(string) string { return "" })
+	closed := newUpstream(t, echo)
+	_ = closed.listener.Close()
+	cases := []struct {
+		name string
+		to   *upstream
+		want string
+	}{
+		{"no answer", silent, "timed_out written"},
+		{"nothing listens", closed, "unreachable"},
+	}
+	for _, c := range cases {
+		h := newHarness(t)
+		h.send(c.to, "x", func(s *forwarder.Send) { s.Deadline = time.Now().Add(50 * time.Millisecond) })
+		if got := h.result(); got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+// TestClosedWhileIdle guards against a request on a connection that the upstream has closed.
+func TestClosedWhileIdle(t *testing.T) {
+	h := newHarness(t)
+	u := newUpstream(t, echo)
+	h.send(u, "a", nil)
+	h.result()
+	_ = (<-u.accepted).Close()
+	for range 100 {
+		h.client.mu.Lock()
+		open := h.client.pools["u"].open
+		h.client.mu.Unlock()
+		if open == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	h.send(u, "b", nil)
+	if got := h.result(); got != "b" {
+		t.Errorf("result %s", got)
+	}
+}
+
+// TestFresh guards against a request that must run at most once on a connection that may be dead.
+func TestFresh(t *testing.T) {
+	h := newHarness(t)
+	u := newUpstream(t, echo)
+	h.send(u, "a", nil)
+	h.result()
+	h.client.mu.Lock()
+	h.client.pools["u"].idle[0].heard = time.Now().Add(-2 * freshIdle)
+	h.client.mu.Unlock()
+	for range 2 {
+		h.send(u, "b", func(s *forwarder.Send) { s.Fresh, s.Connections = true, 1 })
+		if got := h.result(); got != "b" {
+			t.Errorf("result %s", got)
+		}
+	}
+	if n := h.client.Counts.Opened.Load(); n != 2 {
+		t.Errorf("%d connections opened, want 2", n)
+	}
+}
+
+// TestRetire guards against connections to an upstream that gets no new work.
+func TestRetire(t *testing.T) {
+	h := newHarness(t)
+	u := newUpstream(t, echo)
+	h.send(u, "a", nil)
+	h.result()
+	nc := <-u.accepted
+	h.client.Do(forwarder.Retire{Upstream: "u"})
+	_ = nc.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := nc.Read(make([]byte, 1)); err == nil {
+		t.Error("the connection carries more")
+	} else if e, ok := err.(net.Error); ok && e.Timeout() {
+		t.Error("the connection stays open")
+	}
+}
+
+// TestEarlyAnswer guards against another request on a connection on which the rest of a long request is still due.
+func TestEarlyAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	u := &upstream{address: netip.MustParseAddrPort(l.Addr().String())}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = nc.Write([]byte("early\n"))
+		time.Sleep(50 * time.Millisecond)
+		_ = nc.Close()
+	}()
+	h := newHarness(t)
+	h.send(u, "x", func(s *forwarder.Send) { s.Message.Body = make([]byte, 16<<20) })
+	if got := h.result(); got != "early" {
+		t.Errorf("result %s", got)
+	}
+	h.client.mu.Lock()
+	idle := len(h.client.pools["u"].idle)
+	h.client.mu.Unlock()
+	if idle != 0 {
+		t.Error("the connection is kept")
+	}
+	<-ended
+}
