Wait for the reply of a request to one upstream after its latency objective

Cause: when a hedge of such a request was looked at after the objective had passed, the step that lets a gathered answer go out answered it without a reply; the handler failed on the nil reply and closed the caller's connection. Ruled out: the timeouts of net/http, a caller that left. The random history finds it too, now that it checks the reply.

--- a/core/coordination/forwarder/forwarder_test.go
+++ b/core/coordination/forwarder/forwarder_test.go
@@ -194,6 +194,23 @@
 	w.end(first, Replied{Reply: success(first)}) // the late reply changes nothing
 }
 
+// TestLaterThanTarget guards against an answer without a reply: a request to one upstream whose hedge falls due after its latency
+// objective was answered with nothing, and its caller's connection was closed.
+func TestLaterThanTarget(t *testing.T) {
+	w := newWorld(t, Config{}) // without a token the hedge is looked at again and again
+	w.step(ManifestAdopted{Manifest: standard(1, 4)})
+	w.step(UpstreamsListed{Upstreams: upstreams("point")})
+	id := w.request("/one/x", 0)
+	w.run(200 * time.Millisecond)
+	if a, ok := w.answers[id]; ok {
+		t.Fatalf("answered without a reply: %+v", a.Outcome)
+	}
+	w.reply("point")
+	if got, ok := w.answers[id].Outcome.(Relayed); !ok || got.Reply == nil {
+		t.Errorf("outcome %+v", w.answers[id].Outcome)
+	}
+}
+
 // TestNoHedgeAtMostOnce guards against a second send of a request that must not run twice.
 func TestNoHedgeAtMostOnce(t *testing.T) {
 	w := calm(t, 4)
--- a/core/coordination/forwarder/property_test.go
+++ b/core/coordination/forwarder/property_test.go
@@ -126,6 +126,10 @@
 			rt.Fatalf("request %d ran %d times", id, total)
 		}
 		switch o := a.Outcome.(type) {
+		case Relayed:
+			if o.Reply == nil || total == 0 {
+				rt.Fatalf("request %d to %s is answered without a reply", id, l.path[id])
+			}
 		case Refused:
 			if total > 0 {
 				rt.Fatalf("request %d to %s is refused (%v) and ran %d times", id, l.path[id], o.Reason, total)
--- a/core/coordination/forwarder/settle.go
+++ b/core/coordination/forwarder/settle.go
@@ -25,6 +25,7 @@
 	case r.finished:
 	case r.done+r.pending < r.least:
 		m.giveUp(now, r)
+	case r.gather == nil && r.done == 0: // its upstream may still reply
 	case r.gather == nil:
 		m.answer(now, r, Relayed{Reply: r.subs[0].reply})
 	case r.pending == 0, r.done >= r.least && !now.Before(r.cut):
