Follow the store with one watch over everything

Traced: the heartbeats of servers change nothing in the store, so that a watch over everything returns only for real changes. Ruled out: reads that may be stale, because nothing in them tells how old they are. Entries that disappear are kept for 55 % of the drain time, because they lapse while the store is down.

--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -48,7 +48,9 @@
 func (r *Receiver) Leave() { r.leaving.Store(true) }
 
 // Ready tells whether the load balancer may send callers.
-func (r *Receiver) Ready() bool { return r.manifest.Load() != nil && r.listed.Load() && !r.leaving.Load() }
+func (r *Receiver) Ready() bool {
+	return r.manifest.Load() != nil && r.listed.Load() && !r.leaving.Load()
+}
 
 // ServeReady answers the load balancer.
 func (r *Receiver) ServeReady(w http.ResponseWriter, _ *http.Request) {
--- a/gateway/internal/runner/command.go
+++ b/gateway/internal/runner/command.go
@@ -25,7 +25,9 @@
 func (*Command) Usage() string { return "run [-settings FILE]\n" }
 
 // SetFlags registers the flags.
-func (c *Command) SetFlags(f *flag.FlagSet) { f.StringVar(&c.settings, "settings", settingsPath(), "settings file") }
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", settingsPath(), "settings file")
+}
 
 // Execute runs the gateway until a signal ends it.
 func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -91,7 +91,7 @@
 	s := g.Settings
 	g.done = make(chan struct{})
 	g.metrics = metrics.NewSet()
-	g.store.Address = s.Store
+	g.store.SetAddress(s.Store)
 	g.client.Protocol = translator.Upstreams{}
 	g.client.Report = func(e forwarder.AttemptEnded) { g.driver.Post(e) }
 	g.driver.Transport = &g.client
@@ -141,8 +141,9 @@
 
 // follow starts to follow the store.
 func (g *Gateway) follow(ctx context.Context) {
+	s := g.Settings
 	w := &watcher.Watcher{
-		Store: &g.store, Drain: g.Settings.Drain, Settle: g.Settings.UpstreamSlack, Log: g.log,
+		Store: &g.store, Drain: s.Drain, Settle: s.UpstreamSlack, Stable: s.Stable, Apply: s.ConfigApply, Log: g.log,
 		Manifest: func(m *forwarder.Manifest) {
 			g.driver.Post(forwarder.ManifestAdopted{Manifest: m})
 			g.receiver.SetManifest(m)
@@ -152,10 +153,9 @@
 			g.receiver.SetListed()
 		},
 	}
-	go w.RunUpstreams(ctx)
 	go func() {
 		defer close(g.done)
-		w.RunManifest(ctx)
+		w.Run(ctx)
 	}()
 }
 
@@ -166,7 +166,8 @@
 		g.log.Warn("runner: settings not reloaded", zap.String("error", err.Error()))
 		return
 	}
-	g.log.Info("runner: settings reloaded", zap.Bool("store_moved", s.Store != g.Settings.Store))
+	g.store.SetAddress(s.Store)
+	g.log.Info("runner: settings reloaded", zap.Stringer("store", s.Store))
 }
 
 func (g *Gateway) measure() {
--- a/gateway/internal/watcher/watcher.go
+++ b/gateway/internal/watcher/watcher.go
@@ -1,13 +1,12 @@
 // Package watcher keeps the manifest and the upstreams in step with the platform's store.
 //
-// Each call to the store is priced. The manifest is watched, which costs a call for each change and each waiting time. The
-// upstreams are listed instead of watched: every heartbeat of a server is a change, so that a watch would cost a call for each.
+// Each call to the store is priced, a waiting watch as one. One watch over everything costs a VM one call for each waiting time
+// and, because changes come in series, one for each series of changes.
 package watcher
 
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,205 +16,143 @@
 	"comfreyroute/platform/translator"
 )
 
-// Times of the calls to the store.
 const (
-	// watchWait is how long a watch waits. A silent connection is noticed after it, early enough for a manifest that is written
-	// one stable window (4 s) after the connection went silent and is due 3 s later.
-	watchWait = 4 * time.Second
 	// callTimeout bounds a call beyond its waiting time. The store answers in milliseconds, and in 0.3 s when it is slow.
 	callTimeout = time.Second
-	// listShare is the part of the drain time between two listings: a draining upstream gets nothing after the drain time.
-	listShare = 0.4
-	// firstPause and lastPause bound the pause after a failed call; it doubles with each failure. Jitter keeps the VMs apart.
-	firstPause = 100 * time.Millisecond
-	lastPause  = 800 * time.Millisecond
+	// watchMargin is what remains of the time to apply a manifest after a watch that was lost has timed out: the call's own
+	// time-out, and a reading of everything.
+	watchMargin = 2 * time.Second
+	minWatch    = 2 * time.Second
+	// seriesPause is the pause after changes. It is short next to the times to apply a manifest and to leave an upstream (3 s).
+	seriesPause = 400 * time.Millisecond
+	// holdShare is the part of the drain time for which a missing entry is kept. A server whose entry is removed serves for the
+	// drain time, and must get nothing after it.
+	holdShare = 0.55
 )
 
 // Store is the platform's store.
 type Store interface {
-	Manifest(ctx context.Context) (*forwarder.Manifest, uint64, error)
-	WatchManifest(ctx context.Context, after uint64, wait time.Duration) (*forwarder.Manifest, uint64, error)
-	Upstreams(ctx context.Context) ([]forwarder.Upstream, int, error)
+	Manifest(ctx context.Context) (*forwarder.Manifest, error)
+	Upstreams(ctx context.Context) ([]translator.Entry, uint64, error)
+	Watch(ctx context.Context, after uint64, wait time.Duration) (*translator.Changes, error)
 	Reconnect()
 }
 
-// Watcher follows the store until its context ends. Its exported fields are set before Run.
+// Watcher follows the store. Its exported fields are set before Run.
 type Watcher struct {
 	Store    Store
 	Drain    time.Duration // after it a draining upstream may be gone
 	Settle   time.Duration // time in which lapsed entries are back after an outage of the store
+	Stable   time.Duration // after a fault of the store has passed for so long, the bounds hold again
+	Apply    time.Duration // within it a manifest is in force
 	Manifest func(*forwarder.Manifest)
 	List     func([]forwarder.Upstream)
 	Log      *logger.Logger
 
-	listed    []forwarder.Upstream
-	lastList  time.Time
-	restored  time.Time // when the store answered again after an outage
-	unusables int
+	registry registry
+	link     link
+	version  uint64 // of the newest manifest
+	revision uint64 // after which the watch continues; 0 reads everything
 }
 
-// RunManifest follows the manifest.
-func (w *Watcher) RunManifest(ctx context.Context) {
-	var revision, version uint64
-	var l link
+// Run follows the store until its context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	w.registry.hold = min(w.Settle, time.Duration(float64(w.Drain)*holdShare))
 	for ctx.Err() == nil {
-		var m *forwarder.Manifest
-		var err error
-		if revision == 0 {
-			m, revision, err = call(ctx, callTimeout, w.Store.Manifest)
-		} else {
-			m, revision, err = call(ctx, watchWait+callTimeout, func(ctx context.Context) (*forwarder.Manifest, uint64, error) {
-				return w.Store.WatchManifest(ctx, revision, watchWait)
-			})
-		}
-		if errors.Is(err, translator.ErrHistoryGone) {
-			w.Log.Info("watcher: history dropped, reading the manifest again", zap.Uint64("revision", revision))
-			revision = 0
-			continue
-		}
-		if pause := l.result(w.Log, "manifest", err); pause > 0 {
-			if errors.Is(err, context.DeadlineExceeded) {
-				w.Store.Reconnect()
-			}
-			sleep(ctx, pause)
-			continue
-		}
-		if m != nil && m.Version > version {
-			version = m.Version
-			w.Log.Info("watcher: manifest adopted", zap.Uint64("manifest", version), zap.Uint64("revision", revision),
-				zap.Int("routes", len(m.Routes)), zap.Int("services", len(m.Services)))
-			w.Manifest(m)
-		}
-	}
-}
-
-// RunUpstreams follows the upstreams.
-func (w *Watcher) RunUpstreams(ctx context.Context) {
-	interval := time.Duration(float64(w.Drain) * listShare)
-	var l link
-	for ctx.Err() == nil {
-		began := time.Now()
-		all, unusable, err := call(ctx, callTimeout, w.Store.Upstreams)
-		pause := l.result(w.Log, "upstreams", err)
-		if pause > 0 {
+		pause, err := w.next(ctx)
+		if err != nil {
 			if errors.Is(err, context.DeadlineExceeded) {
-				w.Store.Reconnect()
+				w.Store.Reconnect() // the connection may be silent for good
 			}
-			sleep(ctx, pause)
-			continue
+			pause = w.link.failed(w.Log, err, w.version == 0)
+		} else {
+			w.link.worked(w.Log)
 		}
-		w.take(began, all, unusable)
-		sleep(ctx, interval-time.Since(began))
+		sleep(ctx, pause)
 	}
 }
 
-// take passes a listing on.
-func (w *Watcher) take(now time.Time, all []forwarder.Upstream, unusable int) {
-	if unusable != w.unusables {
-		w.unusables = unusable
-		w.Log.Info("watcher: unusable server entries", zap.Int("entries", unusable))
-	}
-	outage := !w.lastList.IsZero() && now.Sub(w.lastList) > w.Settle
-	w.lastList = now
-	if outage {
-		w.restored = now
-	}
-	if !w.restored.IsZero() && now.Sub(w.restored) < w.Settle {
-		all = withLapsed(all, w.listed)
-	} else {
-		w.restored = time.Time{}
+// next makes the next call and passes on what it brings. It returns how long to pause before the one after.
+func (w *Watcher) next(ctx context.Context) (time.Duration, error) {
+	if w.revision == 0 {
+		return 0, w.read(ctx)
 	}
-	if change := difference(w.listed, all); change != "" {
-		w.Log.Info("watcher: upstreams changed", zap.Int("upstreams", len(all)), zap.String("change", change))
+	wait := max(minWatch, w.Stable+w.Apply-watchMargin)
+	if due := w.registry.expire(time.Now()); !due.IsZero() {
+		wait = min(wait, max(time.Until(due), time.Millisecond))
 	}
-	w.listed = all
-	w.List(all)
+	bounded, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	c, err := w.Store.Watch(bounded, w.revision, wait)
+	if errors.Is(err, translator.ErrHistoryGone) {
+		w.Log.Info("watcher: history dropped, reading everything", zap.Uint64("revision", w.revision))
+		w.revision = 0
+		return 0, nil
+	}
+	if err != nil {
+		w.publish(time.Now())
+		return 0, err
+	}
+	now := time.Now()
+	w.revision = c.Revision
+	for _, e := range c.Entries {
+		w.registry.apply(now, e)
+	}
+	w.publish(now)
+	w.adopt(c.Manifest)
+	if len(c.Entries) > 0 || c.Manifest != nil {
+		return seriesPause, nil
+	}
+	return 0, nil
 }
 
-// withLapsed keeps the upstreams that a listing lacks: entries lapse while the store is down, and the servers that live write
-// them again.
-func withLapsed(now, before []forwarder.Upstream) []forwarder.Upstream {
-	present := make(map[string]bool, len(now))
-	addresses := make(map[string]bool, len(now))
-	for _, u := range now {
-		present[u.Name] = true
-		addresses[u.Address.String()] = true
-	}
-	for _, u := range before {
-		if !present[u.Name] && !addresses[u.Address.String()] {
-			now = append(now, u)
-		}
-	}
-	return now
+// read reads everything.
+func (w *Watcher) read(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	all, revision, err := w.Store.Upstreams(bounded)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	w.registry.replace(now, all)
+	w.publish(now)
+	m, err := w.Store.Manifest(bounded)
+	if errors.Is(err, translator.ErrMissing) {
+		w.Log.Info("watcher: the store has no manifest yet", zap.Uint64("revision", revision))
+	} else if err != nil {
+		return err
+	}
+	w.revision = revision
+	w.adopt(m)
+	return nil
 }
 
-// difference describes up to a few changes between two listings; "" for none.
-func difference(before, after []forwarder.Upstream) string {
-	const most = 12
-	old := make(map[string]forwarder.Upstream, len(before))
-	for _, u := range before {
-		old[u.Name] = u
-	}
-	out, n := "", 0
-	add := func(text string) {
-		if n++; n <= most {
-			out += text + " "
-		}
-	}
-	for _, u := range after {
-		o, ok := old[u.Name]
-		delete(old, u.Name)
-		switch {
-		case !ok:
-			add("+" + u.Service + "/" + u.Name)
-		case u.Draining && !o.Draining:
-			add("draining:" + u.Service + "/" + u.Name)
-		case o != u:
-			add("~" + u.Service + "/" + u.Name)
-		}
-	}
-	for _, u := range before {
-		if _, gone := old[u.Name]; gone {
-			add("-" + u.Service + "/" + u.Name)
-		}
-	}
-	if n > most {
-		out += "..."
+// adopt passes a manifest on that is newer than the present one.
+func (w *Watcher) adopt(m *forwarder.Manifest) {
+	if m == nil || m.Version <= w.version {
+		return
 	}
-	return out
+	w.version = m.Version
+	w.Log.Info("watcher: manifest adopted", zap.Uint64("manifest", m.Version), zap.Uint64("revision", w.revision),
+		zap.Int("routes", len(m.Routes)), zap.Int("services", len(m.Services)))
+	w.Manifest(m)
 }
 
-// link tells when a dependency is lost and regained, and how long to pause after a failure.
-type link struct {
-	lost  bool
-	since time.Time
-	pause time.Duration
-}
-
-// result returns the pause before the next call, 0 after a call that worked.
-func (l *link) result(log *logger.Logger, what string, err error) time.Duration {
-	if err == nil {
-		if l.lost {
-			log.Info("watcher: store regained", zap.String("call", what), zap.Duration("after", time.Since(l.since)))
-		}
-		*l = link{}
-		return 0
+// publish passes the upstreams on.
+func (w *Watcher) publish(now time.Time) {
+	w.registry.expire(now)
+	all := w.registry.upstreams()
+	if text := w.registry.changes(); text != "" {
+		w.Log.Info("watcher: upstreams changed", zap.Int("upstreams", len(all)), zap.Uint64("revision", w.revision), zap.String("changes", text))
 	}
-	if !l.lost {
-		l.lost, l.since = true, time.Now()
-		log.Warn("watcher: store lost", zap.String("call", what), zap.String("error", err.Error()))
-	}
-	l.pause = min(max(firstPause, 2*l.pause), lastPause)
-	return l.pause/2 + rand.N(l.pause)
-}
-
-func call[A, B any](ctx context.Context, timeout time.Duration, f func(context.Context) (A, B, error)) (A, B, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return f(ctx)
+	w.List(all)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- /dev/null
+++ b/gateway/internal/watcher/watcher_test.go
@@ -0,0 +1,153 @@
+package watcher
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap/zapcore"
+
+	"comfreyroute/core/coordination/forwarder"
+	"comfreyroute/gateway/internal/logger"
+	"comfreyroute/platform/translator"
+)
+
+func entry(name string, revision uint64, host byte) translator.Entry {
+	return translator.Entry{Name: name, Usable: true, Revision: revision, Upstream: forwarder.Upstream{
+		Name: name, Service: "s", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, host}), 80),
+	}}
+}
+
+func names(all []forwarder.Upstream) []string {
+	out := []string{}
+	for _, u := range all {
+		out = append(out, u.Name)
+	}
+	return out
+}
+
+// TestRegistry guards against upstreams that vanish while the store is away, and against ones that are kept too long, under an
+// address that another server has, or in an older state.
+func TestRegistry(t *testing.T) {
+	start := time.Unix(100, 0)
+	removed := translator.Entry{Name: "a", Removed: true, Revision: 9}
+	unusable := translator.Entry{Name: "a", Revision: 9}
+	cases := []struct {
+		name   string
+		change func(r *registry)
+		after  time.Duration
+		want   []string
+	}{
+		{"calm", func(*registry) {}, time.Hour, []string{"a", "b"}},
+		{"a removed entry is kept for a while", func(r *registry) { r.apply(start, removed) }, time.Second, []string{"a", "b"}},
+		{"then it is gone", func(r *registry) { r.apply(start, removed) }, 2 * time.Second, []string{"b"}},
+		{"it comes back", func(r *registry) { r.apply(start, removed); r.apply(start, entry("a", 10, 1)) }, time.Hour, []string{"a", "b"}},
+		{"an entry that a listing lacks is kept for a while", func(r *registry) { r.replace(start, []translator.Entry{entry("b", 1, 2)}) }, time.Second, []string{"a", "b"}},
+		{"then it is gone too", func(r *registry) { r.replace(start, []translator.Entry{entry("b", 1, 2)}) }, 2 * time.Second, []string{"b"}},
+		{"its address belongs to the next one", func(r *registry) { r.apply(start, removed); r.apply(start, entry("c", 10, 1)) }, 0, []string{"b", "c"}},
+		{"an older state changes nothing", func(r *registry) {
+			r.apply(start, entry("a", 5, 1))
+			r.apply(start, translator.Entry{Name: "a", Removed: true, Revision: 4})
+		},
+			time.Hour, []string{"a", "b"}},
+		{"an unusable entry names no server", func(r *registry) { r.apply(start, unusable) }, 0, []string{"b"}},
+	}
+	for _, c := range cases {
+		r := &registry{hold: 2 * time.Second}
+		r.replace(start, []translator.Entry{entry("a", 1, 1), entry("b", 1, 2)})
+		c.change(r)
+		r.expire(start.Add(c.after))
+		if diff := cmp.Diff(c.want, names(r.upstreams())); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", c.name, diff)
+		}
+	}
+}
+
+// script is a store whose calls do what a test says, in turn.
+type script struct {
+	calls      []string
+	watches    []func() (*translator.Changes, error)
+	manifest   func() (*forwarder.Manifest, error)
+	reconnects int
+	end        context.CancelFunc
+}
+
+func (s *script) Manifest(context.Context) (*forwarder.Manifest, error) {
+	s.calls = append(s.calls, "manifest")
+	return s.manifest()
+}
+
+func (s *script) Upstreams(context.Context) ([]translator.Entry, uint64, error) {
+	s.calls = append(s.calls, "upstreams")
+	return []translator.Entry{entry("a", 1, 1)}, 7, nil
+}
+
+func (s *script) Watch(_ context.Context, after uint64, _ time.Duration) (*translator.Changes, error) {
+	s.calls = append(s.calls, "watch")
+	if len(s.watches) == 0 {
+		s.end()
+		return &translator.Changes{Revision: after}, nil
+	}
+	w := s.watches[0]
+	s.watches = s.watches[1:]
+	return w()
+}
+
+func (s *script) Reconnect() { s.reconnects++ }
+
+// TestWatcher guards against manifests that are missed or reverted, against a reading of everything that nothing asks for, and
+// against a wait on a connection that stays silent.
+func TestWatcher(t *testing.T) {
+	manifest := func(v uint64) *forwarder.Manifest { return forwarder.NewManifest(v, nil, nil, forwarder.Limits{}) }
+	none := func() (*forwarder.Manifest, error) { return nil, translator.ErrMissing }
+	first := func() (*forwarder.Manifest, error) { return manifest(1), nil }
+	change := func(c translator.Changes, err error) func() (*translator.Changes, error) {
+		return func() (*translator.Changes, error) { return &c, err }
+	}
+	cases := []struct {
+		name       string
+		manifest   func() (*forwarder.Manifest, error)
+		watches    []func() (*translator.Changes, error)
+		calls      []string
+		versions   []uint64
+		reconnects int
+	}{
+		{"calm", first, nil, []string{"upstreams", "manifest", "watch"}, []uint64{1}, 0},
+		{"no manifest yet", none, []func() (*translator.Changes, error){change(translator.Changes{Revision: 8, Manifest: manifest(2)}, nil)},
+			[]string{"upstreams", "manifest", "watch", "watch"}, []uint64{2}, 0},
+		{"history dropped", first, []func() (*translator.Changes, error){change(translator.Changes{}, translator.ErrHistoryGone)},
+			[]string{"upstreams", "manifest", "watch", "upstreams", "manifest", "watch"}, []uint64{1}, 0},
+		{"an older manifest", first, []func() (*translator.Changes, error){change(translator.Changes{Revision: 8, Manifest: manifest(1)}, nil)},
+			[]string{"upstreams", "manifest", "watch", "watch"}, []uint64{1}, 0},
+		{"the store is away", first, []func() (*translator.Changes, error){change(translator.Changes{}, eris.New("refused"))},
+			[]string{"upstreams", "manifest", "watch", "watch"}, []uint64{1}, 0},
+		{"a silent connection", first, []func() (*translator.Changes, error){change(translator.Changes{}, eris.Wrap(context.DeadlineExceeded, "call"))},
+			[]string{"upstreams", "manifest", "watch", "watch"}, []uint64{1}, 1},
+	}
+	for _, c := range cases {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		s := &script{manifest: c.manifest, watches: c.watches, end: cancel}
+		var versions []uint64
+		var listed []string
+		w := &Watcher{
+			Store: s, Drain: 3 * time.Second, Settle: 2 * time.Second, Log: logger.New(zapcore.AddSync(io.Discard), "vm"),
+			Manifest: func(m *forwarder.Manifest) { versions = append(versions, m.Version) },
+			List:     func(u []forwarder.Upstream) { listed = names(u) },
+		}
+		w.Run(ctx)
+		cancel()
+		if diff := cmp.Diff(c.calls, s.calls); diff != "" {
+			t.Errorf("%s: calls (-want +got):\n%s", c.name, diff)
+		}
+		if diff := cmp.Diff(c.versions, versions); diff != "" {
+			t.Errorf("%s: versions (-want +got):\n%s", c.name, diff)
+		}
+		if diff := cmp.Diff([]string{"a"}, listed); diff != "" || s.reconnects != c.reconnects {
+			t.Errorf("%s: %d reconnects, upstreams (-want +got):\n%s", c.name, s.reconnects, diff)
+		}
+	}
+}
