Keep the budget of extra sends in fleets of any size, and remember slow upstreams for longer

A VM does not know the size of its fleet, so that it now saves up two, the part of the slack that each VM adds on all sites. Hedges wait for the 95th percentile, and latencies are remembered for 8 s. Also: retries of a VM without a manifest after 1 s, at-most-once requests on connections idle for 0.1 s at most, and an end of a stopping process after 88 % of the grace time, because one of them was still there at its end.

--- a/core/coordination/forwarder/config.go
+++ b/core/coordination/forwarder/config.go
@@ -13,8 +13,11 @@
 
 const (
 	// budgetPart is the part of the allowed extra sends that is used. Requests are counted here when they arrive and by the
-	// service's owner in fixed windows, so that a whole share could exceed the bound at the edge of a window.
-	budgetPart = 0.8
+	// service's owner in sliding windows, so that a whole share could exceed the bound at the edge of a window.
+	budgetPart = 0.9
+	// burstTokens is how many extra sends to a service a VM may save up. The slack of the budget grows by two for each VM on all
+	// the platform's sites, so that a VM need not know how many others there are.
+	burstTokens = 2
 
 	// answerMargin is how long before its deadline a request is answered at the latest: the way to the caller (1 to 3 ms), and
 	// the delay of a timer on a small VM.
@@ -34,8 +37,9 @@
 	// defaultTimeout holds for a request without a deadline on a route without a timeout.
 	defaultTimeout = 30 * time.Second
 
-	// hedgeQuantile of the latencies of a route is its hedge delay. One sub-request in ten is sent twice, half of the usual budget.
-	hedgeQuantile = 0.9
+	// hedgeQuantile of the latencies of a route is its hedge delay. One sub-request in twenty is sent twice, a quarter of the usual
+	// budget; the rest is left for pauses and retries.
+	hedgeQuantile = 0.95
 	// hedgeLeast and hedgeMost bound the hedge delay to parts of the latency objective, so that a hedge has time to reply.
 	hedgeLeast = 0.08
 	hedgeMost  = 0.35
@@ -51,8 +55,9 @@
 	// retryShare is the part of the latency objective after which a refused caller may come back, and a random part of the
 	// same length is added, so that callers do not return together.
 	retryShare = 0.1
-	// retryUnknown is when callers come back that were refused because this VM knows no manifest yet.
-	retryUnknown = 300 * time.Millisecond
+	// retryUnknown is when callers come back that were refused because this VM knows no manifest yet: the store is away then, and
+	// a caller has few tries.
+	retryUnknown = time.Second
 	// minRetryAfter bounds the time of a return from below.
 	minRetryAfter = 5 * time.Millisecond
 
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -39,13 +39,20 @@
 	if s == nil {
 		s = &service{name: name}
 		s.set.SetFleetMax(m.fleetMax())
-		fleet := float64(m.fleetMax())
-		s.budget.Configure(m.Config.ExtraShare*budgetPart, int(float64(m.Config.ExtraSlack)*budgetPart/fleet))
+		s.budget.Configure(m.Config.ExtraShare*budgetPart, min(m.Config.ExtraSlack, m.burst()))
 		m.services[name] = s
 	}
 	return s
 }
 
+// burst returns how many extra sends to a service the VM may save up.
+func (m *Machine) burst() int {
+	if m.Config.FleetMax > 0 {
+		return max(1, int(float64(m.Config.ExtraSlack)*budgetPart)/m.Config.FleetMax)
+	}
+	return burstTokens
+}
+
 func (m *Machine) fleetMax() int {
 	if m.Config.FleetMax > 0 {
 		return m.Config.FleetMax
--- a/core/coordination/selector/average.go
+++ b/core/coordination/selector/average.go
@@ -11,11 +11,11 @@
 	deviationGain = 0.1
 	// latencyHalfLife halves the difference between an upstream's latency and that of its service while it gets no
 	// replies. Without it, an upstream that was slow once would never be chosen again.
-	latencyHalfLife = 2 * time.Second
+	latencyHalfLife = 8 * time.Second
 	// errorGain is the weight of one result in the share of errors.
 	errorGain = 0.2
 	// errorHalfLife halves the share of errors while there are no results.
-	errorHalfLife = time.Second
+	errorHalfLife = 3 * time.Second
 )
 
 // average is a moving average of latencies with its mean deviation.
--- a/core/transport/requester/client.go
+++ b/core/transport/requester/client.go
@@ -23,7 +23,8 @@
 	// idleMargin is how long before the upstream's idle timeout a connection is closed, so that no request crosses its close.
 	idleMargin = 500 * time.Millisecond
 	// freshIdle is how long a connection may have been idle to carry a request that must not be lost on a dead connection.
-	freshIdle = 500 * time.Millisecond
+	// Upstreams may drop idle connections without notice.
+	freshIdle = 100 * time.Millisecond
 	// inlineBytes is the size up to which a request is written by the caller of Do: it fits into the socket's buffer.
 	inlineBytes = 16 << 10
 	bufferBytes = 2 << 10
--- a/gateway/internal/runner/stop.go
+++ b/gateway/internal/runner/stop.go
@@ -15,9 +15,9 @@
 	// leaveTime is how long a VM that stops goes on taking requests: the load balancer asks once a second and takes a VM out
 	// after two misses.
 	leaveTime = 2800 * time.Millisecond
-	// endShare is the part of the grace time after which requests that still run are given up. Their callers would lose them
-	// with the end by force.
-	endShare = 0.93
+	// endShare is the part of the grace time after which requests that still run are given up. Requests are lost with the end by
+	// force too, and a process on a slow VM needs some of the last second to end.
+	endShare = 0.88
 )
 
 // stop finishes the requests in flight and ends. A second signal to stop ends at once.
