--- a/core/transport/requester/client.go
+++ b/core/transport/requester/client.go
@@ -56,8 +56,8 @@
 // Client holds the connections to all upstreams. Its exported fields are set before the first Do.
 type Client struct {
 	Protocol Protocol
-	// Report takes the end of each attempt. It is called without locks.
-	Report func(forwarder.AttemptEnded)
+	// Report takes the end of each attempt whose Send started. It is called without locks.
+	Report func(*forwarder.Send, forwarder.Result)
 	Counts Counts
 
 	mu       sync.Mutex
@@ -186,7 +186,7 @@
 			failure = forwarder.Cancelled
 		}
 		c.mu.Unlock()
-		c.report(j, forwarder.Failed{Failure: failure})
+		c.Report(j.send, forwarder.Failed{Failure: failure})
 		return
 	}
 	c.Counts.Opened.Add(1)
@@ -196,7 +196,7 @@
 		delete(c.attempts, j.send.Attempt)
 		n.rest()
 		c.mu.Unlock()
-		c.report(j, forwarder.Failed{Failure: forwarder.Cancelled})
+		c.Report(j.send, forwarder.Failed{Failure: forwarder.Cancelled})
 	} else {
 		n.begin(j)
 		c.mu.Unlock()
@@ -256,7 +256,3 @@
 		}
 	}
 }
-
-func (c *Client) report(j *job, r forwarder.Result) {
-	c.Report(forwarder.AttemptEnded{Attempt: j.send.Attempt, Result: r})
-}
--- a/core/transport/requester/conn.go
+++ b/core/transport/requester/conn.go
@@ -100,10 +100,10 @@
 	c.mu.Unlock()
 	if err != nil {
 		_ = n.nc.Close()
-		c.report(j, forwarder.Failed{Failure: c.classify(err, cancelled), Written: written})
+		c.Report(j.send, forwarder.Failed{Failure: c.classify(err, cancelled), Written: written})
 		return false
 	}
-	c.report(j, forwarder.Replied{Reply: response.Reply})
+	c.Report(j.send, forwarder.Replied{Reply: response.Reply})
 	return keep
 }
 
--- a/core/transport/requester/requester_test.go
+++ b/core/transport/requester/requester_test.go
@@ -81,14 +81,14 @@
 type harness struct {
 	t      *testing.T
 	client Client
-	events chan forwarder.AttemptEnded
+	events chan forwarder.Result
 	next   forwarder.AttemptID
 }
 
 func newHarness(t *testing.T) *harness {
-	h := &harness{t: t, events: make(chan forwarder.AttemptEnded, 16)}
+	h := &harness{t: t, events: make(chan forwarder.Result, 16)}
 	h.client.Protocol = lines{}
-	h.client.Report = func(e forwarder.AttemptEnded) { h.events <- e }
+	h.client.Report = func(_ *forwarder.Send, r forwarder.Result) { h.events <- r }
 	t.Cleanup(h.client.Close)
 	return h
 }
@@ -111,7 +111,7 @@
 	h.t.Helper()
 	select {
 	case e := <-h.events:
-		switch r := e.Result.(type) {
+		switch r := e.(type) {
 		case forwarder.Replied:
 			return string(r.Reply.Body)
 		case forwarder.Failed:
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -31,6 +31,8 @@
 	headerTimeout = 6 * time.Second
 	idleTimeout   = 60 * time.Second
 	headerBytes   = 64 << 10
+	// settingsPoll is how often the settings file is looked at: it may change without a signal.
+	settingsPoll = 2 * time.Second
 	// memoryShare is the part of the allowed memory at which the collector works harder.
 	memoryShare = 0.7
 )
@@ -68,6 +70,9 @@
 		return err
 	}
 	g.follow(ctx)
+	poll := time.NewTicker(settingsPoll)
+	defer poll.Stop()
+	written := modified(g.Path)
 	g.log.Info("runner: started", zap.Stringer("callers", s.Callers), zap.Stringer("store", s.Store),
 		zap.String("domain", s.FailureDomain), zap.Int("cores", runtime.GOMAXPROCS(0)), zap.Duration("took", time.Since(began)))
 	for {
@@ -79,6 +84,11 @@
 			}
 			g.stop(signals)
 			return nil
+		case <-poll.C:
+			if t := modified(g.Path); !t.IsZero() && !t.Equal(written) {
+				written = t
+				g.reload()
+			}
 		case <-ctx.Done():
 			g.stop(signals)
 			return nil
@@ -93,7 +103,10 @@
 	g.metrics = metrics.NewSet()
 	g.store.SetAddress(s.Store)
 	g.client.Protocol = translator.Upstreams{}
-	g.client.Report = func(e forwarder.AttemptEnded) { g.driver.Post(e) }
+	g.client.Report = func(send *forwarder.Send, r forwarder.Result) {
+		g.note(send, r)
+		g.driver.Post(forwarder.AttemptEnded{Attempt: send.Attempt, Result: r})
+	}
 	g.driver.Transport = &g.client
 	g.driver.Machine.Config = forwarder.Config{
 		FailureDomain: s.FailureDomain, ExtraShare: s.ExtraShare, ExtraSlack: s.ExtraSlack, Seed: uint64(time.Now().UnixNano()),
@@ -170,6 +183,30 @@
 	g.log.Info("runner: settings reloaded", zap.Stringer("store", s.Store))
 }
 
+// modified returns when a file was written, zero when it cannot be read.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{} // a file that is being replaced; the next look finds it
+	}
+	return info.ModTime()
+}
+
+// note logs an attempt without success.
+func (g *Gateway) note(s *forwarder.Send, r forwarder.Result) {
+	fields := []zap.Field{zap.String("request", s.Message.RequestID), zap.String("service", s.Service), zap.String("upstream", s.Upstream)}
+	switch r := r.(type) {
+	case forwarder.Replied:
+		if r.Reply.Status < http.StatusBadRequest {
+			return
+		}
+		fields = append(fields, zap.Int("status", r.Reply.Status), zap.Bool("ran", !r.Reply.NotRun))
+	case forwarder.Failed:
+		fields = append(fields, zap.Stringer("failure", r.Failure), zap.Bool("written", r.Written))
+	}
+	g.log.Decision("requester: attempt without success", fields...)
+}
+
 func (g *Gateway) measure() {
 	count := func(name string, f func() uint64) {
 		g.metrics.NewGauge("comfreyroute_gateway_"+name, func() float64 { return float64(f()) })
--- a/gateway/internal/watcher/watcher.go
+++ b/gateway/internal/watcher/watcher.go
@@ -23,8 +23,9 @@
 	// time-out, and a reading of everything.
 	watchMargin = 2 * time.Second
 	minWatch    = 2 * time.Second
-	// seriesPause is the pause after changes. It is short next to the times to apply a manifest and to leave an upstream (3 s).
-	seriesPause = 400 * time.Millisecond
+	// seriesShare is the part of the shorter one of the times to apply a manifest and to drain an upstream for which the watcher
+	// pauses after changes: they come in series, and each call is priced. Together with holdShare it stays below 1.
+	seriesShare = 0.25
 	// holdShare is the part of the drain time for which a missing entry is kept. A server whose entry is removed serves for the
 	// drain time, and must get nothing after it.
 	holdShare = 0.55
@@ -101,7 +102,7 @@
 	w.publish(now)
 	w.adopt(c.Manifest)
 	if len(c.Entries) > 0 || c.Manifest != nil {
-		return seriesPause, nil
+		return time.Duration(float64(min(w.Drain, w.Apply)) * seriesShare), nil
 	}
 	return 0, nil
 }
--- /dev/null
+++ b/gateway/soak/fakes_test.go
@@ -0,0 +1,239 @@
+package soak
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// ledger is what the upstreams saw.
+type ledger struct {
+	mu       sync.Mutex
+	runs     map[string]int // of at-most-once requests, by request id
+	ran      map[string]bool
+	problems []string
+}
+
+func (l *ledger) problem(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.problems = append(l.problems, fmt.Sprintf(format, args...))
+}
+
+func (l *ledger) run(id string, once bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ran[id] = true
+	if once {
+		if l.runs[id]++; l.runs[id] > 1 {
+			l.problems = append(l.problems, "request "+id+" ran twice")
+		}
+	}
+}
+
+// record returns one 16-byte record of a shard's reply.
+func record(service, id string, k int) string {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, service, id, k)
+	return fmt.Sprintf("%016x", h.Sum64())
+}
+
+const recordsPerPart = 3
+
+// server is a fake upstream.
+type server struct {
+	name, service string
+	ledger        *ledger
+	proxy         *proxy
+	listener      net.Listener
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	fault    string // of a third of the requests
+	draining time.Time
+}
+
+func newServer(service string, n int, l *ledger, seed uint64) *server {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	s := &server{
+		name: fmt.Sprintf("i-%s-%d", service, n), service: service, ledger: l, listener: listener,
+		proxy: newProxy(listener.Addr().String()), random: rand.New(rand.NewPCG(seed, uint64(n))),
+	}
+	go func() { _ = http.Serve(listener, s) }() //nolint:gosec // a fake on loopback needs no time-outs
+	return s
+}
+
+// drainLimit is the drain time of the settings plus the time that the check allows for.
+const (
+	drainTime  = 1500 * time.Millisecond
+	drainLimit = drainTime + 500*time.Millisecond
+)
+
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	s.mu.Lock()
+	fault := ""
+	if s.random.IntN(3) == 0 {
+		fault = s.fault
+	}
+	work := time.Duration(1+s.random.IntN(8)) * time.Millisecond
+	late := !s.draining.IsZero() && time.Since(s.draining) > drainLimit
+	s.mu.Unlock()
+	switch {
+	case r.Header.Get("Expect-Instance") != s.name:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case late:
+		s.ledger.problem("request %s reaches %s after its drain time", id, s.name)
+	case fault == "shed":
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.ledger.run(id, strings.HasPrefix(r.URL.Path, "/once/"))
+	if fault == "slow" {
+		work = 200 * time.Millisecond
+	}
+	time.Sleep(work)
+	body := ""
+	for k := range recordsPerPart {
+		body += record(s.service, id, k)
+	}
+	h := w.Header()
+	h.Set("Request-Id", id)
+	h.Set("Server-Stamp", s.service+"."+id)
+	switch fault {
+	case "error":
+		w.WriteHeader(http.StatusInternalServerError)
+	case "lost", "cut", "extra":
+		nc, rw, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = nc.Close() }()
+		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s.%s\r\nContent-Length: %d\r\n\r\n%s", id, s.service, id, len(body), body)
+		switch fault {
+		case "lost":
+			return
+		case "cut":
+			text = text[:len(text)-10]
+		case "extra":
+			text += "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 5\r\n\r\nother"
+		}
+		_, _ = rw.WriteString(text)
+		_ = rw.Flush()
+	default:
+		_, _ = w.Write([]byte(body))
+	}
+}
+
+// item is one key of the fake store.
+type item struct {
+	value    []byte
+	revision uint64
+	gone     bool
+}
+
+// store is a fake of the platform's store.
+type store struct {
+	mu       sync.Mutex
+	items    map[string]item
+	revision uint64
+	oldest   uint64 // history before it is dropped
+	down     bool
+	changed  chan struct{}
+}
+
+func newStore() *store { return &store{items: map[string]item{}, changed: make(chan struct{})} }
+
+func (s *store) put(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.items[key] = item{value: data, revision: s.revision, gone: value == nil}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) encode(key string, i item) map[string]any {
+	if i.gone {
+		return map[string]any{"key": key, "revision": i.revision, "tombstone": true}
+	}
+	return map[string]any{"key": key, "revision": i.revision, "value": base64.StdEncoding.EncodeToString(i.value)}
+}
+
+// after returns the items under a prefix that were written after a revision. The lock is held.
+func (s *store) after(prefix string, revision uint64) []any {
+	out := []any{}
+	for at := revision + 1; at <= s.revision; at++ { // in the order of the writes
+		for key, i := range s.items {
+			if i.revision == at && strings.HasPrefix(key, prefix) && (revision > 0 || !i.gone) {
+				out = append(out, s.encode(key, i))
+			}
+		}
+	}
+	return out
+}
+
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	var answer map[string]any
+	switch r.URL.Path {
+	case "/kv-key":
+		i, ok := s.items[q.Get("key")]
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		answer = s.encode(q.Get("key"), i)
+	case "/kv-range":
+		answer = map[string]any{"items": s.after(q.Get("prefix"), 0), "has-more": false}
+	case "/kv-watch":
+		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+		wait, _ := strconv.Atoi(q.Get("wait-ms"))
+		if after < s.oldest {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		for end := time.After(time.Duration(wait) * time.Millisecond); s.revision <= after; {
+			changed := s.changed
+			s.mu.Unlock()
+			select {
+			case <-changed:
+			case <-end:
+				after = 0
+			case <-r.Context().Done():
+				after = 0
+			}
+			s.mu.Lock()
+			if after == 0 {
+				after = s.revision
+				break
+			}
+		}
+		answer = map[string]any{"events": s.after(q.Get("prefix"), max(after, 1))}
+	}
+	answer["store-revision"] = s.revision
+	_ = json.NewEncoder(w).Encode(answer)
+}
--- /dev/null
+++ b/gateway/soak/soak_test.go
@@ -0,0 +1,424 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	shardCount = 4
+	replicas   = 2
+	gateways   = 3
+	callers    = 12
+	top        = 5
+	faultTime  = 3 * time.Second
+	recovery   = 5 * time.Second // after the last fault, calls must be served again
+)
+
+// regressions are the seeds that failed once, with their cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// TestSoak guards the promises to callers and upstreams under series of faults that overlap.
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "gateway")
+	if out, err := exec.Command("go", "build", "-o", binary, "..").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	seeds := []uint64{1, 2}
+	if n, err := strconv.Atoi(os.Getenv("SOAK_SEEDS")); err == nil {
+		first, _ := strconv.ParseUint(os.Getenv("SOAK_FIRST"), 10, 64)
+		seeds = nil
+		for k := range n {
+			seeds = append(seeds, first+uint64(k)+1)
+		}
+	}
+	for _, r := range regressions {
+		seeds = append(seeds, r.seed)
+	}
+	for _, seed := range seeds {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { newRun(t, binary, seed).play() })
+	}
+}
+
+// process is one gateway. Only its own run signals it.
+type process struct {
+	address  string
+	settings string
+	log      bytes.Buffer
+	command  *exec.Cmd
+	mu       sync.Mutex
+	rough    time.Time // of the last fault that may cut its callers
+}
+
+type run struct {
+	t         *testing.T
+	binary    string
+	random    *rand.Rand
+	ledger    *ledger
+	store     *store
+	toStore   *proxy
+	servers   []*server
+	processes []*process
+	version   int
+	stop      chan struct{}
+	inTouch   bool // no pauses and no faults of the store: upstreams drain instead, and must get nothing after their drain time
+}
+
+func newRun(t *testing.T, binary string, seed uint64) *run {
+	r := &run{
+		t: t, binary: binary, random: rand.New(rand.NewPCG(seed, 0)), store: newStore(), stop: make(chan struct{}), inTouch: seed%2 == 0,
+		ledger: &ledger{runs: map[string]int{}, ran: map[string]bool{}},
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = http.Serve(l, r.store) }() //nolint:gosec // a fake on loopback needs no time-outs
+	r.toStore = newProxy(l.Addr().String())
+	for g := range shardCount {
+		for n := range replicas {
+			r.servers = append(r.servers, newServer(fmt.Sprintf("shard%d", g), n, r.ledger, seed))
+		}
+	}
+	for n := range replicas + 1 {
+		r.servers = append(r.servers, newServer("point", n, r.ledger, seed))
+	}
+	for _, s := range r.servers {
+		r.register(s, "ready")
+	}
+	r.publish()
+	for n := range gateways {
+		r.processes = append(r.processes, r.newProcess(n))
+	}
+	t.Cleanup(r.close)
+	return r
+}
+
+func (r *run) register(s *server, state string) {
+	r.store.put("servers/"+s.name, map[string]any{
+		"service": s.service, "address": s.proxy.address(), "zone": "z", "version": "v1", "slots": 4, "state": state, "cold-ms": 0, "seq": 1,
+	})
+}
+
+// publish writes the next manifest.
+func (r *run) publish() {
+	r.version++
+	var shards []string
+	services := []any{map[string]any{"name": "point", "max-conns": 60}}
+	for g := range shardCount {
+		name := fmt.Sprintf("shard%d", g)
+		shards = append(shards, name)
+		services = append(services, map[string]any{"name": name, "max-conns": 60})
+	}
+	route := func(prefix, kind string) map[string]any {
+		return map[string]any{"name": prefix, "host": "soak.example", "prefix": prefix, "kind": kind, "timeout-ms": 1000 + r.version,
+			"target-latency-ms": 150, "priority": 1, "max-attempts": 2}
+	}
+	all, one, once := route("/all/", "idempotent"), route("/one/", "idempotent"), route("/once/", "non_idempotent")
+	all["gather"], all["top-k"], all["min-coverage"] = shards, top, 0.7
+	one["service"], once["service"] = "point", "point"
+	r.store.put("op/config", map[string]any{"version": r.version, "routes": []any{all, one, once}, "services": services, "limits": map[string]any{}})
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (r *run) newProcess(n int) *process {
+	p := &process{address: freeAddress(r.t), settings: filepath.Join(r.t.TempDir(), "settings.json")}
+	data, err := json.Marshal(map[string]any{
+		"node": fmt.Sprintf("gateway%d", n), "ip": "127.0.0.1", "zone": "z", "listen": map[string]any{"front": p.address, "ready": freeAddress(r.t)},
+		"limits": map[string]any{"memory-mb": 200}, "platform": map[string]any{"address": r.toStore.address()},
+		"bounds": map[string]any{"drain-ms": drainTime.Milliseconds(), "grace-s": 3, "config-apply-ms": 1500, "stable-window-ms": 1500,
+			"retry-budget-ratio": 0.5, "retry-slack": 50},
+	})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if err := os.WriteFile(p.settings, data, 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+	p.start(r)
+	return p
+}
+
+func (p *process) start(r *run) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.command = exec.Command(r.binary, "run", "-settings", p.settings)
+	p.command.Stdout, p.command.Stderr = &p.log, &p.log
+	if err := p.command.Start(); err != nil {
+		r.t.Error(err)
+	}
+}
+
+// signal sends a signal; end waits until the process is gone and starts it again.
+func (p *process) signal(r *run, s syscall.Signal, end bool) {
+	p.mu.Lock()
+	command := p.command
+	if s != syscall.SIGTERM {
+		p.rough = time.Now()
+	}
+	p.mu.Unlock()
+	_ = command.Process.Signal(s) // a process that has ended meanwhile is started again below
+	if end {
+		_ = command.Wait() // its exit status says only which signal ended it
+		p.start(r)
+	}
+}
+
+func (r *run) close() {
+	for _, p := range r.processes {
+		_ = p.command.Process.Kill()
+		_ = p.command.Wait()
+	}
+	for _, s := range r.servers {
+		_ = s.listener.Close()
+		_ = s.proxy.listener.Close()
+	}
+	_ = r.toStore.listener.Close()
+	if r.t.Failed() {
+		for n, p := range r.processes {
+			lines := strings.Split(p.log.String(), "\n")
+			r.t.Logf("last lines of gateway%d:\n%s", n, strings.Join(lines[max(0, len(lines)-15):], "\n"))
+		}
+	}
+}
+
+// play lets callers work while faults come, and checks what they and the upstreams saw.
+func (r *run) play() {
+	if !r.servedWithin(10*time.Second, "start") {
+		r.t.Fatal("no request is served after the start")
+	}
+	var working sync.WaitGroup
+	for n := range callers {
+		working.Go(func() { r.call(n) })
+	}
+	var faults sync.WaitGroup
+	for end := time.Now().Add(faultTime); time.Now().Before(end); {
+		fault, wait := r.fault(), time.Duration(r.random.IntN(500))*time.Millisecond
+		faults.Go(fault)
+		time.Sleep(wait)
+	}
+	faults.Wait()
+	if !r.servedWithin(recovery, "end") {
+		r.ledger.problem("no gathered answer is whole %v after the last fault", recovery)
+	}
+	close(r.stop)
+	working.Wait()
+	for _, p := range r.ledger.problems {
+		r.t.Error(p)
+	}
+}
+
+// fault returns the next fault. Its choices are made before it runs, so that a seed always gives the same series.
+func (r *run) fault() func() {
+	p := r.processes[r.random.IntN(len(r.processes))]
+	s := r.servers[r.random.IntN(len(r.servers))]
+	d := time.Duration(200+r.random.IntN(800)) * time.Millisecond
+	link := []string{"delay", "silent", "one-way", "reset"}[r.random.IntN(4)]
+	trouble := []string{"shed", "slow", "error", "lost", "cut", "extra"}[r.random.IntN(6)]
+	kind := r.random.IntN(9)
+	if r.inTouch && (kind == 2 || kind == 3 || kind == 6) {
+		return func() { r.drain(s) }
+	}
+	switch kind {
+	case 0:
+		return func() { p.signal(r, syscall.SIGKILL, true) }
+	case 1:
+		return func() { p.signal(r, syscall.SIGTERM, true) }
+	case 2:
+		return func() {
+			p.signal(r, syscall.SIGSTOP, false)
+			time.Sleep(d)
+			p.signal(r, syscall.SIGCONT, false)
+		}
+	case 3:
+		return func() { r.toStore.disturb(link, d) }
+	case 4:
+		return func() { s.proxy.disturb(link, d) }
+	case 5:
+		r.publish()
+		return func() {}
+	case 6:
+		return func() {
+			r.store.mu.Lock()
+			r.store.down, r.store.oldest = true, r.store.revision
+			r.store.mu.Unlock()
+			time.Sleep(d)
+			r.store.mu.Lock()
+			r.store.down = false
+			r.store.mu.Unlock()
+		}
+	default:
+		return func() {
+			s.mu.Lock()
+			s.fault = trouble
+			s.mu.Unlock()
+			time.Sleep(d)
+			s.mu.Lock()
+			s.fault = ""
+			s.mu.Unlock()
+		}
+	}
+}
+
+// drain takes the first replica of a service away.
+func (r *run) drain(s *server) {
+	if !strings.HasSuffix(s.name, "-0") {
+		return
+	}
+	r.register(s, "draining")
+	s.mu.Lock()
+	if s.draining.IsZero() {
+		s.draining = time.Now()
+	}
+	s.mu.Unlock()
+}
+
+// servedWithin tells whether every gateway gives a whole gathered answer within a time.
+func (r *run) servedWithin(limit time.Duration, name string) bool {
+	end := time.Now().Add(limit)
+	for n, p := range r.processes {
+		for k := 0; ; k++ {
+			if status, missing := r.ask(p, "/all/x", fmt.Sprintf("%s-%d-%d", name, n, k), http.DefaultTransport); status == http.StatusOK && missing == 0 {
+				break
+			}
+			if time.Now().After(end) {
+				return false
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return true
+}
+
+// call sends requests one after the other to all gateways over connections that it keeps.
+func (r *run) call(n int) {
+	random := rand.New(rand.NewPCG(uint64(n), 1))
+	transport := &http.Transport{MaxIdleConnsPerHost: 4}
+	defer transport.CloseIdleConnections()
+	for k := 0; ; k++ {
+		select {
+		case <-r.stop:
+			return
+		default:
+		}
+		path := []string{"/all/x", "/all/y", "/one/x", "/once/x"}[random.IntN(4)]
+		r.ask(r.processes[random.IntN(len(r.processes))], path, fmt.Sprintf("c%d-%d", n, k), transport)
+		time.Sleep(time.Duration(random.IntN(10)) * time.Millisecond)
+	}
+}
+
+// ask sends one request and checks its answer. The status is 0 without an answer.
+func (r *run) ask(p *process, path, id string, transport http.RoundTripper) (status, missing int) {
+	// POST keeps the transport from sending the request again by itself.
+	request, err := http.NewRequest(http.MethodPost, "http://"+p.address+path, strings.NewReader("body"))
+	if err != nil {
+		r.t.Error(err)
+		return 0, 0
+	}
+	request.Host = "soak.example"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Deadline-Ms", "900")
+	began := time.Now()
+	client := http.Client{Transport: transport, Timeout: 3 * time.Second}
+	response, err := client.Do(request)
+	if err != nil {
+		r.checkCut(p, id, began, err)
+		return 0, 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		r.checkCut(p, id, began, err)
+		return 0, 0
+	}
+	r.check(path, id, response, string(body))
+	missing, _ = strconv.Atoi(response.Header.Get("Missing-Parts"))
+	return response.StatusCode, missing
+}
+
+// checkCut checks that a process that was only asked to stop cut no request that an upstream has run.
+func (r *run) checkCut(p *process, id string, began time.Time, cause error) {
+	p.mu.Lock()
+	rough := p.rough
+	p.mu.Unlock()
+	r.ledger.mu.Lock()
+	ran := r.ledger.ran[id]
+	r.ledger.mu.Unlock()
+	if ran && (rough.IsZero() || began.Sub(rough) > 2*time.Second) {
+		r.ledger.problem("request %s ran and was cut without a kill or a pause: %v", id, cause)
+	}
+}
+
+// check checks an answer against what the upstreams would have said.
+func (r *run) check(path, id string, response *http.Response, body string) {
+	r.ledger.mu.Lock()
+	ran := r.ledger.ran[id]
+	r.ledger.mu.Unlock()
+	switch {
+	case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Server-Stamp") == "":
+		if ran {
+			r.ledger.problem("request %s to %s is refused and has run", id, path)
+		}
+	case response.StatusCode != http.StatusOK:
+	case strings.HasPrefix(path, "/all/"):
+		r.checkGathered(id, response, body)
+	default:
+		want := ""
+		for k := range recordsPerPart {
+			want += record("point", id, k)
+		}
+		if body != want || response.Header.Get("Server-Stamp") != "point."+id {
+			r.ledger.problem("request %s has the answer of another one", id)
+		}
+	}
+}
+
+func (r *run) checkGathered(id string, response *http.Response, body string) {
+	var records, services []string
+	for _, stamp := range strings.Split(response.Header.Get("Part-Stamps"), ", ") {
+		service, of, _ := strings.Cut(stamp, ".")
+		if of != id || slices.Contains(services, service) {
+			r.ledger.problem("request %s has the part %s", id, stamp)
+		}
+		services = append(services, service)
+		for k := range recordsPerPart {
+			records = append(records, record(service, id, k))
+		}
+	}
+	slices.Sort(records)
+	slices.Reverse(records)
+	missing, _ := strconv.Atoi(response.Header.Get("Missing-Parts"))
+	if len(services)+missing != shardCount || len(services) < 3 {
+		r.ledger.problem("request %s: %d parts and %d missing", id, len(services), missing)
+	}
+	if body != strings.Join(records[:min(top, len(records))], "") {
+		r.ledger.problem("request %s: the records are not the greatest of its parts", id)
+	}
+}
