--- a/core/coordination/forwarder/dispatch.go
+++ b/core/coordination/forwarder/dispatch.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"comfreyroute/core/coordination/scheduler"
 	"comfreyroute/core/coordination/selector"
 )
 
@@ -77,7 +78,7 @@
 		id: m.lastAttempt, request: r, sub: g, service: b.service, upstream: u.Row.Upstream, sent: now, deadline: r.until,
 	}
 	m.attempts[a.id] = a
-	b.attach(a.id)
+	b.live.Attach(a.id)
 	b.tried = append(b.tried, a.upstream)
 	b.state = subSent
 	b.ran++ // until the reply says otherwise
@@ -87,7 +88,7 @@
 		Attempt: a.id, Service: b.service.name, Upstream: a.upstream, Address: u.Row.Address, Message: r.message, Deadline: r.until,
 		Connections: b.service.share(m.fleetMax()), Fresh: !r.route.Idempotent,
 	})
-	if r.route.Idempotent && b.running() < maxLive {
+	if r.route.Idempotent && b.live.Running() < scheduler.MaxLive {
 		b.hedgeAt = now.Add(r.policy.hedgeDelay(now, r.route, r.until.Sub(r.arrived)))
 		m.reschedule(r, b.hedgeAt)
 	}
@@ -97,7 +98,7 @@
 func (m *Machine) hedge(now time.Time, r *request, g int) {
 	b := &r.subs[g]
 	b.hedgeAt = time.Time{}
-	if b.running() >= maxLive || b.ran >= r.attempts() || len(b.tried) >= maxSends {
+	if b.live.Running() >= scheduler.MaxLive || b.ran >= r.attempts() || len(b.tried) >= maxSends {
 		return
 	}
 	i, ok := m.pick(now, b)
@@ -119,7 +120,7 @@
 	delete(m.attempts, a.id)
 	m.observe(now, a, e.Result)
 	if r := a.request; r != nil && !r.finished {
-		r.subs[a.sub].detach(a.id)
+		r.subs[a.sub].live.Detach(a.id)
 		switch result := e.Result.(type) {
 		case Replied:
 			m.replied(now, r, a, result.Reply)
@@ -180,7 +181,7 @@
 // again sends a sub-request to another upstream after an attempt failed, if that is allowed.
 func (m *Machine) again(now time.Time, r *request, g int) {
 	b := &r.subs[g]
-	if b.running() > 0 {
+	if b.live.Running() > 0 {
 		return // the other attempt may still succeed
 	}
 	if !r.route.Idempotent && b.ran > 0 || b.ran >= r.attempts() || len(b.tried) >= maxSends || !now.Before(r.until) {
--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"comfreyroute/core/coordination/scheduler"
 	"math/rand/v2"
 	"time"
 )
@@ -18,7 +19,7 @@
 	requests    map[RequestID]*request
 	attempts    map[AttemptID]*attempt
 	lastAttempt AttemptID
-	timers      timers
+	timers      scheduler.Queue[*request]
 	wake        time.Time // time of the last Wake that did not fire yet
 	actions     []Action
 }
--- a/core/coordination/forwarder/request.go
+++ b/core/coordination/forwarder/request.go
@@ -1,6 +1,10 @@
 package forwarder
 
-import "time"
+import (
+	"time"
+
+	"comfreyroute/core/coordination/scheduler"
+)
 
 type subState uint8
 
@@ -42,7 +46,7 @@
 type sub struct {
 	service *service
 	state   subState
-	live    [maxLive]AttemptID
+	live    scheduler.Live[AttemptID]
 	tried   []string // upstreams
 	ran     int      // attempts that may have run
 	unsent  int      // attempts of which nothing was written
@@ -53,33 +57,11 @@
 	reason  Reason
 }
 
-func (b *sub) running() int {
-	n := 0
-	for _, id := range b.live {
-		if id != 0 {
-			n++
-		}
-	}
-	return n
-}
-
-func (b *sub) attach(id AttemptID) {
-	for k := range b.live {
-		if b.live[k] == 0 {
-			b.live[k] = id
-			return
-		}
-	}
-	panic("forwarder: a sub-request has too many attempts in flight")
-}
+// Due implements scheduler.Item.
+func (r *request) Due() time.Time { return r.due }
 
-func (b *sub) detach(id AttemptID) {
-	for k := range b.live {
-		if b.live[k] == id {
-			b.live[k] = 0
-		}
-	}
-}
+// Place implements scheduler.Item.
+func (r *request) Place() *int { return &r.place }
 
 func (r *request) attempts() int {
 	if r.route.Attempts > 0 {
@@ -176,7 +158,7 @@
 			}
 		}
 	}
-	m.timers.remove(r)
+	m.timers.Remove(r)
 	delete(m.requests, r.id)
 }
 
--- a/core/coordination/forwarder/timers.go
+++ b/core/coordination/forwarder/schedule.go
@@ -1,53 +1,10 @@
 package forwarder
 
 import (
-	"container/heap"
 	"slices"
 	"time"
 )
 
-// timers orders the requests by the time of their next step.
-type timers []*request
-
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].due.Before(t[j].due) }
-
-func (t timers) Swap(i, j int) {
-	t[i], t[j] = t[j], t[i]
-	t[i].place, t[j].place = i, j
-}
-
-// Push adds a request; package heap calls it.
-func (t *timers) Push(x any) {
-	r := x.(*request)
-	r.place = len(*t)
-	*t = append(*t, r)
-}
-
-// Pop removes the last request; package heap calls it.
-func (t *timers) Pop() any {
-	last := len(*t) - 1
-	r := (*t)[last]
-	(*t)[last] = nil
-	*t = (*t)[:last]
-	r.place = -1
-	return r
-}
-
-func (t *timers) set(r *request) {
-	if r.place < 0 {
-		heap.Push(t, r)
-		return
-	}
-	heap.Fix(t, r.place)
-}
-
-func (t *timers) remove(r *request) {
-	if r.place >= 0 {
-		heap.Remove(t, r.place)
-	}
-}
-
 // schedule sets the next time that a request needs attention.
 func (m *Machine) schedule(r *request) {
 	r.due = r.until
@@ -63,14 +20,14 @@
 			r.due = r.waitEnd
 		}
 	}
-	m.timers.set(r)
+	m.timers.Set(r)
 }
 
 // reschedule brings the next look at a request forward.
 func (m *Machine) reschedule(r *request, at time.Time) {
 	if r.place >= 0 && at.Before(r.due) {
 		r.due = at
-		m.timers.set(r)
+		m.timers.Set(r)
 	}
 }
 
--- a/core/coordination/router/attempt.go
+++ b/core/coordination/router/attempt.go
@@ -99,7 +99,7 @@
 		out.service.set.Finished(now, out.upstream, selector.Result{Latency: now.Sub(out.sent), Kind: kind})
 	}
 	if r := out.request; r != nil {
-		r.subs[out.sub].detach(out.id)
+		r.subs[out.sub].live.Detach(out.id)
 	}
 	return out
 }
--- a/core/coordination/router/dispatch.go
+++ b/core/coordination/router/dispatch.go
@@ -131,7 +131,7 @@
 	}
 	b.tried[b.attempts] = i
 	b.attempts++
-	b.attach(a.id)
+	b.live.Attach(a.id)
 	b.state = subSent
 	m.emit(Send{
 		Attempt: a.id, Request: r.id, Service: s.name, Upstream: u.Row.Upstream, Address: u.Row.Address, Kind: r.kind,
@@ -206,7 +206,7 @@
 		m.callFailed(now, r, f)
 		return
 	}
-	if b.running() > 0 {
+	if b.live.Running() > 0 {
 		if m.mayHedge(r) {
 			b.hedgeAt = now.Add(r.service.delays(now).hedge)
 			m.soon(r, b.hedgeAt)
--- a/core/coordination/router/hedge.go
+++ b/core/coordination/router/hedge.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"comfreyroute/core/coordination/budgeter"
+	"comfreyroute/core/coordination/scheduler"
 	"comfreyroute/core/protocol/encoder"
 	"comfreyroute/core/state/tabler"
 )
@@ -69,7 +70,7 @@
 			r.due = at
 		}
 	}
-	m.timers.set(r)
+	m.timers.Set(r)
 }
 
 // expire handles a request whose due time came.
@@ -145,7 +146,7 @@
 func (m *Machine) hedge(now time.Time, r *request, g int) {
 	b := &r.subs[g]
 	b.hedgeAt = time.Time{}
-	if b.running() >= maxLive || b.attempts >= maxAttempts || m.attempts.full() {
+	if b.live.Running() >= scheduler.MaxLive || b.attempts >= maxAttempts || m.attempts.full() {
 		return
 	}
 	b.hedgeAt = now.Add(r.service.delays(now).hedge)
--- a/core/coordination/router/machine.go
+++ b/core/coordination/router/machine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"comfreyroute/core/coordination/quarantiner"
+	"comfreyroute/core/coordination/scheduler"
 	"comfreyroute/core/coordination/selector"
 	"comfreyroute/core/protocol/encoder"
 	"comfreyroute/core/state/tabler"
@@ -29,7 +30,7 @@
 	byName     map[string]*service
 	requests   map[RequestID]*request
 	attempts   attempts
-	timers     timers
+	timers     scheduler.Queue[*request]
 	chore      time.Time
 	wake       time.Time // time of the last Wake that did not fire yet
 	actions    []Action
--- a/core/coordination/router/request.go
+++ b/core/coordination/router/request.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"comfreyroute/core/coordination/scheduler"
 	"comfreyroute/core/protocol/encoder"
 	"comfreyroute/core/state/tabler"
 )
@@ -17,8 +18,6 @@
 	marginShare = 4
 	// maxAttempts bounds the attempts of one sub-request: the first, its retries, reroutes and hedges.
 	maxAttempts = 4
-	// maxLive is how many attempts of one sub-request run at once: one and its hedge.
-	maxLive = 2
 	// maxPauses bounds the pauses of a sub-request for which no connection was free. With pauses that double from firstPause
 	// to maxPause they cover the default deadline.
 	maxPauses  = 12
@@ -76,7 +75,7 @@
 	possiblyRun bool // an upstream may have run it
 	notHeld     bool // a replica did not hold the version
 	owing       bool // takes a token when it leaves the wait queue
-	live        [maxLive]AttemptID
+	live        scheduler.Live[AttemptID]
 	tried       [maxAttempts]int // upstreams of the attempts, -1 for one that is gone
 	hedgeAt     time.Time
 	resumeAt    time.Time // end of the pause after no connection was free
@@ -91,33 +90,11 @@
 	results     []encoder.ShardResult
 }
 
-func (b *sub) running() int {
-	n := 0
-	for _, id := range b.live {
-		if id != 0 {
-			n++
-		}
-	}
-	return n
-}
-
-func (b *sub) attach(id AttemptID) {
-	for k := range b.live {
-		if b.live[k] == 0 {
-			b.live[k] = id
-			return
-		}
-	}
-	panic("router: a sub-request has too many attempts in flight")
-}
+// Due implements scheduler.Item.
+func (r *request) Due() time.Time { return r.due }
 
-func (b *sub) detach(id AttemptID) {
-	for k := range b.live {
-		if b.live[k] == id {
-			b.live[k] = 0
-		}
-	}
-}
+// Place implements scheduler.Item.
+func (r *request) Place() *int { return &r.place }
 
 func (r *request) version() uint64 {
 	if r.index == nil {
@@ -187,7 +164,7 @@
 	}
 	m.release(now, r)
 	r.state = stateFinished
-	m.timers.remove(r)
+	m.timers.Remove(r)
 	delete(m.requests, r.id)
 }
 
--- /dev/null
+++ b/core/coordination/scheduler/queue.go
@@ -0,0 +1,65 @@
+// Package scheduler orders requests by the time of their next step, and counts the attempts of a sub-request that run at once.
+//
+// The machines of routed and of forwarded requests share it. Like them it reads no clock.
+package scheduler
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Item is a request in a queue. Place is where the queue keeps its position, -1 while it is in none.
+type Item interface {
+	Due() time.Time
+	Place() *int
+}
+
+// Queue holds items, the one that is due first at the front. Set and Remove change it; the methods of heap.Interface do not keep
+// its order by themselves. The zero value is empty.
+type Queue[T Item] []T
+
+// Len implements heap.Interface.
+func (q Queue[T]) Len() int { return len(q) }
+
+// Less implements heap.Interface.
+func (q Queue[T]) Less(i, j int) bool { return q[i].Due().Before(q[j].Due()) }
+
+// Swap implements heap.Interface.
+func (q Queue[T]) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	*q[i].Place(), *q[j].Place() = i, j
+}
+
+// Push implements heap.Interface.
+func (q *Queue[T]) Push(x any) {
+	item := x.(T)
+	*item.Place() = len(*q)
+	*q = append(*q, item)
+}
+
+// Pop implements heap.Interface.
+func (q *Queue[T]) Pop() any {
+	var none T
+	last := len(*q) - 1
+	item := (*q)[last]
+	(*q)[last] = none
+	*q = (*q)[:last]
+	*item.Place() = -1
+	return item
+}
+
+// Set adds an item, or moves it to its new time.
+func (q *Queue[T]) Set(item T) {
+	if at := *item.Place(); at >= 0 {
+		heap.Fix(q, at)
+		return
+	}
+	heap.Push(q, item)
+}
+
+// Remove takes an item out, if it is in the queue.
+func (q *Queue[T]) Remove(item T) {
+	if at := *item.Place(); at >= 0 {
+		heap.Remove(q, at)
+	}
+}
--- /dev/null
+++ b/core/coordination/scheduler/scheduler_test.go
@@ -0,0 +1,51 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+type item struct {
+	name  string
+	due   time.Time
+	place int
+}
+
+func (i *item) Due() time.Time { return i.due }
+func (i *item) Place() *int    { return &i.place }
+
+// TestQueue guards against items that come in the wrong order after their time was changed or another one was removed.
+func TestQueue(t *testing.T) {
+	at := func(s int64) time.Time { return time.Unix(s, 0) }
+	a, b, c := &item{"a", at(3), -1}, &item{"b", at(1), -1}, &item{"c", at(2), -1}
+	var q Queue[*item]
+	for _, i := range []*item{a, b, c} {
+		q.Set(i)
+	}
+	b.due = at(4)
+	q.Set(b)
+	q.Remove(c)
+	q.Remove(c)
+	var got []string
+	for q.Len() > 0 {
+		got = append(got, q[0].name)
+		q.Remove(q[0])
+	}
+	if diff := cmp.Diff([]string{"a", "b"}, got); diff != "" {
+		t.Errorf("order (-want +got):\n%s", diff)
+	}
+}
+
+// TestLive guards against an attempt that is counted after its end.
+func TestLive(t *testing.T) {
+	var l Live[uint64]
+	l.Attach(7)
+	l.Attach(8)
+	l.Detach(7)
+	l.Detach(9)
+	if diff := cmp.Diff(Live[uint64]{0, 8}, l); diff != "" || l.Running() != 1 {
+		t.Errorf("%d running (-want +got):\n%s", l.Running(), diff)
+	}
+}
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -118,15 +118,16 @@
 // listen opens the addresses.
 func (g *Gateway) listen() error {
 	s := g.Settings
+	faults := zap.NewStdLog(g.log.Logger)
 	g.callers = http.Server{
-		Handler: &g.receiver, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		Handler: &g.receiver, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: faults,
 	}
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("/ready", g.receiver.ServeReady)
-	g.ready = http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout}
+	g.ready = http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout, ErrorLog: faults}
 	inspect := http.NewServeMux()
 	inspect.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { g.metrics.WritePrometheus(w) })
-	g.inspect = http.Server{Handler: inspect, ReadHeaderTimeout: headerTimeout}
+	g.inspect = http.Server{Handler: inspect, ReadHeaderTimeout: headerTimeout, ErrorLog: faults}
 	if err := serve(&g.callers, s.Callers); err != nil {
 		return err
 	}
--- a/gateway/internal/watcher/watcher.go
+++ b/gateway/internal/watcher/watcher.go
@@ -26,6 +26,8 @@
 	// seriesShare is the part of the shorter one of the times to apply a manifest and to drain an upstream for which the watcher
 	// pauses after changes: they come in series, and each call is priced. Together with holdShare it stays below 1.
 	seriesShare = 0.25
+	// backlog is the number of changes from which a response may be a page of a longer history. The store's pages have 500 items.
+	backlog = 100
 	// holdShare is the part of the drain time for which a missing entry is kept. A server whose entry is removed serves for the
 	// drain time, and must get nothing after it.
 	holdShare = 0.55
@@ -100,7 +102,7 @@
 	}
 	w.publish(now)
 	w.adopt(c.Manifest)
-	if len(c.Entries) > 0 || c.Manifest != nil {
+	if len(c.Entries) < backlog && (len(c.Entries) > 0 || c.Manifest != nil) {
 		return time.Duration(float64(min(w.Drain, w.Apply)) * seriesShare), nil
 	}
 	return 0, nil
--- a/gateway/internal/watcher/watcher_test.go
+++ b/gateway/internal/watcher/watcher_test.go
@@ -177,3 +177,23 @@
 		t.Errorf("upstreams at the watch after the pause (-want +got):\n%s", diff)
 	}
 }
+
+// TestBacklogIsReadAtOnce guards against pauses between the pages of a long history: after an outage of the store a server that
+// had left meanwhile got requests until the last page was read.
+func TestBacklogIsReadAtOnce(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	s := &script{end: cancel, manifest: func() (*forwarder.Manifest, error) { return nil, translator.ErrMissing }}
+	page := func() (*translator.Changes, error) {
+		return &translator.Changes{Revision: 8, Entries: make([]translator.Entry, 500)}, nil
+	}
+	s.watches = []func() (*translator.Changes, error){page, page, page}
+	w := &Watcher{
+		Store: s, Drain: 20 * time.Second, Apply: 20 * time.Second, Log: logger.New(zapcore.AddSync(io.Discard), "vm"), List: func([]forwarder.Upstream) {},
+	}
+	began := time.Now()
+	w.Run(ctx)
+	if took := time.Since(began); took > 4*time.Second || len(s.calls) != 6 {
+		t.Errorf("%d calls took %v", len(s.calls), took)
+	}
+}
