End a watch of the store within the stable window, and run the faults of one soak process one after the other

Traced by the manifests adopted in the logs. Ruled out: the pause after changes (0.75 s). The time that a watch waits now follows from the stable window alone. A test failed before.

--- a/gateway/internal/watcher/watcher.go
+++ b/gateway/internal/watcher/watcher.go
@@ -18,11 +18,12 @@
 
 const (
 	// callTimeout bounds a call beyond its waiting time. The store answers in milliseconds, and in 0.3 s when it is slow.
-	callTimeout = time.Second
-	// watchMargin is what remains of the time to apply a manifest after a watch that was lost has timed out: the call's own
-	// time-out, and a reading of everything.
-	watchMargin = 2 * time.Second
-	minWatch    = 2 * time.Second
+	callTimeout = 700 * time.Millisecond
+	// readTimeout bounds a reading of everything, which takes several calls.
+	readTimeout = 2 * time.Second
+	// watchMargin is what remains of the stable window after a watch that was lost has timed out, for a reading of everything.
+	watchMargin = 300 * time.Millisecond
+	minWatch    = time.Second
 	// seriesShare is the part of the shorter one of the times to apply a manifest and to drain an upstream for which the watcher
 	// pauses after changes: they come in series, and each call is priced. Together with holdShare it stays below 1.
 	seriesShare = 0.25
@@ -80,7 +81,7 @@
 	if w.revision == 0 {
 		return 0, w.read(ctx)
 	}
-	wait := max(minWatch, w.Stable+w.Apply-watchMargin)
+	wait := max(minWatch, w.Stable-callTimeout-watchMargin)
 	if due := w.publish(time.Now()); !due.IsZero() {
 		wait = min(wait, max(time.Until(due), time.Millisecond))
 	}
@@ -110,7 +111,7 @@
 
 // read reads everything.
 func (w *Watcher) read(ctx context.Context) error {
-	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	all, revision, err := w.Store.Upstreams(bounded)
 	if err != nil {
--- a/gateway/internal/watcher/watcher_test.go
+++ b/gateway/internal/watcher/watcher_test.go
@@ -73,6 +73,7 @@
 	watches    []func() (*translator.Changes, error)
 	manifest   func() (*forwarder.Manifest, error)
 	reconnects int
+	wait       time.Duration // of the last watch
 	end        context.CancelFunc
 }
 
@@ -86,8 +87,9 @@
 	return []translator.Entry{entry("a", 1, 1)}, 7, nil
 }
 
-func (s *script) Watch(_ context.Context, after uint64, _ time.Duration) (*translator.Changes, error) {
+func (s *script) Watch(_ context.Context, after uint64, wait time.Duration) (*translator.Changes, error) {
 	s.calls = append(s.calls, "watch")
+	s.wait = wait
 	if len(s.watches) == 0 {
 		s.end()
 		return &translator.Changes{Revision: after}, nil
@@ -197,3 +199,20 @@
 		t.Errorf("%d calls took %v", len(s.calls), took)
 	}
 }
+
+// TestWatchFitsStableWindow guards against a watch that outlasts a fault of the store by more than the stable window: a store that
+// drops its history lets waiting watches hear nothing, and a response may be lost. After the window a missed manifest must be in force.
+func TestWatchFitsStableWindow(t *testing.T) {
+	for _, stable := range []time.Duration{4 * time.Second, 5 * time.Second} {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		s := &script{end: cancel, manifest: func() (*forwarder.Manifest, error) { return nil, translator.ErrMissing }}
+		w := &Watcher{
+			Store: s, Stable: stable, Apply: 3 * time.Second, Log: logger.New(zapcore.AddSync(io.Discard), "vm"), List: func([]forwarder.Upstream) {},
+		}
+		w.Run(ctx)
+		cancel()
+		if s.wait+callTimeout >= stable {
+			t.Errorf("a watch that is lost ends after %v, the stable window is %v", s.wait+callTimeout, stable)
+		}
+	}
+}
--- a/gateway/soak/soak_test.go
+++ b/gateway/soak/soak_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -58,14 +57,17 @@
 	}
 }
 
-// process is one gateway. Only its own run signals it.
+// process is one gateway. Only its own run signals it, and faults of one process come one after the other.
 type process struct {
 	address  string
 	settings string
-	log      bytes.Buffer
-	command  *exec.Cmd
-	mu       sync.Mutex
-	rough    time.Time // of the last fault that may cut its callers
+	log      *os.File
+	faults   sync.Mutex // held during a fault of this process
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	done    chan struct{} // closed when the command has ended
+	rough   time.Time     // of the last fault that may cut its callers
 }
 
 type run struct {
@@ -162,39 +164,61 @@
 	if err := os.WriteFile(p.settings, data, 0o600); err != nil {
 		r.t.Fatal(err)
 	}
+	if p.log, err = os.Create(p.settings + ".log"); err != nil {
+		r.t.Fatal(err)
+	}
 	p.start(r)
 	return p
 }
 
 func (p *process) start(r *run) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.command = exec.Command(r.binary, "run", "-settings", p.settings)
-	p.command.Stdout, p.command.Stderr = &p.log, &p.log
-	if err := p.command.Start(); err != nil {
+	command, done := exec.Command(r.binary, "run", "-settings", p.settings), make(chan struct{})
+	command.Stdout, command.Stderr = p.log, p.log
+	if err := command.Start(); err != nil {
 		r.t.Error(err)
+		close(done)
+		return
 	}
+	p.mu.Lock()
+	p.command, p.done = command, done
+	p.mu.Unlock()
+	go func() {
+		defer close(done)
+		_ = command.Wait() // its exit status says only which signal ended it
+	}()
 }
 
-// signal sends a signal; end waits until the process is gone and starts it again.
-func (p *process) signal(r *run, s syscall.Signal, end bool) {
+// signal sends a signal. The channel is closed when the process has ended.
+func (p *process) signal(s syscall.Signal) <-chan struct{} {
 	p.mu.Lock()
-	command := p.command
+	defer p.mu.Unlock()
 	if s != syscall.SIGTERM {
 		p.rough = time.Now()
 	}
-	p.mu.Unlock()
-	_ = command.Process.Signal(s) // a process that has ended meanwhile is started again below
-	if end {
-		_ = command.Wait() // its exit status says only which signal ended it
-		p.start(r)
-	}
+	_ = p.command.Process.Signal(s) // a process that has ended by itself is found by the check at the end of the run
+	return p.done
+}
+
+// restart ends the process by a signal and starts it again.
+func (p *process) restart(r *run, s syscall.Signal) {
+	p.faults.Lock()
+	defer p.faults.Unlock()
+	<-p.signal(s)
+	p.start(r)
+}
+
+// pause stops the process for a time.
+func (p *process) pause(d time.Duration) {
+	p.faults.Lock()
+	defer p.faults.Unlock()
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	p.signal(syscall.SIGCONT)
 }
 
 func (r *run) close() {
 	for _, p := range r.processes {
-		_ = p.command.Process.Kill()
-		_ = p.command.Wait()
+		<-p.signal(syscall.SIGKILL)
 	}
 	for _, s := range r.servers {
 		_ = s.listener.Close()
@@ -203,7 +227,8 @@
 	_ = r.toStore.listener.Close()
 	if r.t.Failed() {
 		for n, p := range r.processes {
-			lines := strings.Split(p.log.String(), "\n")
+			text, _ := os.ReadFile(p.log.Name()) // without a log there is nothing to show
+			lines := strings.Split(string(text), "\n")
 			r.t.Logf("last lines of gateway%d:\n%s", n, strings.Join(lines[max(0, len(lines)-15):], "\n"))
 		}
 	}
@@ -248,15 +273,11 @@
 	}
 	switch kind {
 	case 0:
-		return func() { p.signal(r, syscall.SIGKILL, true) }
+		return func() { p.restart(r, syscall.SIGKILL) }
 	case 1:
-		return func() { p.signal(r, syscall.SIGTERM, true) }
+		return func() { p.restart(r, syscall.SIGTERM) }
 	case 2:
-		return func() {
-			p.signal(r, syscall.SIGSTOP, false)
-			time.Sleep(d)
-			p.signal(r, syscall.SIGCONT, false)
-		}
+		return func() { p.pause(d) }
 	case 3:
 		return func() { r.toStore.disturb(link, d) }
 	case 4:
