--- a/core/coordination/forwarder/forwarder_test.go
+++ b/core/coordination/forwarder/forwarder_test.go
@@ -318,8 +318,8 @@
 		w.end(w.take(w.sends[0].Service), Failed{Failure: Cancelled, Written: true})
 	}
 	w.run(time.Second)
-	if len(w.sent) != 4 || len(w.answers) != 0 || w.machine.Requests() != 0 || w.machine.Attempts() != 0 {
-		t.Errorf("%d sends, %d answers, %d requests, %d attempts are left", len(w.sent), len(w.answers), w.machine.Requests(), w.machine.Attempts())
+	if len(w.sent) != 4 || len(w.answers) != 0 || w.machine.Requests() != 0 || len(w.machine.attempts) != 0 {
+		t.Errorf("%d sends, %d answers, %d requests, %d attempts are left", len(w.sent), len(w.answers), w.machine.Requests(), len(w.machine.attempts))
 	}
 }
 
--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -13,7 +13,6 @@
 
 	random      *rand.Rand
 	manifest    *Manifest
-	listed      bool
 	services    map[string]*service
 	policies    map[string]*policy
 	requests    map[RequestID]*request
@@ -64,18 +63,9 @@
 
 func (m *Machine) emit(a Action) { m.actions = append(m.actions, a) }
 
-// Ready tells whether a manifest and the upstreams are known.
-func (m *Machine) Ready() bool { return m.manifest != nil && m.listed }
-
-// Manifest returns the manifest in force, nil before the first one.
-func (m *Machine) Manifest() *Manifest { return m.manifest }
-
 // Requests returns how many requests have no answer yet.
 func (m *Machine) Requests() int { return len(m.requests) }
 
-// Attempts returns how many attempts have not ended.
-func (m *Machine) Attempts() int { return len(m.attempts) }
-
 // armWake asks for a timer when the next due time is earlier than the one asked for.
 func (m *Machine) armWake(now time.Time) {
 	if len(m.timers) == 0 {
--- a/core/coordination/forwarder/manifest.go
+++ b/core/coordination/forwarder/manifest.go
@@ -24,12 +24,7 @@
 }
 
 // Limits bound what a caller may send. Zero means that the manifest sets no limit.
-type Limits struct {
-	HeaderBytes   int64
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
+type Limits struct{ BodyBytes int64 }
 
 // Route says where requests go and what is allowed for them.
 type Route struct {
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -78,7 +78,6 @@
 
 // list takes the registered upstreams.
 func (m *Machine) list(now time.Time, all []Upstream) {
-	m.listed = true
 	byService := map[string][]Upstream{}
 	for _, u := range all {
 		byService[u.Service] = append(byService[u.Service], u)
--- a/core/coordination/forwarder/upstream.go
+++ b/core/coordination/forwarder/upstream.go
@@ -44,7 +44,6 @@
 	NotRun    bool   // the upstream did not run the request and never will
 	Elsewhere bool   // another upstream has the address
 	Load      *Load  // nil when not reported
-	Leaving   bool   // the upstream closes the connection
 }
 
 func (r *Reply) success() bool { return r.Status >= 200 && r.Status < 300 && r.Signature != "" }
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -83,6 +83,8 @@
 				continue
 			}
 			g.stop(signals)
+			cancel()
+			<-g.done
 			return nil
 		case <-poll.C:
 			if t := modified(g.Path); !t.IsZero() && !t.Equal(written) {
