Close the connection of a caller that has left, and test driver, receiver and logger

Cause: a handler of net/http that returns without an answer sends an empty 200, which a caller that closed only its side could take for its answer. Found by reading; a test plays the half-closed connection and failed before.

--- /dev/null
+++ b/gateway/internal/driver/driver_test.go
@@ -0,0 +1,88 @@
+package driver
+
+import (
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"comfreyroute/core/coordination/forwarder"
+)
+
+// transport remembers what it is asked to do. Sends to an upstream without an address end at once.
+type transport struct {
+	mu      sync.Mutex
+	sends   []forwarder.Send
+	cancels int
+}
+
+func (tr *transport) Do(a forwarder.Action) forwarder.Event {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	switch a := a.(type) {
+	case forwarder.Send:
+		tr.sends = append(tr.sends, a)
+		if a.Address.Port() == 1 {
+			return forwarder.AttemptEnded{Attempt: a.Attempt, Result: forwarder.Failed{Failure: forwarder.Unreachable}}
+		}
+	case forwarder.Cancel:
+		tr.cancels++
+	}
+	return nil
+}
+
+func newDriver(ports ...uint16) (*Driver, *transport) {
+	tr := &transport{}
+	d := &Driver{Transport: tr}
+	var upstreams []forwarder.Upstream
+	for i, p := range ports {
+		upstreams = append(upstreams, forwarder.Upstream{
+			Name: string(rune('a' + i)), Service: "s", Slots: 1, Address: netip.AddrPortFrom(netip.IPv4Unspecified(), p),
+		})
+	}
+	d.Post(forwarder.UpstreamsListed{Upstreams: upstreams})
+	d.Post(forwarder.ManifestAdopted{Manifest: forwarder.NewManifest(1, []forwarder.Route{{
+		Name: "r", Host: "h", Prefix: "/", Idempotent: true, Timeout: 100 * time.Millisecond, Attempts: 1,
+		Destination: forwarder.Split{Shares: []forwarder.Share{{Service: "s", Weight: 1}}},
+	}}, []forwarder.Service{{Name: "s", Connections: 100}}, forwarder.Limits{})})
+	return d, tr
+}
+
+func (d *Driver) submit() (forwarder.RequestID, <-chan forwarder.Answer) {
+	return d.Submit(forwarder.RequestArrived{Message: &forwarder.Message{Host: "h", Path: "/x"}})
+}
+
+// TestFollowUps guards against a send that ends at once and is forgotten: its event must reach the machine in the same step.
+func TestFollowUps(t *testing.T) {
+	d, tr := newDriver(1, 1)
+	_, answers := d.submit()
+	a := <-answers
+	if o, ok := a.Outcome.(forwarder.Refused); !ok || len(tr.sends) != 2 {
+		t.Errorf("outcome %+v after %d sends", o, len(tr.sends))
+	}
+}
+
+// TestTimer guards against a request without a reply that is never answered.
+func TestTimer(t *testing.T) {
+	d, _ := newDriver(2)
+	_, answers := d.submit()
+	select {
+	case a := <-answers:
+		if _, ok := a.Outcome.(forwarder.Unknown); !ok {
+			t.Errorf("outcome %+v", a.Outcome)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("no answer")
+	}
+}
+
+// TestLeave guards against attempts that go on after the caller has left.
+func TestLeave(t *testing.T) {
+	d, tr := newDriver(2)
+	id, _ := d.submit()
+	d.Leave(id)
+	d.Leave(id)
+	if tr.cancels != 1 {
+		t.Errorf("%d attempts cancelled, want 1", tr.cancels)
+	}
+}
--- /dev/null
+++ b/gateway/internal/logger/logger_test.go
@@ -0,0 +1,26 @@
+package logger
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap/zapcore"
+)
+
+// TestDecisionsAreBounded guards against a log that grows with the load: what is left out is counted.
+func TestDecisionsAreBounded(t *testing.T) {
+	var sink bytes.Buffer
+	l := New(zapcore.AddSync(&sink), "vm1")
+	const lines = 10 * lineBurst
+	for range lines {
+		l.Decision("receiver: answered")
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	written := strings.Count(sink.String(), "\n")
+	if written < lineBurst || written > 2*lineBurst || l.Dropped.Load() != uint64(lines-written) {
+		t.Errorf("%d lines written, %d dropped of %d", written, l.Dropped.Load(), lines)
+	}
+}
--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -85,6 +85,8 @@
 		r.Requests.Leave(id)
 		r.Metrics.gone.Inc()
 		r.Log.Decision("receiver: caller left", zap.String("request", e.Message.RequestID), zap.Duration("after", time.Since(received)))
+		// A handler that returns answers with an empty success, which a caller could take for its answer.
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- /dev/null
+++ b/gateway/internal/receiver/receiver_test.go
@@ -0,0 +1,120 @@
+package receiver
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap/zapcore"
+
+	"comfreyroute/core/coordination/forwarder"
+	"comfreyroute/gateway/internal/logger"
+)
+
+// requests answers each request by its outcome; nil means never.
+type requests struct {
+	outcome forwarder.Outcome
+	bodies  []string
+	left    chan forwarder.RequestID
+}
+
+func (q *requests) Submit(e forwarder.RequestArrived) (forwarder.RequestID, <-chan forwarder.Answer) {
+	q.bodies = append(q.bodies, string(e.Message.Body))
+	answer := make(chan forwarder.Answer, 1)
+	if q.outcome != nil {
+		answer <- forwarder.Answer{Outcome: q.outcome}
+	}
+	return 7, answer
+}
+
+func (q *requests) Leave(r forwarder.RequestID) { q.left <- r }
+
+func newReceiver(o forwarder.Outcome) (*Receiver, *requests) {
+	q := &requests{outcome: o, left: make(chan forwarder.RequestID, 1)}
+	return &Receiver{Requests: q, Log: logger.New(zapcore.AddSync(io.Discard), "vm"), Metrics: NewMetrics(metrics.NewSet())}, q
+}
+
+// TestBodies guards against an oversized request that reaches an upstream, and against one that the manifest allows and that does not.
+func TestBodies(t *testing.T) {
+	cases := []struct {
+		name   string
+		bytes  int
+		status int
+		passed int
+	}{
+		{"allowed", 100, http.StatusServiceUnavailable, 1},
+		{"too long", 101, http.StatusRequestEntityTooLarge, 0},
+	}
+	for _, c := range cases {
+		r, q := newReceiver(forwarder.Refused{Reason: forwarder.Busy, RetryAfter: time.Second})
+		r.SetManifest(forwarder.NewManifest(1, nil, nil, forwarder.Limits{BodyBytes: 100}))
+		w := httptest.NewRecorder()
+		r.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/x", strings.NewReader(strings.Repeat("x", c.bytes))))
+		if w.Code != c.status || len(q.bodies) != c.passed {
+			t.Errorf("%s: status %d, %d requests passed on", c.name, w.Code, len(q.bodies))
+		}
+	}
+}
+
+// TestReady guards against callers that are sent to a VM that knows no routes or upstreams, or that stops.
+func TestReady(t *testing.T) {
+	r, _ := newReceiver(forwarder.Unknown{Reason: forwarder.Lost})
+	var got []int
+	ask := func() {
+		w := httptest.NewRecorder()
+		r.ServeReady(w, httptest.NewRequest(http.MethodGet, "/ready", nil))
+		got = append(got, w.Code)
+	}
+	ask()
+	r.SetManifest(forwarder.NewManifest(1, nil, nil, forwarder.Limits{}))
+	ask()
+	r.SetListed()
+	ask()
+	r.Leave()
+	ask()
+	if diff := cmp.Diff([]int{503, 503, 200, 503}, got); diff != "" {
+		t.Errorf("status at the start, with a manifest, with upstreams, while stopping (-want +got):\n%s", diff)
+	}
+	w := httptest.NewRecorder()
+	r.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/x", nil))
+	if w.Header().Get("Connection") != "close" || w.Code != http.StatusBadGateway {
+		t.Errorf("while stopping: status %d, header %v", w.Code, w.Header())
+	}
+}
+
+// TestCallerLeaves guards against work that goes on for a caller that is gone, and against an empty success for one that has only
+// closed its side of the connection.
+func TestCallerLeaves(t *testing.T) {
+	r, q := newReceiver(nil)
+	server := httptest.NewServer(r)
+	defer server.Close()
+	nc, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = nc.Close() }()
+	if _, err := nc.Write([]byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	if err := nc.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case id := <-q.left:
+		if id != 7 {
+			t.Errorf("request %d is left, want 7", id)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the request goes on")
+	}
+	_ = nc.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if answer, _ := io.ReadAll(nc); len(answer) > 0 {
+		t.Errorf("the caller gets %q", answer)
+	}
+}
