--- a/gateway/soak/fakes_test.go
+++ b/gateway/soak/fakes_test.go
@@ -76,8 +76,8 @@
 	recordsPerPart = 3
 	pointService   = "point"
 	// extraShare and extraSlack are the budget of the settings.
-	extraShare = 0.5
-	extraSlack = 50
+	extraShare = 0.05
+	extraSlack = 30
 )
 
 // server is a fake upstream.
--- a/gateway/soak/soak_test.go
+++ b/gateway/soak/soak_test.go
@@ -143,16 +143,49 @@
 	r.store.put("op/config", map[string]any{"version": r.version, "routes": []any{all, one, once}, "services": services, "limits": map[string]any{}})
 }
 
+// freeAddress returns an address that nobody listens on. Its port is below those that the system gives to outgoing connections, which
+// would otherwise take it while a gateway restarts.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const firstPort, ports = 20000, 10000
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		if err == nil {
+			_ = l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
+// startTries bounds the starts of a gateway whose address another process has taken meanwhile.
+const startTries = 5
+
+// newProcess starts a gateway and waits until it listens.
 func (r *run) newProcess(n int) *process {
+	for range startTries {
+		p := r.prepare(n)
+		p.start(r)
+		for {
+			nc, err := net.Dial("tcp", p.address)
+			if err == nil {
+				_ = nc.Close()
+				return p
+			}
+			select {
+			case <-p.done:
+			case <-time.After(10 * time.Millisecond):
+				continue
+			}
+			break
+		}
+	}
+	r.t.Fatal("no gateway starts")
+	return nil
+}
+
+// prepare chooses the addresses of a gateway and writes its settings.
+func (r *run) prepare(n int) *process {
 	p := &process{address: freeAddress(r.t), settings: filepath.Join(r.t.TempDir(), "settings.json")}
 	data, err := json.Marshal(map[string]any{
 		"node": fmt.Sprintf("gateway%d", n), "ip": "127.0.0.1", "zone": "z", "listen": map[string]any{"front": p.address, "ready": freeAddress(r.t)},
@@ -169,7 +202,6 @@
 	if p.log, err = os.Create(p.settings + ".log"); err != nil {
 		r.t.Fatal(err)
 	}
-	p.start(r)
 	return p
 }
 
@@ -303,12 +335,19 @@
 		return func() { r.swap(s, other, d) }
 	default:
 		return func() {
-			s.mu.Lock()
-			s.fault = trouble
-			s.mu.Unlock()
+			r.trouble(s.service, trouble)
 			time.Sleep(d)
+			r.trouble(s.service, "")
+		}
+	}
+}
+
+// trouble lets a third of the requests to a service fail in a way, "" for none.
+func (r *run) trouble(service, fault string) {
+	for _, s := range r.servers {
+		if s.service == service {
 			s.mu.Lock()
-			s.fault = ""
+			s.fault = fault
 			s.mu.Unlock()
 		}
 	}
