--- a/bench/internal/runner/runner_test.go
+++ b/bench/internal/runner/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -181,3 +182,12 @@
 		_, _ = convert(file, func(string) (*describer.Deployment, string, error) { return d, "", nil })
 	})
 }
+
+// TestProgramsExist guards against a set that cannot start because one of its programs was moved or renamed.
+func TestProgramsExist(t *testing.T) {
+	for _, program := range []string{platformProgram, upstreamsProgram, entryProgram} {
+		if _, err := os.Stat(filepath.Join("..", "..", "..", program, "main.go")); err != nil {
+			t.Errorf("program %s: %v", program, err)
+		}
+	}
+}
--- a/core/coordination/forwarder/config.go
+++ b/core/coordination/forwarder/config.go
@@ -30,6 +30,8 @@
 
 	// maxSends bounds the sends of one sub-request, those included that did not run.
 	maxSends = 5
+	// maxLive bounds the attempts of one sub-request that run at once: one and its hedge.
+	maxLive = 2
 	// defaultAttempts holds for a route that sets none.
 	defaultAttempts = 1
 	// defaultTimeout holds for a request without a deadline on a route without a timeout.
--- a/core/coordination/forwarder/dispatch.go
+++ b/core/coordination/forwarder/dispatch.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"comfreyroute/core/coordination/scheduler"
 	"comfreyroute/core/coordination/selector"
 )
 
@@ -88,7 +87,7 @@
 		Attempt: a.id, Service: b.service.name, Upstream: a.upstream, Address: u.Row.Address, Message: r.message, Deadline: r.until,
 		Connections: b.service.share(m.fleetMax()), Fresh: !r.route.Idempotent,
 	})
-	if r.route.Idempotent && b.live.Running() < scheduler.MaxLive {
+	if r.route.Idempotent && b.live.Running() < maxLive {
 		b.hedgeAt = now.Add(r.policy.hedgeDelay(now, r.route, r.until.Sub(r.arrived)))
 		m.reschedule(r, b.hedgeAt)
 	}
@@ -98,7 +97,7 @@
 func (m *Machine) hedge(now time.Time, r *request, g int) {
 	b := &r.subs[g]
 	b.hedgeAt = time.Time{}
-	if b.live.Running() >= scheduler.MaxLive || b.ran >= r.attempts() || len(b.tried) >= maxSends {
+	if b.live.Running() >= maxLive || b.ran >= r.attempts() || len(b.tried) >= maxSends {
 		return
 	}
 	i, ok := m.pick(now, b)
--- a/core/coordination/router/hedge.go
+++ b/core/coordination/router/hedge.go
@@ -20,6 +20,12 @@
 	// that leaves a hedge time to reply.
 	firstDelayShare = 4
 	maxDelayShare   = 2
+	// reserveShare is the part of the budget's limit that is kept for requests with half of their time left or less: by then a
+	// silent replica has failed rather than being late. Hedges at the usual delay spend all that the budget gains.
+	reserveShare = 0.5
+	// usualLive is how many attempts of a sub-request run at once in the first half of its time. A third one is for a replica
+	// and its hedge that are both silent.
+	usualLive = 2
 	// delayLife is how long the quantiles are used before they are computed again.
 	delayLife = 10 * time.Millisecond
 )
@@ -149,7 +155,14 @@
 	if b.live.Running() >= scheduler.MaxLive || b.attempts >= maxAttempts || m.attempts.full() {
 		return
 	}
+	half := r.until.Add(-r.service.row.Deadline / maxDelayShare)
 	b.hedgeAt = now.Add(r.service.delays(now).hedge)
+	if half.After(now) && half.Before(b.hedgeAt) {
+		b.hedgeAt = half
+	}
+	if b.live.Running() >= usualLive && half.After(now) {
+		return
+	}
 	if r.probeGroup != noProbe || m.quarantine.Suspicious(r.signature) {
 		return
 	}
@@ -157,7 +170,11 @@
 	if !ok {
 		return
 	}
-	if !r.service.budget.Take() {
+	reserve := reserveShare
+	if !now.Before(half) {
+		reserve = 0
+	}
+	if !r.service.budget.TakeAbove(reserve) {
 		m.stats.BudgetRefusals++
 		return
 	}
--- a/core/coordination/router/service.go
+++ b/core/coordination/router/service.go
@@ -15,10 +15,14 @@
 const (
 	// minBudgetTokens is the least cap of the budget, so that a small service can retry the sub-requests of one search.
 	minBudgetTokens = 10
-	// budgetSearches is how many searches' gain the cap holds in a large service.
+	// budgetSearches is how many searches the cap lets retry every sub-request. When a failure domain becomes unreachable, several
+	// searches are in flight, and each of them loses the replicas there at once.
 	budgetSearches = 2
 )
 
+// budgetLimit is the cap of the budget of a service, in sub-requests.
+func budgetLimit(groups int) int { return max(minBudgetTokens, budgetSearches*groups) }
+
 // service is the routing state of one service.
 type service struct {
 	name       string
@@ -126,7 +130,7 @@
 	for len(s.waiting) < groups {
 		s.waiting = append(s.waiting, nil)
 	}
-	s.budget.Configure(row.HedgeBudget, max(minBudgetTokens, int(budgetSearches*row.HedgeBudget*float64(groups))))
+	s.budget.Configure(row.HedgeBudget, budgetLimit(groups))
 	s.queue.Configure(s.row, m.table.FleetMax())
 	s.rate.Configure(row.RequestLimit, m.table.FleetMax())
 	s.capacityAt, s.probedAt = time.Time{}, nil
--- a/core/coordination/router/world_test.go
+++ b/core/coordination/router/world_test.go
@@ -75,9 +75,13 @@
 	faultLeaving
 	faultLost
 	faultNoConnection
+	faultSlow
 	faultCount
 )
 
+// slowReply is longer than usual, and less than half of the deadline.
+const slowReply = 10 * time.Millisecond
+
 type scheduled struct {
 	at    time.Time
 	order int
@@ -323,6 +327,8 @@
 		refuse(encoder.StatusError)
 	case faultLate:
 		after = left + 10*time.Millisecond
+	case faultSlow:
+		after = min(slowReply, left/2)
 	case faultCallerGone:
 		w.at(after/2, CallerGone{s.Request})
 	case faultTable:
--- a/core/coordination/scheduler/live.go
+++ b/core/coordination/scheduler/live.go
@@ -1,7 +1,8 @@
 package scheduler
 
-// MaxLive is how many attempts of one sub-request run at once: one and its hedge.
-const MaxLive = 2
+// MaxLive is how many attempts of one sub-request run at once: one, its hedge, and one more because both may be on connections that
+// became silent.
+const MaxLive = 3
 
 // Live holds the ids of the attempts of one sub-request that run. Zero is no id.
 type Live[ID ~uint64] [MaxLive]ID
