Let one VM of a failure domain read the store for the others, and share connections by the size of the fleet

Each VM now registers under a lease. VMs are ranked by a hash within their failure domain and follow the first one that they reach; a failure domain with fewer than five VMs reads itself, as before. The size of the fleet divides the connections.

--- a/core/coordination/forwarder/event.go
+++ b/core/coordination/forwarder/event.go
@@ -17,6 +17,9 @@
 // UpstreamsListed brings all upstreams that are registered now.
 type UpstreamsListed struct{ Upstreams []Upstream }
 
+// FleetSized tells how many VMs share the connections of the upstreams; 0 when that is not known.
+type FleetSized struct{ VMs int }
+
 // RequestArrived brings a request of a caller. Deadline is when the caller stops waiting; zero takes the route's timeout.
 type RequestArrived struct {
 	Request  RequestID
@@ -38,6 +41,7 @@
 
 func (ManifestAdopted) isEvent() {}
 func (UpstreamsListed) isEvent() {}
+func (FleetSized) isEvent()      {}
 func (RequestArrived) isEvent()  {}
 func (CallerGone) isEvent()      {}
 func (AttemptEnded) isEvent()    {}
--- a/core/coordination/forwarder/forwarder_test.go
+++ b/core/coordination/forwarder/forwarder_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -380,3 +381,26 @@
 		}
 	}
 }
+
+// TestFleetSized guards against a fleet whose VMs together open more connections to an upstream than it accepts.
+func TestFleetSized(t *testing.T) {
+	cases := []struct{ vms, want int }{{0, 6}, {7, 6}, {37, 2}, {74, 1}, {300, 1}}
+	now := time.Unix(1000, 0)
+	for _, c := range cases {
+		m := &Machine{}
+		m.Step(now, ManifestAdopted{NewManifest(1, []Route{{
+			Name: "r", Host: "h", Prefix: "/", Idempotent: true, Destination: Split{Shares: []Share{{Service: "s", Weight: 1}}},
+		}}, []Service{{Name: "s", Connections: 74}}, Limits{})})
+		m.Step(now, UpstreamsListed{[]Upstream{{Name: "u", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 4}}})
+		m.Step(now, FleetSized{VMs: c.vms})
+		got := 0
+		for _, a := range m.Step(now, RequestArrived{Request: 1, Message: &Message{Host: "h", Path: "/"}}) {
+			if s, ok := a.(Send); ok {
+				got = s.Connections
+			}
+		}
+		if got != c.want {
+			t.Errorf("%d VMs: a VM opens %d connections, want %d", c.vms, got, c.want)
+		}
+	}
+}
--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -13,6 +13,7 @@
 
 	random      *rand.Rand
 	manifest    *Manifest
+	fleet       int // VMs, 0 when not known
 	services    map[string]*service
 	policies    map[string]*policy
 	requests    map[RequestID]*request
@@ -33,6 +34,8 @@
 		m.adopt(now, e.Manifest)
 	case UpstreamsListed:
 		m.list(now, e.Upstreams)
+	case FleetSized:
+		m.resize(now, e.VMs)
 	case RequestArrived:
 		m.arrive(now, e)
 	case CallerGone:
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -57,7 +57,16 @@
 	if m.Config.FleetMax > 0 {
 		return m.Config.FleetMax
 	}
-	return tabler.DefaultFleetMax
+	return max(m.fleet, tabler.DefaultFleetMax)
+}
+
+// resize divides the connections of the upstreams by a new number of VMs.
+func (m *Machine) resize(now time.Time, vms int) {
+	m.fleet = vms
+	for _, s := range m.ordered() {
+		s.set.SetFleetMax(m.fleetMax())
+		m.configure(now, s)
+	}
 }
 
 // adopt takes a manifest. Requests in flight keep the shards of the manifest that they began with.
--- a/gateway/internal/runner/command.go
+++ b/gateway/internal/runner/command.go
@@ -13,7 +13,10 @@
 )
 
 // Command runs the gateway.
-type Command struct{ settings string }
+type Command struct {
+	settings string
+	least    int
+}
 
 // Name returns the name of the subcommand.
 func (*Command) Name() string { return "run" }
@@ -22,11 +25,12 @@
 func (*Command) Synopsis() string { return "run the gateway" }
 
 // Usage returns the usage text.
-func (*Command) Usage() string { return "run [-settings FILE]\n" }
+func (*Command) Usage() string { return "run [-settings FILE] [-follow N]\n" }
 
 // SetFlags registers the flags.
 func (c *Command) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", settingsPath(), "settings file")
+	f.IntVar(&c.least, "follow", 0, "VMs in a failure domain from which one reads the store for the others; 0 takes the default")
 }
 
 // Execute runs the gateway until a signal ends it.
@@ -36,7 +40,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	g := &Gateway{Settings: settings, Path: c.settings}
+	g := &Gateway{Settings: settings, Path: c.settings, Least: c.least}
 	if err := g.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -16,11 +16,14 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"comfreyroute/core/coordination/elector"
 	"comfreyroute/core/coordination/forwarder"
 	"comfreyroute/core/transport/requester"
 	"comfreyroute/gateway/internal/driver"
 	"comfreyroute/gateway/internal/logger"
 	"comfreyroute/gateway/internal/receiver"
+	"comfreyroute/gateway/internal/registrar"
+	"comfreyroute/gateway/internal/relayer"
 	"comfreyroute/gateway/internal/watcher"
 	"comfreyroute/platform/translator"
 )
@@ -37,10 +40,11 @@
 	memoryShare = 0.7
 )
 
-// Gateway is the daemon. Settings and Path are set before Run.
+// Gateway is the daemon. Its exported fields are set before Run.
 type Gateway struct {
 	Settings *translator.Settings
 	Path     string
+	Least    int // size of a failure domain from which VMs follow a peer instead of the store; 0 takes the default
 
 	driver   driver.Driver
 	client   requester.Client
@@ -51,6 +55,7 @@
 	callers  http.Server
 	ready    http.Server
 	inspect  http.Server
+	history  relayer.History
 	done     chan struct{}
 }
 
@@ -70,6 +75,12 @@
 		return err
 	}
 	g.follow(ctx)
+	joined, leave := context.WithCancel(ctx)
+	defer leave()
+	left, err := g.join(joined)
+	if err != nil {
+		return err
+	}
 	poll := time.NewTicker(settingsPoll)
 	defer poll.Stop()
 	written := modified(g.Path)
@@ -82,7 +93,9 @@
 				g.reload()
 				continue
 			}
+			leave()
 			g.stop(signals)
+			<-left
 			cancel()
 			<-g.done
 			return nil
@@ -142,6 +155,43 @@
 	return serve(&g.inspect, netip.AddrPortFrom(s.Callers.Addr(), s.Internal[0]))
 }
 
+// join answers the other VMs and tells them where this one is. It returns a channel that is closed when the entry was removed.
+func (g *Gateway) join(ctx context.Context) (<-chan struct{}, error) {
+	done := make(chan struct{})
+	self := g.self()
+	if !self.Address.IsValid() {
+		close(done)
+		return done, nil
+	}
+	l, err := net.Listen("tcp", self.Address.String())
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		if err := relayer.Serve(ctx, l, &g.history, func(err error) {
+			g.log.Decision("relayer: connection of a peer failed", zap.String("error", err.Error()))
+		}); err != nil && ctx.Err() == nil {
+			g.log.Warn("relayer: no longer answers peers", zap.String("error", err.Error()))
+		}
+	}()
+	r := registrar.Registrar{Store: &g.store, Self: self, Log: g.log}
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	return done, nil
+}
+
+// self returns this VM as the others see it. Without ports of its own it has no address.
+func (g *Gateway) self() elector.Member {
+	s := g.Settings
+	m := elector.Member{Name: s.VM, FailureDomain: s.FailureDomain}
+	if len(s.Internal) == 2 && s.Internal[0] < s.Internal[1] {
+		m.Address = netip.AddrPortFrom(s.Callers.Addr(), s.Internal[0]+1)
+	}
+	return m
+}
+
 func serve(h *http.Server, address netip.AddrPort) error {
 	l, err := net.Listen("tcp", address.String())
 	if err != nil {
@@ -159,7 +209,9 @@
 func (g *Gateway) follow(ctx context.Context) {
 	s := g.Settings
 	w := &watcher.Watcher{
-		Store: &g.store, Drain: s.Drain, Settle: s.UpstreamSlack, Stable: s.Stable, Apply: s.ConfigApply, Log: g.log,
+		Store: &g.store, Peers: &relayer.Follower{}, Elector: elector.Elector{Self: g.self(), Least: g.Least}, History: &g.history,
+		Fleet: func(n int) { g.driver.Post(forwarder.FleetSized{VMs: n}) },
+		Drain: s.Drain, Settle: s.UpstreamSlack, Stable: s.Stable, Apply: s.ConfigApply, Log: g.log,
 		Manifest: func(m *forwarder.Manifest) {
 			g.driver.Post(forwarder.ManifestAdopted{Manifest: m})
 			g.receiver.SetManifest(m)
--- /dev/null
+++ b/gateway/internal/watcher/fleet.go
@@ -0,0 +1,43 @@
+package watcher
+
+import (
+	"comfreyroute/core/coordination/elector"
+	"comfreyroute/platform/translator"
+)
+
+// fleet holds the entries of the VMs. The zero value is empty.
+type fleet struct {
+	entries map[string]translator.VM
+	told    int // size that was passed on last
+}
+
+// replace takes a listing of all entries.
+func (f *fleet) replace(all []translator.VM) {
+	f.entries = nil
+	f.apply(all)
+}
+
+// apply takes entries, unless newer ones are known. It returns whether the fleet has changed.
+func (f *fleet) apply(all []translator.VM) bool {
+	if f.entries == nil {
+		f.entries = map[string]translator.VM{}
+	}
+	changed := false
+	for _, v := range all {
+		if old := f.entries[v.Member.Name]; v.Revision > old.Revision {
+			f.entries[v.Member.Name] = v
+			changed = changed || v.Member != old.Member || v.Removed != old.Removed
+		}
+	}
+	return changed
+}
+
+func (f *fleet) members() []elector.Member {
+	all := make([]elector.Member, 0, len(f.entries))
+	for _, v := range f.entries {
+		if !v.Removed {
+			all = append(all, v.Member)
+		}
+	}
+	return all
+}
--- a/gateway/internal/watcher/watcher.go
+++ b/gateway/internal/watcher/watcher.go
@@ -1,18 +1,21 @@
-// Package watcher keeps the manifest and the upstreams in step with the platform's store.
+// Package watcher keeps the manifest, the upstreams and the list of VMs in step with the platform's store.
 //
 // Each call to the store is priced, a waiting watch as one. One watch over everything costs a VM one call for each waiting time
-// and, because changes come in series, one for each series of changes.
+// and, because changes come in series, one for each series of changes. In a larger fleet most VMs ask a peer instead.
 package watcher
 
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
 
+	"comfreyroute/core/coordination/elector"
 	"comfreyroute/core/coordination/forwarder"
 	"comfreyroute/gateway/internal/logger"
+	"comfreyroute/gateway/internal/relayer"
 	"comfreyroute/platform/translator"
 )
 
@@ -29,6 +32,13 @@
 	seriesShare = 0.25
 	// backlog is the number of changes from which a response may be a page of a longer history. The store's pages have 500 items.
 	backlog = 100
+	// staleShare is the part of the shorter one of these times for which what a peer knows may be unconfirmed. A follower notices within
+	// it, or within the wait and followMargin, that its peer lost the store, and then asks the store.
+	staleShare = 0.35
+	// followMargin is how long the response of a peer may take beyond its waiting time.
+	followMargin = 500 * time.Millisecond
+	// followPause is the pause after changes from a peer: they come in series, and each question costs both VMs some work.
+	followPause = 100 * time.Millisecond
 	// holdShare is the part of the drain time for which a missing entry is kept. A server whose entry is removed serves for the
 	// drain time, and must get nothing after it.
 	holdShare = 0.55
@@ -36,31 +46,44 @@
 
 // Store is the platform's store.
 type Store interface {
-	Manifest(ctx context.Context) (*forwarder.Manifest, error)
-	Upstreams(ctx context.Context) ([]translator.Entry, uint64, error)
+	Read(ctx context.Context) (*translator.Changes, error)
 	Watch(ctx context.Context, after uint64, wait time.Duration) (*translator.Changes, error)
 	Reconnect()
 }
 
+// Peers asks other VMs for what they have read from the store.
+type Peers interface {
+	Since(ctx context.Context, address netip.AddrPort, q relayer.Question) (*relayer.Answer, error)
+}
+
 // Watcher follows the store. Its exported fields are set before Run.
 type Watcher struct {
 	Store    Store
-	Drain    time.Duration // after it a draining upstream may be gone
-	Settle   time.Duration // time in which lapsed entries are back after an outage of the store
-	Stable   time.Duration // after a fault of the store has passed for so long, the bounds hold again
-	Apply    time.Duration // within it a manifest is in force
+	Peers    Peers // nil while Elector knows no peers
+	Elector  elector.Elector
+	History  *relayer.History // what this VM tells the others; nil when they do not ask
+	Drain    time.Duration    // after it a draining upstream may be gone
+	Settle   time.Duration    // time in which lapsed entries are back after an outage of the store
+	Stable   time.Duration    // after a fault of the store has passed for so long, the bounds hold again
+	Apply    time.Duration    // within it a manifest is in force
 	Manifest func(*forwarder.Manifest)
 	List     func([]forwarder.Upstream)
+	Fleet    func(size int) // of the fleet; not called while no VM is registered
 	Log      *logger.Logger
 
 	registry registry
+	fleet    fleet
 	link     link
+	source   elector.Source
 	version  uint64 // of the newest manifest
 	revision uint64 // after which the watch continues; 0 reads everything
 }
 
 // Run follows the store until its context ends.
 func (w *Watcher) Run(ctx context.Context) {
+	if w.History == nil {
+		w.History = &relayer.History{}
+	}
 	w.registry.hold = min(w.Settle, time.Duration(float64(w.Drain)*holdShare))
 	for ctx.Err() == nil {
 		pause, err := w.next(ctx)
@@ -68,6 +91,7 @@
 			if errors.Is(err, context.DeadlineExceeded) {
 				w.Store.Reconnect() // the connection may be silent for good
 			}
+			w.Elector.StoreFailed(time.Now())
 			pause = w.link.failed(w.Log, err, w.version == 0)
 		} else {
 			w.link.worked(w.Log)
@@ -76,15 +100,45 @@
 	}
 }
 
-// next makes the next call and passes on what it brings. It returns how long to pause before the one after.
+// next makes the next call and passes on what it brings. It returns how long to pause before the one after. An error is one of the store.
 func (w *Watcher) next(ctx context.Context) (time.Duration, error) {
+	now := time.Now()
+	w.resize(now)
 	if w.revision == 0 {
 		return 0, w.read(ctx)
 	}
 	wait := max(minWatch, w.Stable-callTimeout-watchMargin)
-	if due := w.publish(time.Now()); !due.IsZero() {
+	if w.History.Followed(now) {
+		wait = min(wait, w.stale()/2)
+	}
+	if due := w.publish(now); !due.IsZero() {
 		wait = min(wait, max(time.Until(due), time.Millisecond))
 	}
+	source := w.Elector.Source(now)
+	if source != w.source {
+		w.Log.Info("watcher: source changed", zap.String("source", describe(source)), zap.Uint64("revision", w.revision))
+		w.source = source
+	}
+	if peer, ok := source.(elector.Peer); ok {
+		return w.follow(ctx, peer.Member, min(wait, w.stale()/2)), nil
+	}
+	return w.watch(ctx, wait)
+}
+
+// stale returns the age from which what a peer knows is of no use.
+func (w *Watcher) stale() time.Duration {
+	return time.Duration(float64(min(w.Drain, w.Apply)) * staleShare)
+}
+
+func describe(s elector.Source) string {
+	if p, ok := s.(elector.Peer); ok {
+		return p.Member.Name
+	}
+	return "store"
+}
+
+// watch waits for changes in the store.
+func (w *Watcher) watch(ctx context.Context, wait time.Duration) (time.Duration, error) {
 	bounded, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	c, err := w.Store.Watch(bounded, w.revision, wait)
@@ -96,41 +150,97 @@
 	if err != nil {
 		return 0, err
 	}
+	w.Elector.StoreAnswered()
+	now := time.Now()
+	w.take(now, now, c)
+	if len(c.Items) < backlog && len(c.Items) > 0 {
+		if w.History.Followed(now) {
+			return w.stale() / 4, nil
+		}
+		return time.Duration(float64(min(w.Drain, w.Apply)) * seriesShare), nil
+	}
+	return 0, nil
+}
+
+// follow waits for changes that a peer has read. It returns how long to pause. A peer that fails or knows too little is not asked again
+// for a while.
+func (w *Watcher) follow(ctx context.Context, peer elector.Member, wait time.Duration) time.Duration {
+	bounded, cancel := context.WithTimeout(ctx, wait+followMargin)
+	defer cancel()
+	a, err := w.Peers.Since(bounded, peer.Address, relayer.Question{After: w.revision, Wait: wait, Most: w.stale()})
 	now := time.Now()
+	var c *translator.Changes
+	if err == nil {
+		c, err = translator.Decode(a.Items(), a.Revision)
+	}
+	lost := func(reason string) time.Duration {
+		w.Log.Warn("watcher: peer lost", zap.String("peer", peer.Name), zap.Uint64("revision", w.revision), zap.String("reason", reason))
+		return 0
+	}
+	switch {
+	case err != nil:
+		w.Elector.PeerFailed(now, peer.Name)
+		return lost(err.Error())
+	case a.Gone:
+		w.Elector.PeerFailed(now, peer.Name)
+		return lost("it does not know every change since then")
+	case a.Age > w.stale():
+		w.Elector.PeerStale(now)
+		return lost("it last heard from the store " + a.Age.String() + " ago")
+	}
+	w.take(now, now.Add(-a.Age), c)
+	if len(c.Items) > 0 {
+		return followPause
+	}
+	return 0
+}
+
+// take passes changes on. Confirmed is when nothing newer was in the store.
+func (w *Watcher) take(now, confirmed time.Time, c *translator.Changes) {
 	w.revision = c.Revision
 	for _, e := range c.Entries {
 		w.registry.apply(now, e)
 	}
 	w.publish(now)
 	w.adopt(c.Manifest)
-	if len(c.Entries) < backlog && (len(c.Entries) > 0 || c.Manifest != nil) {
-		return time.Duration(float64(min(w.Drain, w.Apply)) * seriesShare), nil
+	if w.fleet.apply(c.VMs) {
+		w.Elector.SetMembers(now, w.fleet.members())
 	}
-	return 0, nil
+	w.History.Add(confirmed, c.Items, c.Revision)
 }
 
 // read reads everything.
 func (w *Watcher) read(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	all, revision, err := w.Store.Upstreams(bounded)
+	c, err := w.Store.Read(bounded)
 	if err != nil {
 		return err
 	}
+	w.Elector.StoreAnswered()
 	now := time.Now()
-	w.registry.replace(now, all)
+	w.registry.replace(now, c.Entries)
 	w.publish(now)
-	m, err := w.Store.Manifest(bounded)
-	if errors.Is(err, translator.ErrMissing) {
-		w.Log.Info("watcher: the store has no manifest yet", zap.Uint64("revision", revision))
-	} else if err != nil {
-		return err
+	if c.Manifest == nil {
+		w.Log.Info("watcher: the store has no manifest yet", zap.Uint64("revision", c.Revision))
 	}
-	w.revision = revision
-	w.adopt(m)
+	w.revision = c.Revision
+	w.adopt(c.Manifest)
+	w.fleet.replace(c.VMs)
+	w.Elector.SetMembers(now, w.fleet.members())
+	w.History.Reset(now, c.Revision)
 	return nil
 }
 
+// resize passes on how many VMs there are.
+func (w *Watcher) resize(now time.Time) {
+	if n := w.Elector.FleetSize(now); n != w.fleet.told {
+		w.Log.Info("watcher: fleet size", zap.Int("vms", n), zap.Int("before", w.fleet.told))
+		w.fleet.told = n
+		w.Fleet(n)
+	}
+}
+
 // adopt passes a manifest on that is newer than the present one.
 func (w *Watcher) adopt(m *forwarder.Manifest) {
 	if m == nil || m.Version <= w.version {
--- a/gateway/internal/watcher/watcher_test.go
+++ b/gateway/internal/watcher/watcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,8 +12,10 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap/zapcore"
 
+	"comfreyroute/core/coordination/elector"
 	"comfreyroute/core/coordination/forwarder"
 	"comfreyroute/gateway/internal/logger"
+	"comfreyroute/gateway/internal/relayer"
 	"comfreyroute/platform/translator"
 )
 
@@ -71,20 +74,20 @@
 type script struct {
 	calls      []string
 	watches    []func() (*translator.Changes, error)
-	manifest   func() (*forwarder.Manifest, error)
+	manifest   uint64 // version, 0 for none
+	vms        []translator.VM
 	reconnects int
 	wait       time.Duration // of the last watch
 	end        context.CancelFunc
 }
 
-func (s *script) Manifest(context.Context) (*forwarder.Manifest, error) {
-	s.calls = append(s.calls, "manifest")
-	return s.manifest()
-}
-
-func (s *script) Upstreams(context.Context) ([]translator.Entry, uint64, error) {
-	s.calls = append(s.calls, "upstreams")
-	return []translator.Entry{entry("a", 1, 1)}, 7, nil
+func (s *script) Read(context.Context) (*translator.Changes, error) {
+	s.calls = append(s.calls, "read")
+	c := &translator.Changes{Revision: 7, Entries: []translator.Entry{entry("a", 1, 1)}, VMs: s.vms}
+	if s.manifest > 0 {
+		c.Manifest = forwarder.NewManifest(s.manifest, nil, nil, forwarder.Limits{})
+	}
+	return c, nil
 }
 
 func (s *script) Watch(_ context.Context, after uint64, wait time.Duration) (*translator.Changes, error) {
@@ -105,30 +108,28 @@
 // against a wait on a connection that stays silent.
 func TestWatcher(t *testing.T) {
 	manifest := func(v uint64) *forwarder.Manifest { return forwarder.NewManifest(v, nil, nil, forwarder.Limits{}) }
-	none := func() (*forwarder.Manifest, error) { return nil, translator.ErrMissing }
-	first := func() (*forwarder.Manifest, error) { return manifest(1), nil }
 	change := func(c translator.Changes, err error) func() (*translator.Changes, error) {
 		return func() (*translator.Changes, error) { return &c, err }
 	}
 	cases := []struct {
 		name       string
-		manifest   func() (*forwarder.Manifest, error)
+		manifest   uint64
 		watches    []func() (*translator.Changes, error)
 		calls      []string
 		versions   []uint64
 		reconnects int
 	}{
-		{"calm", first, nil, []string{"upstreams", "manifest", "watch"}, []uint64{1}, 0},
-		{"no manifest yet", none, []func() (*translator.Changes, error){change(translator.Changes{Revision: 8, Manifest: manifest(2)}, nil)},
-			[]string{"upstreams", "manifest", "watch", "watch"}, []uint64{2}, 0},
-		{"history dropped", first, []func() (*translator.Changes, error){change(translator.Changes{}, translator.ErrHistoryGone)},
-			[]string{"upstreams", "manifest", "watch", "upstreams", "manifest", "watch"}, []uint64{1}, 0},
-		{"an older manifest", first, []func() (*translator.Changes, error){change(translator.Changes{Revision: 8, Manifest: manifest(1)}, nil)},
-			[]string{"upstreams", "manifest", "watch", "watch"}, []uint64{1}, 0},
-		{"the store is away", first, []func() (*translator.Changes, error){change(translator.Changes{}, eris.New("refused"))},
-			[]string{"upstreams", "manifest", "watch", "watch"}, []uint64{1}, 0},
-		{"a silent connection", first, []func() (*translator.Changes, error){change(translator.Changes{}, eris.Wrap(context.DeadlineExceeded, "call"))},
-			[]string{"upstreams", "manifest", "watch", "watch"}, []uint64{1}, 1},
+		{"calm", 1, nil, []string{"read", "watch"}, []uint64{1}, 0},
+		{"no manifest yet", 0, []func() (*translator.Changes, error){change(translator.Changes{Revision: 8, Manifest: manifest(2)}, nil)},
+			[]string{"read", "watch", "watch"}, []uint64{2}, 0},
+		{"history dropped", 1, []func() (*translator.Changes, error){change(translator.Changes{}, translator.ErrHistoryGone)},
+			[]string{"read", "watch", "read", "watch"}, []uint64{1}, 0},
+		{"an older manifest", 1, []func() (*translator.Changes, error){change(translator.Changes{Revision: 8, Manifest: manifest(1)}, nil)},
+			[]string{"read", "watch", "watch"}, []uint64{1}, 0},
+		{"the store is away", 1, []func() (*translator.Changes, error){change(translator.Changes{}, eris.New("refused"))},
+			[]string{"read", "watch", "watch"}, []uint64{1}, 0},
+		{"a silent connection", 1, []func() (*translator.Changes, error){change(translator.Changes{}, eris.Wrap(context.DeadlineExceeded, "call"))},
+			[]string{"read", "watch", "watch"}, []uint64{1}, 1},
 	}
 	for _, c := range cases {
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -154,16 +155,76 @@
 	}
 }
 
+// peers is a peer whose responses do what a test says, in turn.
+type peers struct {
+	asked   []string
+	answers []func() (*relayer.Answer, error)
+}
+
+func (p *peers) Since(_ context.Context, address netip.AddrPort, _ relayer.Question) (*relayer.Answer, error) {
+	p.asked = append(p.asked, address.String())
+	a := p.answers[0]
+	p.answers = p.answers[1:]
+	return a()
+}
+
+// TestFollow guards against changes of a peer that are not taken or not passed on to further VMs, and against a VM that goes on asking a
+// peer that does not answer, or that has lost the store, instead of the store.
+func TestFollow(t *testing.T) {
+	config := relayer.Record{Key: "op/config", Value: []byte(`{"version":2}`), Revision: 9}
+	cases := []struct {
+		name     string
+		answer   *relayer.Answer
+		err      error
+		versions []uint64
+		history  uint64
+	}{
+		{"a change", &relayer.Answer{Revision: 9, Records: []relayer.Record{config}}, nil, []uint64{1, 2}, 9},
+		{"nothing new", &relayer.Answer{Revision: 8}, nil, []uint64{1}, 8},
+		{"no response", nil, eris.New("refused"), []uint64{1}, 7},
+		{"the peer has lost the store", &relayer.Answer{Revision: 9, Age: time.Minute, Records: []relayer.Record{config}}, nil, []uint64{1}, 7},
+		{"the peer does not know every change", &relayer.Answer{Gone: true, Revision: 9}, nil, []uint64{1}, 7},
+		{"a manifest that cannot be read", &relayer.Answer{Revision: 9, Records: []relayer.Record{{Key: "op/config", Revision: 9}}}, nil, []uint64{1}, 7},
+	}
+	peer := translator.VM{Revision: 1, Member: elector.Member{Name: "vm2", FailureDomain: "d", Address: netip.MustParseAddrPort("10.0.0.2:7741")}}
+	for _, c := range cases {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		s := &script{manifest: 1, end: cancel, vms: []translator.VM{peer}}
+		p := &peers{answers: []func() (*relayer.Answer, error){func() (*relayer.Answer, error) { return c.answer, c.err }, func() (*relayer.Answer, error) {
+			cancel() // the second question ends the case of a peer that answers
+			return &relayer.Answer{Revision: c.history}, nil
+		}}}
+		var versions []uint64
+		w := &Watcher{
+			Store: s, Peers: p, Elector: elector.Elector{Self: elector.Member{Name: "vm1", FailureDomain: "d"}, Least: 1}, History: &relayer.History{},
+			Drain: 3 * time.Second, Apply: 3 * time.Second, Log: logger.New(zapcore.AddSync(io.Discard), "vm"), List: func([]forwarder.Upstream) {},
+			Manifest: func(m *forwarder.Manifest) { versions = append(versions, m.Version) }, Fleet: func(int) {},
+		}
+		w.Run(ctx)
+		cancel()
+		if diff := cmp.Diff(c.versions, versions); diff != "" {
+			t.Errorf("%s: versions (-want +got):\n%s", c.name, diff)
+		}
+		failed := c.history == 7
+		if asksStore := slices.Contains(s.calls, "watch"); asksStore != failed || p.asked[0] != "10.0.0.2:7741" {
+			t.Errorf("%s: calls to the store %v, to peers %v", c.name, s.calls, p.asked)
+		}
+		if a := w.History.Since(context.Background(), relayer.Question{After: 7, Most: time.Hour}); a.Revision != c.history {
+			t.Errorf("%s: tells revision %d to others, want %d", c.name, a.Revision, c.history)
+		}
+	}
+}
+
 // TestDropIsPublished guards against an upstream whose kept entry ends during a pause: it went on getting requests until the watch
 // after the pause returned, seconds later.
 func TestDropIsPublished(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	var listed, atWatch []string
-	s := &script{end: cancel, manifest: func() (*forwarder.Manifest, error) { return nil, translator.ErrMissing }}
+	s := &script{end: cancel}
 	s.watches = []func() (*translator.Changes, error){
 		func() (*translator.Changes, error) {
-			return &translator.Changes{Revision: 8, Entries: []translator.Entry{{Name: "a", Removed: true, Revision: 8}}}, nil
+			return &translator.Changes{Revision: 8, Entries: []translator.Entry{{Name: "a", Removed: true, Revision: 8}}, Items: make([]translator.Item, 1)}, nil
 		},
 		func() (*translator.Changes, error) {
 			atWatch = listed
@@ -185,9 +246,9 @@
 func TestBacklogIsReadAtOnce(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	s := &script{end: cancel, manifest: func() (*forwarder.Manifest, error) { return nil, translator.ErrMissing }}
+	s := &script{end: cancel}
 	page := func() (*translator.Changes, error) {
-		return &translator.Changes{Revision: 8, Entries: make([]translator.Entry, 500)}, nil
+		return &translator.Changes{Revision: 8, Entries: make([]translator.Entry, 500), Items: make([]translator.Item, 500)}, nil
 	}
 	s.watches = []func() (*translator.Changes, error){page, page, page}
 	w := &Watcher{
@@ -195,7 +256,7 @@
 	}
 	began := time.Now()
 	w.Run(ctx)
-	if took := time.Since(began); took > 4*time.Second || len(s.calls) != 6 {
+	if took := time.Since(began); took > 4*time.Second || len(s.calls) != 5 {
 		t.Errorf("%d calls took %v", len(s.calls), took)
 	}
 }
@@ -205,7 +266,7 @@
 func TestWatchFitsStableWindow(t *testing.T) {
 	for _, stable := range []time.Duration{4 * time.Second, 5 * time.Second} {
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-		s := &script{end: cancel, manifest: func() (*forwarder.Manifest, error) { return nil, translator.ErrMissing }}
+		s := &script{end: cancel}
 		w := &Watcher{
 			Store: s, Stable: stable, Apply: 3 * time.Second, Log: logger.New(zapcore.AddSync(io.Discard), "vm"), List: func([]forwarder.Upstream) {},
 		}
