Register again when the store takes the entry of a VM away

Cause: found by reading the kinds of trouble: the store may take keys away while their lease goes on, and a renewal does not show it. The VM stayed unregistered, so that the others no longer counted or followed it. TestRemoved and a case of TestRegistrar fail without the change. Also removes a field that was never read, derives whether the latency objective has passed from the time, and leaves the collector's limit alone when the settings give no memory limit.

--- a/core/coordination/forwarder/dispatch.go
+++ b/core/coordination/forwarder/dispatch.go
@@ -15,7 +15,6 @@
 	service   *service
 	upstream  string
 	sent      time.Time
-	deadline  time.Time
 	cancelled bool
 }
 
@@ -74,7 +73,7 @@
 	u := b.service.set.At(i)
 	m.lastAttempt++
 	a := &attempt{
-		id: m.lastAttempt, request: r, sub: g, service: b.service, upstream: u.Row.Upstream, sent: now, deadline: r.until,
+		id: m.lastAttempt, request: r, sub: g, service: b.service, upstream: u.Row.Upstream, sent: now,
 	}
 	m.attempts[a.id] = a
 	b.live.Attach(a.id)
--- a/core/coordination/forwarder/request.go
+++ b/core/coordination/forwarder/request.go
@@ -18,28 +18,27 @@
 
 // request is one request of a caller.
 type request struct {
-	id        RequestID
-	message   *Message
-	route     *Route
-	policy    *policy
-	version   uint64
-	gather    *Gather // nil for a request to one upstream
-	least     int     // fewest shards of an answer
-	arrived   time.Time
-	until     time.Time // when it is answered at the latest
-	cut       time.Time // when an answer without the last shards goes out; zero for never
-	waitEnd   time.Time // when waiting for a free upstream ends
-	subs      []sub
-	pending   int // sub-requests without a result
-	done      int
-	ran       bool // an upstream may have run it
-	finished  bool
-	cutPassed bool
-	due       time.Time
-	place     int // in the timers, -1 when absent
-	sends     int
-	hedges    int
-	retries   int
+	id       RequestID
+	message  *Message
+	route    *Route
+	policy   *policy
+	version  uint64
+	gather   *Gather // nil for a request to one upstream
+	least    int     // fewest shards of an answer
+	arrived  time.Time
+	until    time.Time // when it is answered at the latest
+	cut      time.Time // when an answer without the last shards goes out; zero for never
+	waitEnd  time.Time // when waiting for a free upstream ends
+	subs     []sub
+	pending  int // sub-requests without a result
+	done     int
+	ran      bool // an upstream may have run it
+	finished bool
+	due      time.Time
+	place    int // in the timers, -1 when absent
+	sends    int
+	hedges   int
+	retries  int
 }
 
 // sub is all attempts for one shard.
@@ -96,7 +95,7 @@
 	m.requests[r.id] = r
 	m.open(now, r)
 	if !r.finished {
-		m.schedule(r)
+		m.schedule(now, r)
 	}
 }
 
--- a/core/coordination/forwarder/schedule.go
+++ b/core/coordination/forwarder/schedule.go
@@ -6,9 +6,9 @@
 )
 
 // schedule sets the next time that a request needs attention.
-func (m *Machine) schedule(r *request) {
+func (m *Machine) schedule(now time.Time, r *request) {
 	r.due = r.until
-	if r.gather != nil && r.cut.After(r.arrived) && r.cut.Before(r.due) && !r.cutPassed {
+	if r.gather != nil && r.cut.After(now) && r.cut.Before(r.due) {
 		r.due = r.cut
 	}
 	for g := range r.subs {
@@ -38,7 +38,6 @@
 		return
 	}
 	if !now.Before(r.cut) {
-		r.cutPassed = true
 		m.complete(now, r)
 	}
 	for g := range r.subs {
@@ -56,7 +55,7 @@
 		}
 	}
 	if !r.finished {
-		m.schedule(r)
+		m.schedule(now, r)
 	}
 }
 
--- a/gateway/internal/registrar/registrar.go
+++ b/gateway/internal/registrar/registrar.go
@@ -35,9 +35,10 @@
 
 // Registrar keeps the entry of one VM. Its fields are set before Run.
 type Registrar struct {
-	Store Store
-	Self  elector.Member
-	Log   *logger.Logger
+	Store   Store
+	Self    elector.Member
+	Removed <-chan struct{} // tells that the entry is gone; the store may take it away while the lease goes on
+	Log     *logger.Logger
 }
 
 // Run keeps the entry until the context ends, and removes it then.
@@ -48,7 +49,7 @@
 		cancel()
 		if err != nil {
 			r.Log.Warn("registrar: not registered", zap.String("error", err.Error()))
-			pause(ctx, retryPause+rand.N(retryPause))
+			r.pause(ctx, retryPause+rand.N(retryPause))
 			continue
 		}
 		r.Log.Info("registrar: registered", zap.Stringer("address", r.Self.Address), zap.Duration("lease", held))
@@ -56,10 +57,18 @@
 	}
 }
 
-// renew renews a lease until it has ended, or releases it when the context ends.
+// renew renews a lease until it has ended or the entry is gone, or releases it when the context ends.
 func (r *Registrar) renew(ctx context.Context, lease uint64, held time.Duration) {
 	next := held / renewShare
-	for pause(ctx, next) {
+	for {
+		if removed := r.pause(ctx, next); removed {
+			r.Log.Info("registrar: the entry is gone, registering again")
+			r.pause(ctx, rand.N(retryPause)) // the entries of other VMs are gone too
+			return
+		}
+		if ctx.Err() != nil {
+			break
+		}
 		bounded, cancel := context.WithTimeout(ctx, callTimeout)
 		err := r.Store.Renew(bounded, lease)
 		cancel()
@@ -79,14 +88,15 @@
 	}
 }
 
-// pause waits, and returns false when the context ended.
-func pause(ctx context.Context, d time.Duration) bool {
+// pause waits until the time or the context ends, or the entry is gone, which it tells.
+func (r *Registrar) pause(ctx context.Context, d time.Duration) (removed bool) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
-		return true
 	case <-ctx.Done():
-		return false
+	case <-r.Removed:
+		return true
 	}
+	return false
 }
--- a/gateway/internal/registrar/registrar_test.go
+++ b/gateway/internal/registrar/registrar_test.go
@@ -53,13 +53,15 @@
 		want   []string
 		least  time.Duration
 		most   time.Duration
+		gone   bool // the entry, after 5 s
 	}{
-		{"calm", []error{nil, nil}, []string{"register vm", "renew", "renew", "release"}, 40 * time.Second, 41 * time.Second},
+		{"calm", []error{nil, nil}, []string{"register vm", "renew", "renew", "release"}, 40 * time.Second, 41 * time.Second, false},
 		{"the lease has ended", []error{nil, translator.ErrMissing, nil}, []string{"register vm", "renew", "register vm", "renew", "release"},
-			40 * time.Second, 41 * time.Second},
-		{"a renewal fails", []error{nil, away}, []string{"register vm", "renew", "renew", "release"}, 22 * time.Second, 25 * time.Second},
+			40 * time.Second, 41 * time.Second, false},
+		{"a renewal fails", []error{nil, away}, []string{"register vm", "renew", "renew", "release"}, 22 * time.Second, 25 * time.Second, false},
 		{"the store is away", []error{away, away, nil}, []string{"register vm", "register vm", "register vm", "renew", "release"},
-			24 * time.Second, 29 * time.Second},
+			24 * time.Second, 29 * time.Second, false},
+		{"the entry is taken away", []error{nil, nil}, []string{"register vm", "register vm", "renew", "release"}, 25 * time.Second, 28 * time.Second, true},
 	}
 	for _, c := range cases {
 		synctest.Test(t, func(t *testing.T) {
@@ -68,7 +70,11 @@
 			s := &script{errors: c.errors, end: cancel}
 			log := logger.New(zapcore.AddSync(io.Discard), "vm")
 			began := time.Now()
-			(&Registrar{Store: s, Self: elector.Member{Name: "vm"}, Log: log}).Run(ctx)
+			removed := make(chan struct{}, 1)
+			if c.gone {
+				time.AfterFunc(5*time.Second, func() { removed <- struct{}{} })
+			}
+			(&Registrar{Store: s, Self: elector.Member{Name: "vm"}, Removed: removed, Log: log}).Run(ctx)
 			if diff := cmp.Diff(c.want, s.calls); diff != "" {
 				t.Errorf("%s: calls (-want +got):\n%s", c.name, diff)
 			}
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -56,6 +56,7 @@
 	ready    http.Server
 	inspect  http.Server
 	history  relayer.History
+	removed  chan struct{} // the entry of this VM is gone from the store
 	done     chan struct{}
 }
 
@@ -63,7 +64,9 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	began := time.Now()
 	s := g.Settings
-	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	if s.MemoryBytes > 0 { // a limit of zero would make the collector run all the time
+		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	}
 	g.log = logger.New(os.Stdout, s.VM)
 	defer func() { _ = g.log.Close() }() // standard output may be closed already
 	g.assemble()
@@ -114,7 +117,7 @@
 // assemble connects the parts.
 func (g *Gateway) assemble() {
 	s := g.Settings
-	g.done = make(chan struct{})
+	g.done, g.removed = make(chan struct{}), make(chan struct{}, 1)
 	g.metrics = metrics.NewSet()
 	g.store.SetAddress(s.Store)
 	g.client.Protocol = translator.Upstreams{}
@@ -174,7 +177,7 @@
 			g.log.Warn("relayer: no longer answers peers", zap.String("error", err.Error()))
 		}
 	}()
-	r := registrar.Registrar{Store: &g.store, Self: self, Log: g.log}
+	r := registrar.Registrar{Store: &g.store, Self: self, Removed: g.removed, Log: g.log}
 	go func() {
 		defer close(done)
 		r.Run(ctx)
@@ -211,6 +214,12 @@
 	w := &watcher.Watcher{
 		Store: &g.store, Peers: &relayer.Follower{}, Elector: elector.Elector{Self: g.self(), Least: g.Least}, History: &g.history,
 		Fleet: func(n int) { g.driver.Post(forwarder.FleetSized{VMs: n}) },
+		Removed: func() {
+			select {
+			case g.removed <- struct{}{}:
+			default: // the registrar is about to register again
+			}
+		},
 		Drain: s.Drain, Settle: s.UpstreamSlack, Stable: s.Stable, Apply: s.ConfigApply, Log: g.log,
 		Manifest: func(m *forwarder.Manifest) {
 			g.driver.Post(forwarder.ManifestAdopted{Manifest: m})
--- a/gateway/internal/watcher/watcher.go
+++ b/gateway/internal/watcher/watcher.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -69,8 +70,10 @@
 	Manifest func(*forwarder.Manifest)
 	List     func([]forwarder.Upstream)
 	Fleet    func(size int) // of the fleet; not called while no VM is registered
+	Removed  func()         // tells that the entry of this VM is gone; not called before it was seen
 	Log      *logger.Logger
 
+	joined   bool // this VM is registered
 	registry registry
 	fleet    fleet
 	link     link
@@ -204,7 +207,7 @@
 	w.publish(now)
 	w.adopt(c.Manifest)
 	if w.fleet.apply(c.VMs) {
-		w.Elector.SetMembers(now, w.fleet.members())
+		w.join(now)
 	}
 	w.History.Add(confirmed, c.Items, c.Revision)
 }
@@ -227,11 +230,23 @@
 	w.revision = c.Revision
 	w.adopt(c.Manifest)
 	w.fleet.replace(c.VMs)
-	w.Elector.SetMembers(now, w.fleet.members())
+	w.join(now)
 	w.History.Reset(now, c.Revision)
 	return nil
 }
 
+// join takes the present members of the fleet, and tells when this VM is no longer among them.
+func (w *Watcher) join(now time.Time) {
+	members := w.fleet.members()
+	w.Elector.SetMembers(now, members)
+	present := slices.ContainsFunc(members, func(m elector.Member) bool { return m.Name == w.Elector.Self.Name })
+	if w.joined && !present {
+		w.Log.Info("watcher: this VM is no longer registered", zap.Uint64("revision", w.revision))
+		w.Removed()
+	}
+	w.joined = present
+}
+
 // resize passes on how many VMs there are.
 func (w *Watcher) resize(now time.Time) {
 	if n := w.Elector.FleetSize(now); n != w.fleet.told {
--- a/gateway/internal/watcher/watcher_test.go
+++ b/gateway/internal/watcher/watcher_test.go
@@ -277,3 +277,32 @@
 		}
 	}
 }
+
+// TestRemoved guards against a VM that others no longer find, because the store took its entry away while its lease went on.
+func TestRemoved(t *testing.T) {
+	self := elector.Member{Name: "vm1", FailureDomain: "d", Address: netip.MustParseAddrPort("10.0.0.1:7741")}
+	cases := []struct {
+		name    string
+		changes []translator.VM
+		want    int
+	}{
+		{"calm", []translator.VM{{Member: elector.Member{Name: "vm2"}, Revision: 9}}, 0},
+		{"taken away", []translator.VM{{Member: elector.Member{Name: "vm1"}, Removed: true, Revision: 9}}, 1},
+		{"an older state", []translator.VM{{Member: elector.Member{Name: "vm1"}, Removed: true, Revision: 3}}, 0},
+	}
+	for _, c := range cases {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		s := &script{end: cancel, vms: []translator.VM{{Member: self, Revision: 5}}}
+		s.watches = []func() (*translator.Changes, error){func() (*translator.Changes, error) { return &translator.Changes{Revision: 9, VMs: c.changes}, nil }}
+		removed := 0
+		w := &Watcher{
+			Store: s, Elector: elector.Elector{Self: self}, Log: logger.New(zapcore.AddSync(io.Discard), "vm"), List: func([]forwarder.Upstream) {},
+			Fleet: func(int) {}, Removed: func() { removed++ },
+		}
+		w.Run(ctx)
+		cancel()
+		if removed != c.want {
+			t.Errorf("%s: told %d times, want %d", c.name, removed, c.want)
+		}
+	}
+}
