Share what the VMs of a failure domain see of upstreams

The selection takes the worse of its own and the reported figures. Ruled out: reporting only failures (a share needs the tries, otherwise usual losses look like faults).

--- a/core/coordination/forwarder/dispatch.go
+++ b/core/coordination/forwarder/dispatch.go
@@ -220,6 +220,12 @@
 			kind = selector.Cancelled
 		}
 	}
+	switch kind {
+	case selector.OK:
+		m.book.Succeeded(a.service.name, a.upstream, now.Sub(a.sent))
+	case selector.Reset, selector.Refused, selector.TimedOut, selector.Errored:
+		m.book.Failed(a.service.name, a.upstream)
+	}
 	a.service.set.Finished(now, i, selector.Result{Latency: now.Sub(a.sent), Kind: kind})
 }
 
--- a/core/coordination/forwarder/event.go
+++ b/core/coordination/forwarder/event.go
@@ -1,6 +1,10 @@
 package forwarder
 
-import "time"
+import (
+	"time"
+
+	"comfreyroute/core/coordination/reporter"
+)
 
 // RequestID names a request of a caller inside one VM.
 type RequestID uint64
@@ -20,6 +24,9 @@
 // FleetSized tells how many VMs share the connections of the upstreams; 0 when that is not known.
 type FleetSized struct{ VMs int }
 
+// UpstreamsRated tells which upstreams fail or are slow for other VMs.
+type UpstreamsRated struct{ Ratings []reporter.Rating }
+
 // RequestArrived brings a request of a caller. Deadline is when the caller stops waiting; zero takes the route's timeout.
 type RequestArrived struct {
 	Request  RequestID
@@ -42,6 +49,7 @@
 func (ManifestAdopted) isEvent() {}
 func (UpstreamsListed) isEvent() {}
 func (FleetSized) isEvent()      {}
+func (UpstreamsRated) isEvent()  {}
 func (RequestArrived) isEvent()  {}
 func (CallerGone) isEvent()      {}
 func (AttemptEnded) isEvent()    {}
--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -1,9 +1,11 @@
 package forwarder
 
 import (
-	"comfreyroute/core/coordination/scheduler"
 	"math/rand/v2"
 	"time"
+
+	"comfreyroute/core/coordination/reporter"
+	"comfreyroute/core/coordination/scheduler"
 )
 
 // Machine is the state machine of the requests of one VM. The zero value is usable and knows no manifest. It is not safe for
@@ -11,6 +13,7 @@
 type Machine struct {
 	Config Config // not changed after the first Step
 
+	book        reporter.Book
 	random      *rand.Rand
 	manifest    *Manifest
 	fleet       int // VMs, 0 when not known
@@ -36,6 +39,8 @@
 		m.list(now, e.Upstreams)
 	case FleetSized:
 		m.resize(now, e.VMs)
+	case UpstreamsRated:
+		m.rate(now, e.Ratings)
 	case RequestArrived:
 		m.arrive(now, e)
 	case CallerGone:
@@ -69,6 +74,9 @@
 // Requests returns how many requests have no answer yet.
 func (m *Machine) Requests() int { return len(m.requests) }
 
+// TakeReports returns what attempts have shown about upstreams since the last call.
+func (m *Machine) TakeReports() []reporter.Report { return m.book.Take() }
+
 // armWake asks for a timer when the next due time is earlier than the one asked for.
 func (m *Machine) armWake(now time.Time) {
 	if len(m.timers) == 0 {
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -7,6 +7,7 @@
 
 	"comfreyroute/core/coordination/budgeter"
 	"comfreyroute/core/coordination/limiter"
+	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/core/coordination/selector"
 	"comfreyroute/core/state/tabler"
 )
@@ -148,5 +149,18 @@
 	m.wakeWaiting(now, s)
 }
 
+// rate tells the selection what other VMs see of upstreams.
+func (m *Machine) rate(now time.Time, ratings []reporter.Rating) {
+	for _, r := range ratings {
+		s := m.services[r.Service]
+		if s == nil {
+			continue
+		}
+		if i, ok := s.set.Index(r.Upstream); ok {
+			s.set.SetReported(now, i, r.Errors, r.Latency)
+		}
+	}
+}
+
 // share returns the most connections of this VM to one upstream of the service.
 func (s *service) share(fleetMax int) int { return limiter.ConnectionShare(s.connections, fleetMax) }
--- a/core/coordination/selector/average.go
+++ b/core/coordination/selector/average.go
@@ -16,6 +16,8 @@
 	errorGain = 0.2
 	// errorHalfLife halves the share of errors while there are no results.
 	errorHalfLife = 3 * time.Second
+	// reportedHalfLife halves the weight of what other VMs reported. They report each second while it lasts.
+	reportedHalfLife = 2 * time.Second
 )
 
 // average is a moving average of latencies with its mean deviation.
--- a/core/coordination/selector/cost.go
+++ b/core/coordination/selector/cost.go
@@ -55,12 +55,15 @@
 	} else if u.Row.FailureDomain != s.own {
 		latency += float64(remotePenalty)
 	}
+	if u.reportedLatency > 0 {
+		latency = max(latency, usual+(float64(u.reportedLatency)-usual)*decay(now.Sub(u.reportedAt), reportedHalfLife))
+	}
 	latency = max(latency, float64(u.waiting(now)))
 	cost := latency * (1 + u.running(now)/u.slots())
 	if u.Connections <= u.InFlight {
 		cost += float64(u.Row.ConnectCost)
 	}
-	return cost * (1 + errorWeight*u.recentErrors(now))
+	return cost * (1 + errorWeight*u.doubt(now))
 }
 
 // running estimates the sub-requests at the upstream: this VM's own, and those of others as last reported.
--- a/core/coordination/selector/set.go
+++ b/core/coordination/selector/set.go
@@ -272,6 +272,12 @@
 	u.othersAtLoad = max(0, running+queued-u.InFlight)
 }
 
+// SetReported records what other VMs see of an upstream: its share of errors and its mean latency, 0 when that is not known.
+func (s *Set) SetReported(now time.Time, i int, errors float64, latency time.Duration) {
+	u := &s.upstreams[i]
+	u.reportedErrors, u.reportedLatency, u.reportedAt = min(max(errors, 0), 1), latency, now
+}
+
 // SetConnections records how many usable connections are open.
 func (s *Set) SetConnections(_ time.Time, i int, open int) { s.upstreams[i].Connections = open }
 
--- a/core/coordination/selector/upstream.go
+++ b/core/coordination/selector/upstream.go
@@ -45,6 +45,9 @@
 	latency            average
 	errors             float64 // moving average of failed results, 0 to 1
 	errorsAt           time.Time
+	reportedErrors     float64 // share of errors that other VMs reported
+	reportedLatency    time.Duration
+	reportedAt         time.Time
 	lastReply          time.Time
 	shedUntil          time.Time
 	missed             int // sub-requests that ended late and unanswered since lastReply
@@ -115,6 +118,11 @@
 	return u.errors * decay(now.Sub(u.errorsAt), errorHalfLife)
 }
 
+// doubt returns the share of errors: the one that this VM saw, or the one that others reported.
+func (u *Upstream) doubt(now time.Time) float64 {
+	return max(u.recentErrors(now), u.reportedErrors*decay(now.Sub(u.reportedAt), reportedHalfLife))
+}
+
 // ramp returns the part of its share that a starting upstream gets, 0 to 1.
 func (u *Upstream) ramp(now time.Time) float64 {
 	if u.rampFrom.IsZero() {
--- a/gateway/internal/relayer/history.go
+++ b/gateway/internal/relayer/history.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/platform/translator"
 )
 
@@ -25,6 +26,7 @@
 	confirmed time.Time // at that time nothing newer was in the store; zero while nothing is known
 	changed   chan struct{}
 	asked     time.Time
+	pool      reporter.Pool
 }
 
 // Reset begins a new history after everything was read.
@@ -66,6 +68,14 @@
 	return !h.asked.IsZero() && now.Sub(h.asked) < askedTime
 }
 
+// Report merges what this VM saw of upstreams with what its followers report, and returns the ratings.
+func (h *History) Report(now time.Time, reports []reporter.Report) []reporter.Rating {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pool.Merge(now, reports)
+	return h.pool.Ratings(now)
+}
+
 // Since returns what was written after a revision. It waits until there is something, the wait is over, or what this VM knows is older
 // than most.
 func (h *History) Since(ctx context.Context, q Question) Answer {
@@ -73,6 +83,7 @@
 	defer h.mu.Unlock()
 	h.asked = time.Now()
 	end := h.asked.Add(q.Wait)
+	h.pool.Merge(h.asked, q.Reports)
 	for {
 		now := time.Now()
 		if h.confirmed.IsZero() || q.After < h.base {
@@ -103,7 +114,7 @@
 }
 
 func (h *History) answer(now time.Time, after uint64) Answer {
-	a := Answer{Revision: max(after, h.revision), Age: now.Sub(h.confirmed)}
+	a := Answer{Revision: max(after, h.revision), Age: now.Sub(h.confirmed), Ratings: h.pool.Ratings(now)}
 	for _, i := range h.items {
 		if i.Revision > after {
 			a.Records = append(a.Records, Record{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed})
--- a/gateway/internal/relayer/message.go
+++ b/gateway/internal/relayer/message.go
@@ -7,22 +7,27 @@
 
 	"storj.io/drpc"
 
+	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/platform/translator"
 )
 
-// Question asks a VM for what was written after a revision.
+// Question asks a VM for what was written after a revision, and tells it what the follower saw of upstreams.
 type Question struct {
 	After uint64        `json:"after"`
 	Wait  time.Duration `json:"wait"` // nanoseconds, as in all durations here
 	Most  time.Duration `json:"most"` // age of an answer that is of use
+
+	Reports []reporter.Report `json:"reports,omitempty"`
 }
 
-// Answer is what a VM knows of the store.
+// Answer is what a VM knows of the store, and of upstreams from the reports of its followers.
 type Answer struct {
 	Gone     bool          `json:"gone,omitempty"` // the VM does not know every change since the revision
 	Revision uint64        `json:"revision"`
 	Age      time.Duration `json:"age"` // how long ago nothing newer was in the store
 	Records  []Record      `json:"records,omitempty"`
+
+	Ratings []reporter.Rating `json:"ratings,omitempty"`
 }
 
 // Record is one key of the store.
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -18,6 +18,7 @@
 
 	"comfreyroute/core/coordination/elector"
 	"comfreyroute/core/coordination/forwarder"
+	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/core/transport/requester"
 	"comfreyroute/gateway/internal/driver"
 	"comfreyroute/gateway/internal/logger"
@@ -213,7 +214,8 @@
 	s := g.Settings
 	w := &watcher.Watcher{
 		Store: &g.store, Peers: &relayer.Follower{}, Elector: elector.Elector{Self: g.self(), Least: g.Least}, History: &g.history,
-		Fleet: func(n int) { g.driver.Post(forwarder.FleetSized{VMs: n}) },
+		Fleet:   func(n int) { g.driver.Post(forwarder.FleetSized{VMs: n}) },
+		Reports: g.reports, Rate: func(r []reporter.Rating) { g.driver.Post(forwarder.UpstreamsRated{Ratings: r}) },
 		Removed: func() {
 			select {
 			case g.removed <- struct{}{}:
@@ -271,6 +273,13 @@
 	g.log.Decision("requester: attempt without success", fields...)
 }
 
+// reports returns what attempts have shown about upstreams since the last call.
+func (g *Gateway) reports() []reporter.Report {
+	var all []reporter.Report
+	g.driver.Inspect(func(m *forwarder.Machine) { all = m.TakeReports() })
+	return all
+}
+
 func (g *Gateway) measure() {
 	count := func(name string, f func() uint64) {
 		g.metrics.NewGauge("comfreyroute_gateway_"+name, func() float64 { return float64(f()) })
--- a/gateway/internal/watcher/watcher.go
+++ b/gateway/internal/watcher/watcher.go
@@ -15,6 +15,7 @@
 
 	"comfreyroute/core/coordination/elector"
 	"comfreyroute/core/coordination/forwarder"
+	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/gateway/internal/logger"
 	"comfreyroute/gateway/internal/relayer"
 	"comfreyroute/platform/translator"
@@ -38,6 +39,8 @@
 	staleShare = 0.35
 	// followMargin is how long the response of a peer may take beyond its waiting time.
 	followMargin = 500 * time.Millisecond
+	// reportTime is how often a follower tells what it saw of upstreams, and hears what others saw. Faults of upstreams last seconds.
+	reportTime = 500 * time.Millisecond
 	// followPause is the pause after changes from a peer: they come in series, and each question costs both VMs some work.
 	followPause = 100 * time.Millisecond
 	// holdShare is the part of the drain time for which a missing entry is kept. A server whose entry is removed serves for the
@@ -69,8 +72,10 @@
 	Apply    time.Duration    // within it a manifest is in force
 	Manifest func(*forwarder.Manifest)
 	List     func([]forwarder.Upstream)
-	Fleet    func(size int) // of the fleet; not called while no VM is registered
-	Removed  func()         // tells that the entry of this VM is gone; not called before it was seen
+	Fleet    func(size int)           // of the fleet; not called while no VM is registered
+	Reports  func() []reporter.Report // what this VM saw of upstreams since the last call
+	Rate     func([]reporter.Rating)
+	Removed  func() // tells that the entry of this VM is gone; not called before it was seen
 	Log      *logger.Logger
 
 	joined   bool // this VM is registered
@@ -125,6 +130,9 @@
 	if peer, ok := source.(elector.Peer); ok {
 		return w.follow(ctx, peer.Member, min(wait, w.stale()/2)), nil
 	}
+	if w.History.Followed(now) {
+		w.Rate(w.History.Report(now, w.Reports()))
+	}
 	return w.watch(ctx, wait)
 }
 
@@ -170,7 +178,9 @@
 func (w *Watcher) follow(ctx context.Context, peer elector.Member, wait time.Duration) time.Duration {
 	bounded, cancel := context.WithTimeout(ctx, wait+followMargin)
 	defer cancel()
-	a, err := w.Peers.Since(bounded, peer.Address, relayer.Question{After: w.revision, Wait: wait, Most: w.stale()})
+	a, err := w.Peers.Since(bounded, peer.Address, relayer.Question{
+		After: w.revision, Wait: min(wait, reportTime), Most: w.stale(), Reports: w.Reports(),
+	})
 	now := time.Now()
 	var c *translator.Changes
 	if err == nil {
@@ -191,6 +201,7 @@
 		w.Elector.PeerStale(now)
 		return lost("it last heard from the store " + a.Age.String() + " ago")
 	}
+	w.Rate(a.Ratings)
 	w.take(now, now.Add(-a.Age), c)
 	if len(c.Items) > 0 {
 		return followPause
--- a/gateway/internal/watcher/watcher_test.go
+++ b/gateway/internal/watcher/watcher_test.go
@@ -14,6 +14,7 @@
 
 	"comfreyroute/core/coordination/elector"
 	"comfreyroute/core/coordination/forwarder"
+	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/gateway/internal/logger"
 	"comfreyroute/gateway/internal/relayer"
 	"comfreyroute/platform/translator"
@@ -158,10 +159,12 @@
 // peers is a peer whose responses do what a test says, in turn.
 type peers struct {
 	asked   []string
+	reports []reporter.Report
 	answers []func() (*relayer.Answer, error)
 }
 
-func (p *peers) Since(_ context.Context, address netip.AddrPort, _ relayer.Question) (*relayer.Answer, error) {
+func (p *peers) Since(_ context.Context, address netip.AddrPort, q relayer.Question) (*relayer.Answer, error) {
+	p.reports = append(p.reports, q.Reports...)
 	p.asked = append(p.asked, address.String())
 	a := p.answers[0]
 	p.answers = p.answers[1:]
@@ -171,6 +174,8 @@
 // TestFollow guards against changes of a peer that are not taken or not passed on to further VMs, and against a VM that goes on asking a
 // peer that does not answer, or that has lost the store, instead of the store.
 func TestFollow(t *testing.T) {
+	rating := []reporter.Rating{{Service: "s", Upstream: "u", Errors: 0.5}}
+	var rated []reporter.Rating
 	config := relayer.Record{Key: "op/config", Value: []byte(`{"version":2}`), Revision: 9}
 	cases := []struct {
 		name     string
@@ -179,7 +184,7 @@
 		versions []uint64
 		history  uint64
 	}{
-		{"a change", &relayer.Answer{Revision: 9, Records: []relayer.Record{config}}, nil, []uint64{1, 2}, 9},
+		{"a change", &relayer.Answer{Revision: 9, Records: []relayer.Record{config}, Ratings: rating}, nil, []uint64{1, 2}, 9},
 		{"nothing new", &relayer.Answer{Revision: 8}, nil, []uint64{1}, 8},
 		{"no response", nil, eris.New("refused"), []uint64{1}, 7},
 		{"the peer has lost the store", &relayer.Answer{Revision: 9, Age: time.Minute, Records: []relayer.Record{config}}, nil, []uint64{1}, 7},
@@ -199,12 +204,16 @@
 			Store: s, Peers: p, Elector: elector.Elector{Self: elector.Member{Name: "vm1", FailureDomain: "d"}, Least: 1}, History: &relayer.History{},
 			Drain: 3 * time.Second, Apply: 3 * time.Second, Log: logger.New(zapcore.AddSync(io.Discard), "vm"), List: func([]forwarder.Upstream) {},
 			Manifest: func(m *forwarder.Manifest) { versions = append(versions, m.Version) }, Fleet: func(int) {},
+			Reports: func() []reporter.Report { return []reporter.Report{{Upstream: "u"}} }, Rate: func(r []reporter.Rating) { rated = append(rated, r...) },
 		}
 		w.Run(ctx)
 		cancel()
 		if diff := cmp.Diff(c.versions, versions); diff != "" {
 			t.Errorf("%s: versions (-want +got):\n%s", c.name, diff)
 		}
+		if len(p.reports) == 0 || c.answer != nil && len(c.answer.Ratings) > 0 && len(rated) == 0 {
+			t.Errorf("%s: reports %v, ratings %v", c.name, p.reports, rated)
+		}
 		failed := c.history == 7
 		if asksStore := slices.Contains(s.calls, "watch"); asksStore != failed || p.asked[0] != "10.0.0.2:7741" {
 			t.Errorf("%s: calls to the store %v, to peers %v", c.name, s.calls, p.asked)
