Take a new connection that is reset at once for one beyond the upstream's limit

Each reset cost a token of the retry budget and one of two attempts, so that requests failed for want of tokens for eight seconds after the start (logs: reasons budget and lost, failure reset, written). Such a reset arrives within a round trip of the opening, before any work can be done. It no longer costs a token or an attempt of an idempotent request. It still counts as possibly run in what callers are told, and a request that must not run twice is not sent again. Ruled out: smaller shares of connections (one for each VM is the least). TestOutcomes fails without the change of the forwarder, TestTurnedAway tells such resets from lost replies.

--- a/core/coordination/forwarder/dispatch.go
+++ b/core/coordination/forwarder/dispatch.go
@@ -161,9 +161,16 @@
 		return
 	}
 	b.reason = Lost
-	if f.Written {
+	switch {
+	case f.Failure == TurnedAway && r.route.Idempotent:
+		// The upstream has most likely not seen the request, but that is not certain enough for a promise.
 		r.ran = true
-	} else {
+		b.ran--
+		b.unsent++
+		b.reason = Busy
+	case f.Written:
+		r.ran = true
+	default:
 		b.ran--
 		b.unsent++
 		if f.Failure == NoConnection {
@@ -212,7 +219,7 @@
 		switch e.Failure {
 		case Unreachable:
 			kind = selector.Refused
-		case Reset:
+		case Reset, TurnedAway:
 			kind = selector.Reset
 		case TimedOut:
 			kind = selector.TimedOut
@@ -224,6 +231,9 @@
 	case selector.OK:
 		m.book.Succeeded(a.service.name, a.upstream, now.Sub(a.sent))
 	case selector.Reset, selector.Refused, selector.TimedOut, selector.Errored:
+		if f, ok := result.(Failed); ok && f.Failure == TurnedAway {
+			break // connections that are open already work
+		}
 		m.book.Failed(a.service.name, a.upstream)
 	}
 	a.service.set.Finished(now, i, selector.Result{Latency: now.Sub(a.sent), Kind: kind})
--- a/core/coordination/forwarder/event.go
+++ b/core/coordination/forwarder/event.go
@@ -80,6 +80,7 @@
 	Unreachable  Failure = iota // unreachable
 	NoConnection                // no_connection
 	Reset                       // reset
+	TurnedAway                  // turned_away
 	TimedOut                    // timed_out
 	Mismatched                  // mismatched
 	Cancelled                   // cancelled
--- a/core/coordination/forwarder/forwarder_test.go
+++ b/core/coordination/forwarder/forwarder_test.go
@@ -27,6 +27,7 @@
 // TestOutcomes guards against answers that promise too much or too little: a refusal only when nothing has run, an upstream's own
 // failure unchanged, and no second run of a request that must run at most once.
 func TestOutcomes(t *testing.T) {
+	turnedAway := Failed{Failure: TurnedAway, Written: true}
 	cases := []struct {
 		name  string
 		path  string
@@ -43,6 +44,11 @@
 		{"a success without a signature is none", "/one/x", []Result{Replied{Reply: &Reply{Status: 500}}, Failed{Failure: Mismatched, Written: true}}, "relayed", 2},
 		{"lost twice", "/one/x", []Result{Failed{Failure: Reset, Written: true}, Failed{Failure: Reset, Written: true}}, "unknown lost", 2},
 		{"nothing listens", "/one/x", []Result{Failed{Failure: Unreachable}, Failed{Failure: Unreachable}, Failed{Failure: Unreachable}}, "refused lost", 3},
+		{"turned away", "/one/x", []Result{turnedAway, turnedAway, Replied{Reply: &Reply{Status: 200, Signature: "s"}}}, "relayed", 3},
+		{"turned away and lost", "/one/x", []Result{turnedAway, Failed{Failure: Reset, Written: true}, Replied{Reply: &Reply{Status: 200, Signature: "s"}}},
+			"relayed", 3},
+		{"turned away everywhere", "/one/x", []Result{turnedAway, turnedAway, turnedAway}, "unknown busy", 3},
+		{"at most once: turned away", "/once/x", []Result{turnedAway}, "unknown lost", 1},
 		{"at most once: lost", "/once/x", []Result{Failed{Failure: Reset, Written: true}}, "unknown lost", 1},
 		{"at most once: failure", "/once/x", []Result{failure(500)}, "relayed", 1},
 		{"at most once: shed and run elsewhere", "/once/x", []Result{shed(), Replied{Reply: &Reply{Status: 200, Signature: "s"}}}, "relayed", 2},
--- a/core/coordination/forwarder/strings.go
+++ b/core/coordination/forwarder/strings.go
@@ -11,14 +11,15 @@
 	_ = x[Unreachable-0]
 	_ = x[NoConnection-1]
 	_ = x[Reset-2]
-	_ = x[TimedOut-3]
-	_ = x[Mismatched-4]
-	_ = x[Cancelled-5]
+	_ = x[TurnedAway-3]
+	_ = x[TimedOut-4]
+	_ = x[Mismatched-5]
+	_ = x[Cancelled-6]
 }
 
-const _Failure_name = "unreachableno_connectionresettimed_outmismatchedcancelled"
+const _Failure_name = "unreachableno_connectionresetturned_awaytimed_outmismatchedcancelled"
 
-var _Failure_index = [...]uint8{0, 11, 24, 29, 38, 48, 57}
+var _Failure_index = [...]uint8{0, 11, 24, 29, 40, 49, 59, 68}
 
 func (i Failure) String() string {
 	idx := int(i) - 0
--- a/core/transport/requester/client.go
+++ b/core/transport/requester/client.go
@@ -25,6 +25,9 @@
 	// freshIdle is how long a connection may have been idle to carry a request that must not be lost on a dead connection.
 	// Upstreams may drop idle connections without notice.
 	freshIdle = 100 * time.Millisecond
+	// resetMargin is how long after a round trip the reset of a new connection may arrive that its upstream turned away: the delay
+	// of both ends. The shortest work of the platform's services takes 3.8 ms on average.
+	resetMargin = time.Millisecond
 	// inlineBytes is the size up to which a request is written by the caller of Do: it fits into the socket's buffer.
 	inlineBytes = 16 << 10
 	bufferBytes = 2 << 10
@@ -175,6 +178,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), j.send.Deadline)
 	defer cancel()
 	d := net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
+	began := time.Now()
 	nc, err := d.DialContext(ctx, "tcp", j.send.Address.String())
 	if err != nil {
 		c.Counts.Unreachable.Add(1)
@@ -190,7 +194,11 @@
 		return
 	}
 	c.Counts.Opened.Add(1)
-	n := &conn{client: c, pool: p, nc: nc, reader: bufio.NewReaderSize(nc, bufferBytes), idleLimit: defaultIdle}
+	opened := time.Now()
+	n := &conn{
+		client: c, pool: p, nc: nc, reader: bufio.NewReaderSize(nc, bufferBytes), idleLimit: defaultIdle,
+		opened: opened, roundTrip: opened.Sub(began),
+	}
 	c.mu.Lock()
 	if j.cancelled || c.closed {
 		delete(c.attempts, j.send.Attempt)
--- a/core/transport/requester/conn.go
+++ b/core/transport/requester/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"comfreyroute/core/coordination/forwarder"
@@ -28,6 +29,9 @@
 	writing   bool // a long request is not written in full; its rest must not meet the next request
 	heard     time.Time
 	idleLimit time.Duration
+	opened    time.Time
+	roundTrip time.Duration // that opening took
+	used      bool          // a reply was read
 }
 
 // begin gives an idle connection a request. The client's lock is held.
@@ -70,6 +74,7 @@
 // next waits for one reply and reports it. It returns false when the connection is of no further use.
 func (n *conn) next() bool {
 	_, err := n.reader.Peek(1)
+	turnedAway := isTurnedAway(err, n.used, time.Since(n.opened), n.roundTrip)
 	c := n.client
 	c.mu.Lock()
 	j := n.job
@@ -86,7 +91,7 @@
 	}
 	c.mu.Lock()
 	delete(c.attempts, j.send.Attempt)
-	n.job = nil
+	n.job, n.used = nil, true
 	keep := err == nil && response.Keep && !n.writing && !j.cancelled && n.reader.Buffered() == 0 && n.usable()
 	if keep {
 		if response.Idle > idleMargin {
@@ -100,13 +105,23 @@
 	c.mu.Unlock()
 	if err != nil {
 		_ = n.nc.Close()
-		c.Report(j.send, forwarder.Failed{Failure: c.classify(err, cancelled), Written: written})
+		failure := c.classify(err, cancelled)
+		if turnedAway && failure == forwarder.Reset {
+			failure = forwarder.TurnedAway
+		}
+		c.Report(j.send, forwarder.Failed{Failure: failure, Written: written})
 		return false
 	}
 	c.Report(j.send, forwarder.Replied{Reply: response.Reply})
 	return keep
 }
 
+// isTurnedAway tells whether the upstream reset a new connection before it can have worked on the first request, as it does with those
+// beyond its limit. Age is the time since the connection was opened, and roundTrip how long that took.
+func isTurnedAway(err error, used bool, age, roundTrip time.Duration) bool {
+	return !used && errors.Is(err, syscall.ECONNRESET) && age < roundTrip+resetMargin
+}
+
 // usable tells whether the pool still belongs to the upstream. The client's lock is held.
 func (n *conn) usable() bool { return n.pool.address.IsValid() && !n.client.closed }
 
--- a/core/transport/requester/requester_test.go
+++ b/core/transport/requester/requester_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/netip"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -226,6 +229,45 @@
 	}
 }
 
+// TestTurnedAway guards against a connection beyond the limit of its upstream that costs an attempt, and against a request that may have
+// run and looks like one that cannot have.
+func TestTurnedAway(t *testing.T) {
+	const roundTrip = 3 * time.Millisecond
+	reset := &net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ECONNRESET)}
+	cases := []struct {
+		name string
+		err  error
+		used bool
+		age  time.Duration
+		want bool
+	}{
+		{"at once", reset, false, roundTrip, true},
+		{"after some work", reset, false, 2 * roundTrip, false},
+		{"a connection that worked", reset, true, roundTrip, false},
+		{"closed in order", io.EOF, false, roundTrip, false},
+		{"a reply", nil, false, roundTrip, false},
+	}
+	for _, c := range cases {
+		if got := isTurnedAway(c.err, c.used, c.age, roundTrip); got != c.want {
+			t.Errorf("%s: %t, want %t", c.name, got, c.want)
+		}
+	}
+	late := newUpstream(t, func(string) string { return "" })
+	go func() {
+		nc := <-late.accepted
+		time.Sleep(50 * time.Millisecond)
+		if err := nc.(*net.TCPConn).SetLinger(0); err != nil {
+			t.Error(err)
+		}
+		_ = nc.Close()
+	}()
+	h := newHarness(t)
+	h.send(late, "x", nil)
+	if got := h.result(); got != "reset written" {
+		t.Errorf("a reset after 50 ms: %s", got)
+	}
+}
+
 // TestClosedWhileIdle guards against a request on a connection that the upstream has closed.
 func TestClosedWhileIdle(t *testing.T) {
 	h := newHarness(t)
