Leave a peer that lost the store after three seconds for the next one

Now it asks the store for three seconds, and then the next peer. TestFleet: 230 instead of 295 calls a second at 1,400 VMs in the 20 s after all readers lost the store; TestSource has the order.

--- a/core/coordination/elector/elector.go
+++ b/core/coordination/elector/elector.go
@@ -15,6 +15,8 @@
 	// avoidTime is how long a peer that failed is not followed, and a VM that cannot reach the store does not read for others. Entries of
 	// dead VMs stay until their lease ends.
 	avoidTime = 10 * time.Second
+	// staleTime is how long a VM asks the store itself after a peer knew too little. A reader whose watch was cut is back after a call.
+	staleTime = 3 * time.Second
 	// shrinkTime is how long the fleet has to be smaller before its size counts: entries vanish while the store is in trouble, and
 	// the VMs that live write them again.
 	shrinkTime = 30 * time.Second
@@ -121,8 +123,11 @@
 	e.confirm = true
 }
 
-// PeerStale records that what a peer knows is too old. The store is in trouble then, and other peers know no more.
-func (e *Elector) PeerStale(now time.Time) { e.direct = now.Add(avoidTime) }
+// PeerStale records that what a peer knows is too old. It has lost the store, or the store is in trouble and other peers know no more.
+func (e *Elector) PeerStale(now time.Time, name string) {
+	e.fail(now, name)
+	e.direct = now.Add(staleTime)
+}
 
 // StoreFailed records that the store did not answer. A peer may reach it.
 func (e *Elector) StoreFailed(now time.Time) {
--- a/gateway/internal/watcher/watcher.go
+++ b/gateway/internal/watcher/watcher.go
@@ -198,7 +198,7 @@
 		w.Elector.PeerFailed(now, peer.Name)
 		return lost("it does not know every change since then")
 	case a.Age > w.stale():
-		w.Elector.PeerStale(now)
+		w.Elector.PeerStale(now, peer.Name)
 		return lost("it last heard from the store " + a.Age.String() + " ago")
 	}
 	w.Rate(a.Ratings)
