Prefer upstreams in the own failure domain by a factor of two

The factor of 1.4 lay within the noise of the latencies of single upstreams, so that idle upstreams nearby were passed over.

--- a/core/coordination/selector/cost.go
+++ b/core/coordination/selector/cost.go
@@ -18,8 +18,8 @@
 	// errorWeight scales the share of errors in a score.
 	errorWeight = 4
 	// remoteFactor raises the score of an upstream in another failure domain under the policy Near: traffic between failure
-	// domains is billed, and an idle upstream nearby is worth a short queue.
-	remoteFactor = 1.4
+	// domains is billed, and an upstream nearby is worth a queue as long as its slots.
+	remoteFactor = 2
 )
 
 // cost returns what a policy minimizes. The random part decides between equals.
--- a/core/coordination/selector/selector_test.go
+++ b/core/coordination/selector/selector_test.go
@@ -375,3 +375,42 @@
 		}
 	}
 }
+
+// TestNear guards against billed traffic to another failure domain while an upstream nearby has room, and against a queue at that one
+// while the other failure domain is idle.
+func TestNear(t *testing.T) {
+	now := time.Unix(1000, 0)
+	row := func(name, domain string, host byte) tabler.UpstreamRow {
+		return tabler.UpstreamRow{
+			Upstream: name, FailureDomain: domain, Weight: tabler.DefaultWeight, Connections: 240, Slots: 4,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, host}), 80),
+		}
+	}
+	cases := []struct {
+		running int // at the upstream nearby
+		errors  float64
+		want    string
+	}{
+		{0, 0, "near"}, {2, 0, "near"}, {8, 0, "far"}, {0, 0.5, "far"}, {0, 0.1, "near"},
+	}
+	for _, c := range cases {
+		var s Set
+		s.Update(now, []tabler.UpstreamRow{row("near", "a", 1), row("far", "b", 2)}, "a")
+		near, _ := s.Index("near")
+		far, _ := s.Index("far")
+		for _, i := range []int{near, far} {
+			s.Started(now, i)
+			s.Finished(now, i, Result{Latency: 10 * time.Millisecond, Kind: OK})
+		}
+		s.SetLoad(now, near, c.running, 0)
+		s.SetReported(now, near, c.errors, 0)
+		random := rand.New(rand.NewPCG(1, 1))
+		for range 50 {
+			i, ok := s.Pick(now, random, Query{Group: -1, Policy: Near})
+			if got := s.At(i).Row.Upstream; !ok || got != c.want {
+				t.Errorf("%d requests at the upstream nearby, errors %g: %s, want %s", c.running, c.errors, got, c.want)
+				break
+			}
+		}
+	}
+}
