--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -146,6 +147,7 @@
 	g.ready = http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout, ErrorLog: faults}
 	inspect := http.NewServeMux()
 	inspect.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { g.metrics.WritePrometheus(w) })
+	inspect.HandleFunc("/profile", pprof.Profile)
 	g.inspect = http.Server{Handler: inspect, ReadHeaderTimeout: headerTimeout, ErrorLog: faults}
 	if err := serve(&g.callers, s.Callers); err != nil {
 		return err
