Follow the manifest's limits for headers and idle connections

Cause: net/http takes its time-outs once, before the first manifest, so that constants of 6 s and 60 s stood in for the limits; a manifest with longer ones would have lost callers, and one with a shorter header limit was not followed. The receiver closes connections from their state changes. Between two requests a connection may be idle for the limit, and the header of a request that began in time may take its limit too. Ruled out: a server for each set of limits, which keeps old connections under old limits.

--- a/core/coordination/forwarder/manifest.go
+++ b/core/coordination/forwarder/manifest.go
@@ -23,8 +23,13 @@
 	Connections int // of all VMs together, for each upstream
 }
 
-// Limits bound what a caller may send. Zero means that the manifest sets no limit.
-type Limits struct{ BodyBytes int64 }
+// Limits bound what a caller may send, and how long it may take. Zero means that the manifest sets no limit.
+type Limits struct {
+	HeaderBytes int64
+	BodyBytes   int64
+	HeaderTime  time.Duration // from the opening of a connection until the first request's header is complete
+	IdleTime    time.Duration // between two requests on a connection
+}
 
 // Route says where requests go and what is allowed for them.
 type Route struct {
--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,7 @@
 	manifest atomic.Pointer[forwarder.Manifest]
 	listed   atomic.Bool
 	leaving  atomic.Bool
+	idler    idler
 }
 
 // SetManifest sets the manifest whose limits hold for callers.
@@ -44,6 +46,17 @@
 // SetListed records that the upstreams are known.
 func (r *Receiver) SetListed() { r.listed.Store(true) }
 
+// ObserveConnection takes a new state of a caller's connection.
+func (r *Receiver) ObserveConnection(c net.Conn, s http.ConnState) { r.idler.observe(c, s, r.limits()) }
+
+// limits returns the limits in force.
+func (r *Receiver) limits() forwarder.Limits {
+	if m := r.manifest.Load(); m != nil {
+		return m.Limits
+	}
+	return forwarder.Limits{}
+}
+
 // Leave makes every answer close its connection, so that callers move to other VMs.
 func (r *Receiver) Leave() { r.leaving.Store(true) }
 
@@ -68,7 +81,7 @@
 	body, status := r.read(w, request)
 	if status != 0 {
 		r.Metrics.rejected.Inc()
-		r.Log.Decision("receiver: request body rejected", zap.String("path", request.URL.Path), zap.Int("status", status))
+		r.Log.Decision("receiver: request rejected", zap.String("path", request.URL.Path), zap.Int("status", status))
 		w.WriteHeader(status)
 		return
 	}
@@ -92,12 +105,16 @@
 
 // read returns the body of a request, or the status that rejects it.
 func (r *Receiver) read(w http.ResponseWriter, request *http.Request) ([]byte, int) {
+	limits := r.limits()
+	if limits.HeaderBytes > 0 && headerBytes(request) > limits.HeaderBytes {
+		return nil, http.StatusRequestHeaderFieldsTooLarge
+	}
 	if request.Body == nil || request.Body == http.NoBody {
 		return nil, 0
 	}
 	limit := int64(defaultBodyBytes)
-	if m := r.manifest.Load(); m != nil && m.Limits.BodyBytes > 0 {
-		limit = m.Limits.BodyBytes
+	if limits.BodyBytes > 0 {
+		limit = limits.BodyBytes
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, limit))
 	if err == nil {
@@ -109,6 +126,18 @@
 	return nil, http.StatusBadRequest
 }
 
+// headerBytes returns the length of the fields of a header, each with its colon, blank and line end.
+func headerBytes(request *http.Request) int64 {
+	const rest = 4
+	n := 0
+	for name, values := range request.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + rest
+		}
+	}
+	return int64(n)
+}
+
 // note measures and logs an answer.
 func (r *Receiver) note(m *forwarder.Message, a *forwarder.Answer, status int, took time.Duration) {
 	outcome, reason := describe(a.Outcome)
--- a/gateway/internal/receiver/receiver_test.go
+++ b/gateway/internal/receiver/receiver_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -40,22 +41,26 @@
 	return &Receiver{Requests: q, Log: logger.New(zapcore.AddSync(io.Discard), "vm"), Metrics: NewMetrics(metrics.NewSet())}, q
 }
 
-// TestBodies guards against an oversized request that reaches an upstream, and against one that the manifest allows and that does not.
-func TestBodies(t *testing.T) {
+// TestSizes guards against an oversized request that reaches an upstream, and against one that the manifest allows and that does not.
+func TestSizes(t *testing.T) {
 	cases := []struct {
 		name   string
-		bytes  int
+		bytes  int // of the body
+		header int // length of the only field, with its name "A"
 		status int
 		passed int
 	}{
-		{"allowed", 100, http.StatusServiceUnavailable, 1},
-		{"too long", 101, http.StatusRequestEntityTooLarge, 0},
+		{"allowed", 100, 50, http.StatusServiceUnavailable, 1},
+		{"a long body", 101, 50, http.StatusRequestEntityTooLarge, 0},
+		{"a long header", 100, 51, http.StatusRequestHeaderFieldsTooLarge, 0},
 	}
 	for _, c := range cases {
 		r, q := newReceiver(forwarder.Refused{Reason: forwarder.Busy, RetryAfter: time.Second})
-		r.SetManifest(forwarder.NewManifest(1, nil, nil, forwarder.Limits{BodyBytes: 100}))
+		r.SetManifest(forwarder.NewManifest(1, nil, nil, forwarder.Limits{HeaderBytes: 50, BodyBytes: 100}))
 		w := httptest.NewRecorder()
-		r.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/x", strings.NewReader(strings.Repeat("x", c.bytes))))
+		request := httptest.NewRequest(http.MethodPost, "/x", strings.NewReader(strings.Repeat("x", c.bytes)))
+		request.Header.Set("A", strings.Repeat("x", c.header-len("A: \r\n")))
+		r.ServeHTTP(w, request)
 		if w.Code != c.status || len(q.bodies) != c.passed {
 			t.Errorf("%s: status %d, %d requests passed on", c.name, w.Code, len(q.bodies))
 		}
@@ -118,3 +123,48 @@
 		t.Errorf("the caller gets %q", answer)
 	}
 }
+
+// TestIdler guards against callers that hold connections for longer than the manifest allows, and against the close of a connection in use.
+func TestIdler(t *testing.T) {
+	limits := forwarder.Limits{HeaderTime: 3 * time.Second, IdleTime: 15 * time.Second}
+	cases := []struct {
+		name   string
+		limits forwarder.Limits
+		states []http.ConnState // two seconds after each other
+		want   time.Duration    // of the close; 0 for none in the first minute
+	}{
+		{"no request", limits, []http.ConnState{http.StateNew}, 3 * time.Second},
+		{"a long request", limits, []http.ConnState{http.StateNew, http.StateActive}, 0},
+		{"idle", limits, []http.ConnState{http.StateNew, http.StateActive, http.StateIdle}, 22 * time.Second},
+		{"used again", limits, []http.ConnState{http.StateNew, http.StateActive, http.StateIdle, http.StateActive}, 0},
+		{"closed", limits, []http.ConnState{http.StateNew, http.StateClosed}, 0},
+		{"without limits", forwarder.Limits{}, []http.ConnState{http.StateNew}, defaultHeaderTime},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			var i idler
+			near, far := net.Pipe()
+			began := time.Now()
+			var closed time.Duration
+			go func() {
+				if _, err := far.Read(make([]byte, 1)); err != nil {
+					closed = time.Since(began)
+				}
+			}()
+			for _, s := range c.states {
+				i.observe(near, s, c.limits)
+				time.Sleep(2 * time.Second)
+			}
+			time.Sleep(time.Minute - time.Since(began))
+			synctest.Wait()
+			if closed != c.want {
+				t.Errorf("%s: closed after %v, want %v", c.name, closed, c.want)
+			}
+			i.observe(near, http.StateClosed, c.limits)
+			_ = near.Close()
+			if len(i.timers) != 0 {
+				t.Errorf("%s: %d timers are kept", c.name, len(i.timers))
+			}
+		})
+	}
+}
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -31,10 +31,10 @@
 )
 
 const (
-	// headerTimeout and idleTimeout hold for callers' connections. They are above the limits that the manifests set (3 s and
-	// 15 s), because net/http takes them once, before the first manifest is known.
-	headerTimeout = 6 * time.Second
-	idleTimeout   = 60 * time.Second
+	// headerTimeout and idleTimeout are ceilings for callers' connections: the receiver closes those that exceed the limits of the
+	// manifest, which are seconds.
+	headerTimeout = time.Minute
+	idleTimeout   = 10 * time.Minute
 	headerBytes   = 64 << 10
 	// settingsPoll is how often the settings file is looked at: it may change without a signal.
 	settingsPoll = 2 * time.Second
@@ -141,6 +141,7 @@
 	faults := zap.NewStdLog(g.log.Logger)
 	g.callers = http.Server{
 		Handler: &g.receiver, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: faults,
+		ConnState: g.receiver.ObserveConnection,
 	}
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("/ready", g.receiver.ServeReady)
