Say that the store is back only when the store has answered

Cause: found by reading; an answer of a peer ended the loss of the store in the log and its back-off. TestStoreStaysLost fails without the change.

--- a/gateway/internal/watcher/watcher.go
+++ b/gateway/internal/watcher/watcher.go
@@ -101,8 +101,6 @@
 			}
 			w.Elector.StoreFailed(time.Now())
 			pause = w.link.failed(w.Log, err, w.version == 0)
-		} else {
-			w.link.worked(w.Log)
 		}
 		sleep(ctx, pause)
 	}
@@ -154,6 +152,7 @@
 	defer cancel()
 	c, err := w.Store.Watch(bounded, w.revision, wait)
 	if errors.Is(err, translator.ErrHistoryGone) {
+		w.answered()
 		w.Log.Info("watcher: history dropped, reading everything", zap.Uint64("revision", w.revision))
 		w.revision = 0
 		return 0, nil
@@ -161,7 +160,7 @@
 	if err != nil {
 		return 0, err
 	}
-	w.Elector.StoreAnswered()
+	w.answered()
 	now := time.Now()
 	w.take(now, now, c)
 	if len(c.Items) < backlog && len(c.Items) > 0 {
@@ -173,6 +172,12 @@
 	return 0, nil
 }
 
+// answered records that the store answered.
+func (w *Watcher) answered() {
+	w.Elector.StoreAnswered()
+	w.link.worked(w.Log)
+}
+
 // follow waits for changes that a peer has read. It returns how long to pause. A peer that fails or knows too little is not asked again
 // for a while.
 func (w *Watcher) follow(ctx context.Context, peer elector.Member, wait time.Duration) time.Duration {
@@ -231,7 +236,7 @@
 	if err != nil {
 		return err
 	}
-	w.Elector.StoreAnswered()
+	w.answered()
 	now := time.Now()
 	w.registry.replace(now, c.Entries)
 	w.publish(now)
--- a/gateway/internal/watcher/watcher_test.go
+++ b/gateway/internal/watcher/watcher_test.go
@@ -224,6 +224,30 @@
 	}
 }
 
+// TestStoreStaysLost guards against a log that says the store is back because a peer has answered.
+func TestStoreStaysLost(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	member := func(name string) translator.VM {
+		return translator.VM{Revision: 1, Member: elector.Member{Name: name, FailureDomain: "d", Address: netip.MustParseAddrPort("10.0.0.2:7741")}}
+	}
+	s := &script{manifest: 1, end: cancel, vms: []translator.VM{member("vm2"), member("vm3")}}
+	s.watches = []func() (*translator.Changes, error){func() (*translator.Changes, error) { return nil, eris.New("refused") }}
+	p := &peers{answers: []func() (*relayer.Answer, error){
+		func() (*relayer.Answer, error) { return nil, eris.New("refused") },
+		func() (*relayer.Answer, error) { cancel(); return &relayer.Answer{Revision: 8}, nil },
+	}}
+	w := &Watcher{
+		Store: s, Peers: p, Elector: elector.Elector{Self: elector.Member{Name: "vm1", FailureDomain: "d"}, Least: 1}, Drain: 3 * time.Second,
+		Apply: 3 * time.Second, Log: logger.New(zapcore.AddSync(io.Discard), "vm"), List: func([]forwarder.Upstream) {},
+		Manifest: func(*forwarder.Manifest) {}, Fleet: func(int) {}, Reports: func() []reporter.Report { return nil }, Rate: func([]reporter.Rating) {},
+	}
+	w.Run(ctx)
+	if !w.link.lost || w.revision != 8 {
+		t.Errorf("store lost %t, revision %d", w.link.lost, w.revision)
+	}
+}
+
 // TestDropIsPublished guards against an upstream whose kept entry ends during a pause: it went on getting requests until the watch
 // after the pause returned, seconds later.
 func TestDropIsPublished(t *testing.T) {
