Forget failures of peers that no longer count

Cause: found by reading; the list of failed VMs kept the name of each VM that was ever replaced. TestFailuresAreForgotten fails without it.

--- a/core/coordination/elector/elector.go
+++ b/core/coordination/elector/elector.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -58,6 +59,7 @@
 
 // SetMembers takes the VMs that are registered now.
 func (e *Elector) SetMembers(now time.Time, all []Member) {
+	maps.DeleteFunc(e.failed, func(_ string, at time.Time) bool { return now.Sub(at) >= avoidTime })
 	e.domain = e.domain[:0]
 	for _, m := range all {
 		if m.FailureDomain == e.Self.FailureDomain {
--- a/core/coordination/elector/elector_test.go
+++ b/core/coordination/elector/elector_test.go
@@ -104,3 +104,15 @@
 		}
 	}
 }
+
+// TestFailuresAreForgotten guards against a list of failed VMs that grows with each VM that was ever replaced.
+func TestFailuresAreForgotten(t *testing.T) {
+	var e Elector
+	for i := range 1000 {
+		e.PeerFailed(start, fmt.Sprintf("vm%d", i))
+	}
+	e.SetMembers(start.Add(avoidTime), domain("a", 6))
+	if len(e.failed) != 0 {
+		t.Errorf("%d failures are kept", len(e.failed))
+	}
+}
