Take reports of upstreams in a VM that nobody follows

Cause: found by reading; in a small fleet nobody took the reports, and each replaced upstream left one. TestReportsAreTaken fails without it.

--- a/gateway/internal/watcher/watcher.go
+++ b/gateway/internal/watcher/watcher.go
@@ -73,7 +73,7 @@
 	Manifest func(*forwarder.Manifest)
 	List     func([]forwarder.Upstream)
 	Fleet    func(size int)           // of the fleet; not called while no VM is registered
-	Reports  func() []reporter.Report // what this VM saw of upstreams since the last call
+	Reports  func() []reporter.Report // what this VM saw of upstreams since the last call; nil for nothing
 	Rate     func([]reporter.Rating)
 	Removed  func() // tells that the entry of this VM is gone; not called before it was seen
 	Log      *logger.Logger
@@ -92,6 +92,9 @@
 	if w.History == nil {
 		w.History = &relayer.History{}
 	}
+	if w.Reports == nil {
+		w.Reports = func() []reporter.Report { return nil }
+	}
 	w.registry.hold = min(w.Settle, time.Duration(float64(w.Drain)*holdShare))
 	for ctx.Err() == nil {
 		pause, err := w.next(ctx)
@@ -128,8 +131,8 @@
 	if peer, ok := source.(elector.Peer); ok {
 		return w.follow(ctx, peer.Member, min(wait, w.stale()/2)), nil
 	}
-	if w.History.Followed(now) {
-		w.Rate(w.History.Report(now, w.Reports()))
+	if reports := w.Reports(); w.History.Followed(now) { // taken even if nobody asks, because they pile up otherwise
+		w.Rate(w.History.Report(now, reports))
 	}
 	return w.watch(ctx, wait)
 }
--- a/gateway/internal/watcher/watcher_test.go
+++ b/gateway/internal/watcher/watcher_test.go
@@ -224,6 +224,21 @@
 	}
 }
 
+// TestReportsAreTaken guards against reports that pile up in a VM that nobody follows.
+func TestReportsAreTaken(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	taken := 0
+	w := &Watcher{
+		Store: &script{end: cancel}, Log: logger.New(zapcore.AddSync(io.Discard), "vm"), List: func([]forwarder.Upstream) {},
+		Reports: func() []reporter.Report { taken++; return nil },
+	}
+	w.Run(ctx)
+	if taken == 0 {
+		t.Error("reports are never taken")
+	}
+}
+
 // TestStoreStaysLost guards against a log that says the store is back because a peer has answered.
 func TestStoreStaysLost(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
