--- a/core/coordination/forwarder/dispatch.go
+++ b/core/coordination/forwarder/dispatch.go
@@ -227,16 +227,21 @@
 			kind = selector.Cancelled
 		}
 	}
+	m.report(now, a, kind, result)
+	a.service.set.Finished(now, i, selector.Result{Latency: now.Sub(a.sent), Kind: kind})
+}
+
+// report notes the result of an attempt for other VMs. A connection that was turned away says nothing about those that are open.
+func (m *Machine) report(now time.Time, a *attempt, kind selector.ResultKind, result Result) {
+	if f, ok := result.(Failed); ok && f.Failure == TurnedAway {
+		return
+	}
 	switch kind {
 	case selector.OK:
 		m.book.Succeeded(a.service.name, a.upstream, now.Sub(a.sent))
 	case selector.Reset, selector.Refused, selector.TimedOut, selector.Errored:
-		if f, ok := result.(Failed); ok && f.Failure == TurnedAway {
-			break // connections that are open already work
-		}
 		m.book.Failed(a.service.name, a.upstream)
 	}
-	a.service.set.Finished(now, i, selector.Result{Latency: now.Sub(a.sent), Kind: kind})
 }
 
 func kindOf(r *Reply) selector.ResultKind {
--- a/gateway/internal/watcher/fleet.go
+++ b/gateway/internal/watcher/fleet.go
@@ -1,6 +1,11 @@
 package watcher
 
 import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
 	"comfreyroute/core/coordination/elector"
 	"comfreyroute/platform/translator"
 )
@@ -41,3 +46,24 @@
 	}
 	return all
 }
+
+// join takes the present members of the fleet, and tells when this VM is no longer among them.
+func (w *Watcher) join(now time.Time) {
+	members := w.fleet.members()
+	w.Elector.SetMembers(now, members)
+	present := slices.ContainsFunc(members, func(m elector.Member) bool { return m.Name == w.Elector.Self.Name })
+	if w.joined && !present {
+		w.Log.Info("watcher: this VM is no longer registered", zap.Uint64("revision", w.revision))
+		w.Removed()
+	}
+	w.joined = present
+}
+
+// resize passes on how many VMs there are.
+func (w *Watcher) resize(now time.Time) {
+	if n := w.Elector.FleetSize(now); n != w.fleet.told {
+		w.Log.Info("watcher: fleet size", zap.Int("vms", n), zap.Int("before", w.fleet.told))
+		w.fleet.told = n
+		w.Fleet(n)
+	}
+}
--- /dev/null
+++ b/gateway/internal/watcher/source.go
@@ -0,0 +1,105 @@
+package watcher
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"comfreyroute/core/coordination/elector"
+	"comfreyroute/gateway/internal/relayer"
+	"comfreyroute/platform/translator"
+)
+
+const (
+	// staleShare is the part of the shorter one of these times for which what a peer knows may be unconfirmed. A follower notices within
+	// it, or within the wait and followMargin, that its peer lost the store, and then asks the store.
+	staleShare = 0.35
+	// followMargin is how long the response of a peer may take beyond its waiting time.
+	followMargin = 500 * time.Millisecond
+	// reportTime is how often a follower tells what it saw of upstreams, and hears what others saw. Faults of upstreams last seconds.
+	reportTime = 500 * time.Millisecond
+	// followPause is the pause after changes from a peer: they come in series, and each question costs both VMs some work.
+	followPause = 100 * time.Millisecond
+)
+
+// stale returns the age from which what a peer knows is of no use.
+func (w *Watcher) stale() time.Duration {
+	return time.Duration(float64(min(w.Drain, w.Apply)) * staleShare)
+}
+
+// watch waits for changes in the store.
+func (w *Watcher) watch(ctx context.Context, wait time.Duration) (time.Duration, error) {
+	bounded, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	c, err := w.Store.Watch(bounded, w.revision, wait)
+	if errors.Is(err, translator.ErrHistoryGone) {
+		w.answered()
+		w.Log.Info("watcher: history dropped, reading everything", zap.Uint64("revision", w.revision))
+		w.revision = 0
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	w.answered()
+	now := time.Now()
+	w.take(now, now, c)
+	if len(c.Items) < backlog && len(c.Items) > 0 {
+		if w.History.Followed(now) {
+			return w.stale() / 4, nil
+		}
+		return time.Duration(float64(min(w.Drain, w.Apply)) * seriesShare), nil
+	}
+	return 0, nil
+}
+
+// answered records that the store answered.
+func (w *Watcher) answered() {
+	w.Elector.StoreAnswered()
+	w.link.worked(w.Log)
+}
+
+// follow waits for changes that a peer has read. It returns how long to pause. A peer that fails or knows too little is not asked again
+// for a while.
+func (w *Watcher) follow(ctx context.Context, peer elector.Member, wait time.Duration) time.Duration {
+	bounded, cancel := context.WithTimeout(ctx, wait+followMargin)
+	defer cancel()
+	a, err := w.Peers.Since(bounded, peer.Address, relayer.Question{
+		After: w.revision, Wait: min(wait, reportTime), Most: w.stale(), Reports: w.Reports(),
+	})
+	now := time.Now()
+	var c *translator.Changes
+	if err == nil {
+		c, err = translator.Decode(a.Items(), a.Revision)
+	}
+	lost := func(reason string) time.Duration {
+		w.Log.Warn("watcher: peer lost", zap.String("peer", peer.Name), zap.Uint64("revision", w.revision), zap.String("reason", reason))
+		return 0
+	}
+	switch {
+	case err != nil:
+		w.Elector.PeerFailed(now, peer.Name)
+		return lost(err.Error())
+	case a.Gone:
+		w.Elector.PeerFailed(now, peer.Name)
+		return lost("it does not know every change since then")
+	case a.Age > w.stale():
+		w.Elector.PeerStale(now, peer.Name)
+		return lost("it last heard from the store " + a.Age.String() + " ago")
+	}
+	w.Rate(a.Ratings)
+	w.take(now, now.Add(-a.Age), c)
+	if len(c.Items) > 0 {
+		return followPause
+	}
+	return 0
+}
+
+func describe(s elector.Source) string {
+	if p, ok := s.(elector.Peer); ok {
+		return p.Member.Name
+	}
+	return "store"
+}
--- a/gateway/internal/watcher/watcher.go
+++ b/gateway/internal/watcher/watcher.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"net/netip"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,15 +33,6 @@
 	seriesShare = 0.25
 	// backlog is the number of changes from which a response may be a page of a longer history. The store's pages have 500 items.
 	backlog = 100
-	// staleShare is the part of the shorter one of these times for which what a peer knows may be unconfirmed. A follower notices within
-	// it, or within the wait and followMargin, that its peer lost the store, and then asks the store.
-	staleShare = 0.35
-	// followMargin is how long the response of a peer may take beyond its waiting time.
-	followMargin = 500 * time.Millisecond
-	// reportTime is how often a follower tells what it saw of upstreams, and hears what others saw. Faults of upstreams last seconds.
-	reportTime = 500 * time.Millisecond
-	// followPause is the pause after changes from a peer: they come in series, and each question costs both VMs some work.
-	followPause = 100 * time.Millisecond
 	// holdShare is the part of the drain time for which a missing entry is kept. A server whose entry is removed serves for the
 	// drain time, and must get nothing after it.
 	holdShare = 0.55
@@ -137,86 +127,6 @@
 	return w.watch(ctx, wait)
 }
 
-// stale returns the age from which what a peer knows is of no use.
-func (w *Watcher) stale() time.Duration {
-	return time.Duration(float64(min(w.Drain, w.Apply)) * staleShare)
-}
-
-func describe(s elector.Source) string {
-	if p, ok := s.(elector.Peer); ok {
-		return p.Member.Name
-	}
-	return "store"
-}
-
-// watch waits for changes in the store.
-func (w *Watcher) watch(ctx context.Context, wait time.Duration) (time.Duration, error) {
-	bounded, cancel := context.WithTimeout(ctx, wait+callTimeout)
-	defer cancel()
-	c, err := w.Store.Watch(bounded, w.revision, wait)
-	if errors.Is(err, translator.ErrHistoryGone) {
-		w.answered()
-		w.Log.Info("watcher: history dropped, reading everything", zap.Uint64("revision", w.revision))
-		w.revision = 0
-		return 0, nil
-	}
-	if err != nil {
-		return 0, err
-	}
-	w.answered()
-	now := time.Now()
-	w.take(now, now, c)
-	if len(c.Items) < backlog && len(c.Items) > 0 {
-		if w.History.Followed(now) {
-			return w.stale() / 4, nil
-		}
-		return time.Duration(float64(min(w.Drain, w.Apply)) * seriesShare), nil
-	}
-	return 0, nil
-}
-
-// answered records that the store answered.
-func (w *Watcher) answered() {
-	w.Elector.StoreAnswered()
-	w.link.worked(w.Log)
-}
-
-// follow waits for changes that a peer has read. It returns how long to pause. A peer that fails or knows too little is not asked again
-// for a while.
-func (w *Watcher) follow(ctx context.Context, peer elector.Member, wait time.Duration) time.Duration {
-	bounded, cancel := context.WithTimeout(ctx, wait+followMargin)
-	defer cancel()
-	a, err := w.Peers.Since(bounded, peer.Address, relayer.Question{
-		After: w.revision, Wait: min(wait, reportTime), Most: w.stale(), Reports: w.Reports(),
-	})
-	now := time.Now()
-	var c *translator.Changes
-	if err == nil {
-		c, err = translator.Decode(a.Items(), a.Revision)
-	}
-	lost := func(reason string) time.Duration {
-		w.Log.Warn("watcher: peer lost", zap.String("peer", peer.Name), zap.Uint64("revision", w.revision), zap.String("reason", reason))
-		return 0
-	}
-	switch {
-	case err != nil:
-		w.Elector.PeerFailed(now, peer.Name)
-		return lost(err.Error())
-	case a.Gone:
-		w.Elector.PeerFailed(now, peer.Name)
-		return lost("it does not know every change since then")
-	case a.Age > w.stale():
-		w.Elector.PeerStale(now, peer.Name)
-		return lost("it last heard from the store " + a.Age.String() + " ago")
-	}
-	w.Rate(a.Ratings)
-	w.take(now, now.Add(-a.Age), c)
-	if len(c.Items) > 0 {
-		return followPause
-	}
-	return 0
-}
-
 // take passes changes on. Confirmed is when nothing newer was in the store.
 func (w *Watcher) take(now, confirmed time.Time, c *translator.Changes) {
 	w.revision = c.Revision
@@ -254,27 +164,6 @@
 	return nil
 }
 
-// join takes the present members of the fleet, and tells when this VM is no longer among them.
-func (w *Watcher) join(now time.Time) {
-	members := w.fleet.members()
-	w.Elector.SetMembers(now, members)
-	present := slices.ContainsFunc(members, func(m elector.Member) bool { return m.Name == w.Elector.Self.Name })
-	if w.joined && !present {
-		w.Log.Info("watcher: this VM is no longer registered", zap.Uint64("revision", w.revision))
-		w.Removed()
-	}
-	w.joined = present
-}
-
-// resize passes on how many VMs there are.
-func (w *Watcher) resize(now time.Time) {
-	if n := w.Elector.FleetSize(now); n != w.fleet.told {
-		w.Log.Info("watcher: fleet size", zap.Int("vms", n), zap.Int("before", w.fleet.told))
-		w.fleet.told = n
-		w.Fleet(n)
-	}
-}
-
 // adopt passes a manifest on that is newer than the present one.
 func (w *Watcher) adopt(m *forwarder.Manifest) {
 	if m == nil || m.Version <= w.version {
