Pass the upstreams on only when they have changed

Read again: a VM that follows another asks twice a second, and passed on all upstreams before and after each question; nothing follows from an unchanged list. TestUnchangedIsNotPublished fails without it. The shares of the age that peers' knowledge may have get names, the least wait its reason, and the tests of the gateway take the manifest's key from the platform's package. No other behaviour changes.

--- a/gateway/internal/relayer/message.go
+++ b/gateway/internal/relayer/message.go
@@ -30,7 +30,7 @@
 	Ratings []reporter.Rating `json:"ratings,omitempty"`
 }
 
-// Record is one key of the store.
+// Record is one key of the store. Its names are our own, so that a name of the platform can change without the VMs noticing.
 type Record struct {
 	Key      string `json:"key"`
 	Value    []byte `json:"value,omitempty"`
--- a/gateway/internal/relayer/relayer_test.go
+++ b/gateway/internal/relayer/relayer_test.go
@@ -117,7 +117,7 @@
 
 // FuzzAnswer guards against an answer of a peer that stops the process.
 func FuzzAnswer(f *testing.F) {
-	for _, a := range []Answer{{Gone: true}, {Revision: 3, Records: []Record{{Key: "op/config", Value: []byte(`{"version":1}`), Revision: 2}}}} {
+	for _, a := range []Answer{{Gone: true}, {Revision: 3, Records: []Record{{Key: translator.ManifestKey, Value: []byte(`{"version":1}`), Revision: 2}}}} {
 		data, err := json.Marshal(a)
 		if err != nil {
 			f.Fatal(err)
--- a/gateway/internal/watcher/source.go
+++ b/gateway/internal/watcher/source.go
@@ -16,6 +16,11 @@
 	// staleShare is the part of the shorter one of these times for which what a peer knows may be unconfirmed. A follower notices within
 	// it, or within the wait and followMargin, that its peer lost the store, and then asks the store.
 	staleShare = 0.35
+	// waitShare is the part of that age for which a question to a peer, and the watch of a VM that is followed, wait. The rest is for a pause
+	// and for the way.
+	waitShare = 0.5
+	// pauseShare is the part of that age for which a VM that is followed pauses after changes. With waitShare it stays below 1.
+	pauseShare = 0.25
 	// followMargin is how long the response of a peer may take beyond its waiting time.
 	followMargin = 500 * time.Millisecond
 	// reportTime is how often a follower tells what it saw of upstreams, and hears what others saw. Faults of upstreams last seconds.
@@ -24,9 +29,9 @@
 	followPause = 100 * time.Millisecond
 )
 
-// stale returns the age from which what a peer knows is of no use.
-func (w *Watcher) stale() time.Duration {
-	return time.Duration(float64(min(w.Drain, w.Apply)) * staleShare)
+// stale returns a part of the age from which what a peer knows is of no use.
+func (w *Watcher) stale(part float64) time.Duration {
+	return time.Duration(float64(min(w.Drain, w.Apply)) * staleShare * part)
 }
 
 // watch waits for changes in the store.
@@ -48,7 +53,7 @@
 	w.take(now, now, c)
 	if len(c.Items) < backlog && len(c.Items) > 0 {
 		if w.History.Followed(now) {
-			return w.stale() / 4, nil
+			return w.stale(pauseShare), nil
 		}
 		return time.Duration(float64(min(w.Drain, w.Apply)) * seriesShare), nil
 	}
@@ -67,7 +72,7 @@
 	bounded, cancel := context.WithTimeout(ctx, wait+followMargin)
 	defer cancel()
 	a, err := w.Peers.Since(bounded, peer.Address, relayer.Question{
-		After: w.revision, Wait: min(wait, reportTime), Most: w.stale(), Reports: w.Reports(),
+		After: w.revision, Wait: min(wait, reportTime), Most: w.stale(1), Reports: w.Reports(),
 	})
 	now := time.Now()
 	var c *translator.Changes
@@ -85,7 +90,7 @@
 	case a.Gone:
 		w.Elector.PeerFailed(now, peer.Name)
 		return lost("it does not know every change since then")
-	case a.Age > w.stale():
+	case a.Age > w.stale(1):
 		w.Elector.PeerStale(now, peer.Name)
 		return lost("it last heard from the store " + a.Age.String() + " ago")
 	}
--- a/gateway/internal/watcher/watcher.go
+++ b/gateway/internal/watcher/watcher.go
@@ -27,7 +27,8 @@
 	readTimeout = 2 * time.Second
 	// watchMargin is what remains of the stable window after a watch that was lost has timed out, for a reading of everything.
 	watchMargin = 300 * time.Millisecond
-	minWatch    = time.Second
+	// minWatch is the least wait of a watch, for stable windows that leave none.
+	minWatch = time.Second
 	// seriesShare is the part of the shorter one of the times to apply a manifest and to drain an upstream for which the watcher
 	// pauses after changes: they come in series, and each call is priced. Together with holdShare it stays below 1.
 	seriesShare = 0.25
@@ -69,6 +70,7 @@
 	Log      *logger.Logger
 
 	joined   bool // this VM is registered
+	listed   bool // the upstreams were passed on once
 	registry registry
 	fleet    fleet
 	link     link
@@ -108,7 +110,7 @@
 	}
 	wait := max(minWatch, w.Stable-callTimeout-watchMargin)
 	if w.History.Followed(now) {
-		wait = min(wait, w.stale()/2)
+		wait = min(wait, w.stale(waitShare))
 	}
 	if due := w.publish(now); !due.IsZero() {
 		wait = min(wait, max(time.Until(due), time.Millisecond))
@@ -119,7 +121,7 @@
 		w.source = source
 	}
 	if peer, ok := source.(elector.Peer); ok {
-		return w.follow(ctx, peer.Member, min(wait, w.stale()/2)), nil
+		return w.follow(ctx, peer.Member, min(wait, w.stale(waitShare))), nil
 	}
 	if reports := w.Reports(); w.History.Followed(now) { // taken even if nobody asks, because they pile up otherwise
 		w.Rate(w.History.Report(now, reports))
@@ -175,12 +177,17 @@
 	w.Manifest(m)
 }
 
-// publish passes the upstreams on, without the entries that were missing for too long. It returns when the next one of these is
-// due, zero for none.
+// publish passes the upstreams on if they have changed, without the entries that were missing for too long. It returns when the next
+// one of these is due, zero for none.
 func (w *Watcher) publish(now time.Time) time.Time {
 	due := w.registry.expire(now)
+	text := w.registry.changes()
+	if text == "" && w.listed {
+		return due
+	}
+	w.listed = true
 	all := w.registry.upstreams()
-	if text := w.registry.changes(); text != "" {
+	if text != "" {
 		w.Log.Info("watcher: upstreams changed", zap.Int("upstreams", len(all)), zap.Uint64("revision", w.revision), zap.String("changes", text))
 	}
 	w.List(all)
--- a/gateway/internal/watcher/watcher_test.go
+++ b/gateway/internal/watcher/watcher_test.go
@@ -176,7 +176,7 @@
 func TestFollow(t *testing.T) {
 	rating := []reporter.Rating{{Service: "s", Upstream: "u", Errors: 0.5}}
 	var rated []reporter.Rating
-	config := relayer.Record{Key: "op/config", Value: []byte(`{"version":2}`), Revision: 9}
+	config := relayer.Record{Key: translator.ManifestKey, Value: []byte(`{"version":2}`), Revision: 9}
 	cases := []struct {
 		name     string
 		answer   *relayer.Answer
@@ -189,7 +189,7 @@
 		{"no response", nil, eris.New("refused"), []uint64{1}, 7},
 		{"the peer has lost the store", &relayer.Answer{Revision: 9, Age: time.Minute, Records: []relayer.Record{config}}, nil, []uint64{1}, 7},
 		{"the peer does not know every change", &relayer.Answer{Gone: true, Revision: 9}, nil, []uint64{1}, 7},
-		{"a manifest that cannot be read", &relayer.Answer{Revision: 9, Records: []relayer.Record{{Key: "op/config", Revision: 9}}}, nil, []uint64{1}, 7},
+		{"a manifest that cannot be read", &relayer.Answer{Revision: 9, Records: []relayer.Record{{Key: translator.ManifestKey, Revision: 9}}}, nil, []uint64{1}, 7},
 	}
 	peer := translator.VM{Revision: 1, Member: elector.Member{Name: "vm2", FailureDomain: "d", Address: netip.MustParseAddrPort("10.0.0.2:7741")}}
 	for _, c := range cases {
@@ -289,6 +289,22 @@
 	}
 }
 
+// TestUnchangedIsNotPublished guards against all upstreams being passed on after each call, twice a second in a VM that follows another.
+func TestUnchangedIsNotPublished(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	none := func() (*translator.Changes, error) { return &translator.Changes{Revision: 8}, nil }
+	published := 0
+	w := &Watcher{
+		Store: &script{end: cancel, watches: []func() (*translator.Changes, error){none, none}},
+		Log:   logger.New(zapcore.AddSync(io.Discard), "vm"), List: func([]forwarder.Upstream) { published++ },
+	}
+	w.Run(ctx)
+	if published != 1 {
+		t.Errorf("published %d times, want 1", published)
+	}
+}
+
 // TestBacklogIsReadAtOnce guards against pauses between the pages of a long history: after an outage of the store a server that
 // had left meanwhile got requests until the last page was read.
 func TestBacklogIsReadAtOnce(t *testing.T) {
