--- a/gateway/internal/registrar/registrar.go
+++ b/gateway/internal/registrar/registrar.go
@@ -79,6 +79,7 @@
 		}
 		if err != nil {
 			next = min(next, retryPause+rand.N(retryPause))
+			r.Log.Info("registrar: lease not renewed", zap.String("error", err.Error()), zap.Duration("again", next))
 		}
 	}
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
--- a/gateway/internal/runner/stop.go
+++ b/gateway/internal/runner/stop.go
@@ -40,7 +40,8 @@
 	}
 	err := g.callers.Shutdown(ctx)
 	if err != nil {
-		_ = g.callers.Close()
+		g.log.Warn("runner: requests given up", zap.String("error", err.Error()))
+		_ = g.callers.Close() // the listener is closed already
 	}
 	g.client.Close()
 	g.log.Info("runner: stopped", zap.Duration("took", time.Since(began)), zap.Int("lost", g.requests()))
