Log when a VM has lost all upstreams

Nothing in the logs told a VM that is cut off from every upstream from one with slow upstreams: a silent attempt is logged when it ends. The VM now counts upstreams that got a request since the last reply of any upstream, and logs and exports the loss (upstreams_lost). No decision depends on it yet.

--- a/core/coordination/forwarder/action.go
+++ b/core/coordination/forwarder/action.go
@@ -28,6 +28,12 @@
 // Retire closes the connections to an upstream that gets no new requests, each one once it is idle.
 type Retire struct{ Upstream string }
 
+// ReachChanged reports that this VM has lost all upstreams, or reaches them again.
+type ReachChanged struct {
+	Lost bool
+	Age  time.Duration // of the loss when it ends
+}
+
 // Answer completes a request.
 type Answer struct {
 	Request RequestID
@@ -58,6 +64,8 @@
 
 func (RateChanged) isAction() {}
 
+func (ReachChanged) isAction() {}
+
 // Outcome is the result of a request, which its caller receives.
 type Outcome interface{ isOutcome() }
 
--- a/core/coordination/forwarder/dispatch.go
+++ b/core/coordination/forwarder/dispatch.go
@@ -97,6 +97,7 @@
 	sub.state = subSent
 	sub.possibleRuns++ // reverted if the result shows that it did not run
 	r.sends++
+	m.reach.RecordStart(now, sub.service.name, a.upstream, now.Add(sub.service.set.LateAfter(i)))
 	sub.service.set.RecordStart(now, i)
 	m.emit(Send{
 		Attempt: a.id, Service: sub.service.name, Upstream: a.upstream, Address: u.Row.Address, Message: r.message, Deadline: r.answerBy,
@@ -140,6 +141,7 @@
 		return
 	}
 	delete(m.attempts, a.id)
+	m.recordReach(now, a, e.Result)
 	m.recordResult(now, a, e.Result)
 	if r := a.request; r != nil && !r.finished {
 		r.subs[a.subIndex].inFlight.Remove(a.id)
--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"comfreyroute/core/coordination/navigator"
 	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/core/coordination/scheduler"
 	"comfreyroute/core/coordination/screener"
@@ -16,6 +17,9 @@
 
 	LimitedSends LimitedSends // to upstreams that declare a limit on their rate; read only
 
+	reach         navigator.Reach
+	reachReported bool // the value of the last ReachChanged action
+
 	collector   reporter.Collector
 	random      *rand.Rand
 	manifest    *Manifest
@@ -56,6 +60,7 @@
 	case TimerFired:
 		m.wakeAt = time.Time{}
 	}
+	m.checkReach(now)
 	for len(m.timers) > 0 && !m.timers[0].due.After(now) {
 		m.runDueSteps(now, m.timers[0])
 	}
@@ -83,10 +88,13 @@
 
 // scheduleWake emits a Wake if the next due time is earlier than that of the pending Wake.
 func (m *Machine) scheduleWake(now time.Time) {
-	if len(m.timers) == 0 {
+	next := m.reach.NextCheck(now)
+	if len(m.timers) > 0 && (next.IsZero() || m.timers[0].due.Before(next)) {
+		next = m.timers[0].due
+	}
+	if next.IsZero() {
 		return
 	}
-	next := m.timers[0].due
 	if m.wakeAt.IsZero() || !m.wakeAt.After(now) || next.Before(m.wakeAt) {
 		m.wakeAt = next
 		m.emit(Wake{At: next})
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -112,6 +112,7 @@
 	for name := range byService {
 		m.serviceFor(name)
 	}
+	m.reach.Configure(len(byService), len(all))
 	for _, s := range m.servicesByName() {
 		upstreams := byService[s.name]
 		slices.SortFunc(upstreams, func(a, b Upstream) int { return strings.Compare(a.Name, b.Name) })
--- a/core/coordination/selector/set.go
+++ b/core/coordination/selector/set.go
@@ -142,6 +142,9 @@
 	return eligible, free, places
 }
 
+// LateAfter returns the time after which a reply of the upstream at a position is late.
+func (s *Set) LateAfter(i int) time.Duration { return s.lateAfter(&s.upstreams[i]) }
+
 // UsualLatency returns the mean latency of the upstreams, 0 before the first reply.
 func (s *Set) UsualLatency() time.Duration { return time.Duration(s.latency.mean) }
 
--- a/gateway/internal/driver/driver.go
+++ b/gateway/internal/driver/driver.go
@@ -21,7 +21,8 @@
 	Machine   forwarder.Machine
 	Transport Transport
 
-	OnRateChanged func(forwarder.RateChanged) // must not block; nil ignores the changes
+	OnRateChanged  func(forwarder.RateChanged)  // must not block; nil ignores the changes
+	OnReachChanged func(forwarder.ReachChanged) // must not block; nil ignores the changes
 
 	mu      sync.Mutex
 	lastID  forwarder.RequestID
@@ -104,6 +105,10 @@
 		if d.OnRateChanged != nil {
 			d.OnRateChanged(a)
 		}
+	case forwarder.ReachChanged:
+		if d.OnReachChanged != nil {
+			d.OnReachChanged(a)
+		}
 	default:
 		return d.Transport.Do(a)
 	}
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -136,7 +136,7 @@
 		g.driver.HandleEvent(forwarder.AttemptEnded{Attempt: send.Attempt, Result: r})
 	}
 	g.driver.Transport = &g.client
-	g.driver.OnRateChanged = g.logRateChange
+	g.driver.OnRateChanged, g.driver.OnReachChanged = g.logRateChange, g.logReachChange
 	g.driver.Machine.Config = forwarder.Config{
 		FailureDomain: s.FailureDomain, ExtraSendRatio: s.RetryBudgetRatio, ExtraSendSlack: s.RetryBudgetSlack,
 		BudgetWindow: s.BudgetWindow, ReplyBytes: g.memory.Limit, Seed: uint64(time.Now().UnixNano()),
@@ -310,6 +310,15 @@
 	g.log.InfoLimited("forwarder: upstream limits its rate", append(fields, zap.Float64("rate", c.Rate))...)
 }
 
+// logReachChange logs that this VM has lost all upstreams, or reaches them again.
+func (g *Gateway) logReachChange(c forwarder.ReachChanged) {
+	if c.Lost {
+		g.log.Warn("forwarder: no upstream answers")
+		return
+	}
+	g.log.Info("forwarder: upstreams answer again", zap.Duration("after", c.Age))
+}
+
 // takeReports returns and clears the reports about upstreams that were collected from attempts.
 func (g *Gateway) takeReports() []reporter.Report {
 	var all []reporter.Report
@@ -343,6 +352,7 @@
 	count(`limited_sends_total{kind="first"}`, limited(func(m *forwarder.Machine) uint64 { return m.LimitedSends.First }))
 	count(`limited_sends_total{kind="hedge"}`, limited(func(m *forwarder.Machine) uint64 { return m.LimitedSends.Hedges }))
 	count(`limited_sends_total{kind="retry"}`, limited(func(m *forwarder.Machine) uint64 { return m.LimitedSends.Retries }))
+	count("upstreams_lost", limited(func(m *forwarder.Machine) uint64 { return m.UpstreamsLost() }))
 	count("store_calls_total", g.store.Calls.Load)
 	count("log_lines_dropped_total", g.log.DroppedLines.Load)
 }
