Serve the callers of a VM without upstreams through its peers

Cause: a VM has no other way to the upstreams than its own links, and makes no use of what it can know 0.1 s after the cut. Ruled out: readiness alone (open connections stay, and below half of a failure domain the balancer uses all).

A VM that has lost its upstreams, or all upstreams of a service, now sends whole requests to a peer, and returns after a reply to a trial. Limits are kept over both VMs: attempts are passed on, the retry budget is counted once, hosted requests are not sent on, wait behind the peer's own, and are refused while it is behind. Old builds name no address for detours and are not asked.

--- a/core/coordination/budgeter/window.go
+++ b/core/coordination/budgeter/window.go
@@ -59,6 +59,12 @@
 	return true
 }
 
+// ReturnToken takes back the extra send that the last TakeToken counted at the same time, because it is not made.
+func (w *Window) ReturnToken() {
+	w.level = min(w.slack, w.level+tokenUnit)
+	w.extras = w.extras[:max(0, len(w.extras)-1)]
+}
+
 // recentPrimaries returns the number of primaries in the last half span or a little less.
 func (w *Window) recentPrimaries() int64 {
 	n := int64(0)
--- a/core/coordination/elector/elector.go
+++ b/core/coordination/elector/elector.go
@@ -29,6 +29,7 @@
 	Name          string
 	FailureDomain string
 	Address       netip.AddrPort // where its peers ask for changes
+	DetourAddress netip.AddrPort // where it takes requests of other VMs; zero if it takes none
 	LinkMbps      float64        // bandwidth of its network link in Mbit/s; 0 if unknown
 }
 
--- a/core/coordination/forwarder/action.go
+++ b/core/coordination/forwarder/action.go
@@ -20,6 +20,7 @@
 	MaxBodyBytes   int64     // longer bodies of replies are not read
 	MaxConnections int       // connections that this VM may open to the upstream
 	RecentlyActive bool      // reuse only a connection with a recent reply, because the request must not be lost on a dead one
+	Detour         *Detour   // set if Upstream names a peer, which serves the whole request
 }
 
 // Cancel ends an attempt whose reply is no longer needed.
@@ -28,6 +29,15 @@
 // Retire closes the connections to an upstream that gets no new requests, each one once it is idle.
 type Retire struct{ Upstream string }
 
+// Probe opens a connection to an upstream without a request, to find out whether this VM reaches it. A ProbeEnded event follows.
+type Probe struct {
+	Service        string
+	Upstream       string
+	Address        netip.AddrPort
+	Deadline       time.Time
+	MaxConnections int // that this VM may open to the upstream
+}
+
 // ReachChanged reports that this VM has lost all upstreams, or reaches them again.
 type ReachChanged struct {
 	Lost bool
@@ -38,6 +48,8 @@
 type Answer struct {
 	Request RequestID
 	Outcome Outcome
+	Leaving []string // names of upstreams whose replies said that they leave
+	Runs    int      // upstreams of a service on which the request may have run, at most
 	Report  Report
 }
 
@@ -64,6 +76,8 @@
 
 func (RateChanged) isAction() {}
 
+func (Probe) isAction() {}
+
 func (ReachChanged) isAction() {}
 
 // Outcome is the result of a request, which its caller receives.
@@ -102,6 +116,7 @@
 	Hedges   int
 	Retries  int
 	Missing  []MissingShard
+	Peer     string // VM that answered the request; empty if this VM did
 }
 
 // MissingShard says why a shard is missing from an answer.
--- a/core/coordination/forwarder/admission.go
+++ b/core/coordination/forwarder/admission.go
@@ -50,7 +50,7 @@
 // queuedBefore returns how many sub-requests in the queue go before those of a new request.
 func (s *service) queuedBefore(r *request) int {
 	n := 0
-	for n < len(s.waiting) && s.waiting[n].request.route.Priority <= r.route.Priority {
+	for n < len(s.waiting) && s.waiting[n].request.precedes(r) {
 		n++
 	}
 	return n
--- a/core/coordination/forwarder/answer.go
+++ b/core/coordination/forwarder/answer.go
@@ -26,11 +26,15 @@
 func (m *Machine) answerIfDecided(now time.Time, r *request) {
 	switch {
 	case r.finished:
+	case r.succeeded+r.pending < r.minShards && r.detour != nil: // a peer may still answer
 	case r.succeeded+r.pending < r.minShards:
-		m.answerFailure(now, r)
+		if !m.failsForReach(now, r) || !m.moveToPeer(now, r) {
+			m.answerFailure(now, r)
+		}
 	case r.gather == nil && r.succeeded == 0: // an upstream may still reply
 	case r.gather == nil:
 		m.answer(now, r, Relayed{Reply: r.subs[0].reply})
+	case r.pending == 0 && r.succeeded < len(r.subs) && r.detour != nil && now.Before(r.partialAt): // a peer may answer with more shards
 	case r.pending == 0, r.succeeded >= r.minShards && !now.Before(r.partialAt):
 		m.answer(now, r, r.merge())
 	}
@@ -92,6 +96,10 @@
 		m.answer(now, r, r.merge())
 		return
 	}
+	if r.detour != nil {
+		m.answerFromPeer(now, r, "", Unknown{Reason: Expired}, nil)
+		return
+	}
 	if sub := &r.subs[0]; r.gather == nil && sub.reason == None {
 		sub.reason = Expired
 	}
--- a/core/coordination/forwarder/dispatch.go
+++ b/core/coordination/forwarder/dispatch.go
@@ -16,11 +16,16 @@
 	upstream  string
 	sent      time.Time
 	cancelled bool
+	toPeer    bool // upstream names a peer, and service is nil
 }
 
 // dispatch sends a sub-request to an upstream. If none has free capacity, it queues the sub-request, or fails it if it would wait too long.
 func (m *Machine) dispatch(now time.Time, r *request, index int) {
 	sub := &r.subs[index]
+	if r.detour != nil { // a peer uses the attempts that are left
+		sub.state = subIdle
+		return
+	}
 	i, ok := m.pickUpstream(now, sub, false)
 	switch {
 	case ok && (!sub.needsToken || sub.service.budget.TakeToken(now)):
@@ -124,6 +129,9 @@
 	if sub.inFlight.Count() >= maxInFlight || sub.possibleRuns >= r.maxAttempts() || len(sub.tried) >= maxSends {
 		return
 	}
+	if m.hedgeElsewhere(now, r, sub) {
+		return
+	}
 	i, ok := m.pickUpstream(now, sub, true)
 	if !ok || !sub.service.budget.TakeToken(now) {
 		// An upstream or a token may become available while the first attempt is still in flight.
@@ -141,6 +149,10 @@
 		return
 	}
 	delete(m.attempts, a.id)
+	if a.toPeer {
+		m.handleDetourEnd(now, a, e.Result)
+		return
+	}
 	m.recordReach(now, a, e.Result)
 	m.recordResult(now, a, e.Result)
 	if r := a.request; r != nil && !r.finished {
@@ -220,7 +232,7 @@
 		}
 		return
 	}
-	if !r.route.Idempotent && sub.possibleRuns > 0 || sub.possibleRuns >= r.maxAttempts() ||
+	if r.detour != nil || !r.route.Idempotent && sub.possibleRuns > 0 || sub.possibleRuns >= r.maxAttempts() ||
 		len(sub.tried) >= maxSends || !now.Before(r.answerBy) {
 		m.failSub(now, r, index)
 		return
--- a/core/coordination/forwarder/event.go
+++ b/core/coordination/forwarder/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"comfreyroute/core/coordination/navigator"
 	"comfreyroute/core/coordination/reporter"
 )
 
@@ -27,11 +28,22 @@
 // UpstreamsRated reports which upstreams fail or are slow for other VMs.
 type UpstreamsRated struct{ Ratings []reporter.Rating }
 
+// PeersListed carries the VMs of the fleet that take requests of this VM.
+type PeersListed struct{ Peers []navigator.Peer }
+
+// ProbeEnded reports whether an upstream accepted the connection of a Probe.
+type ProbeEnded struct {
+	Service   string
+	Upstream  string
+	Connected bool
+}
+
 // RequestArrived carries a request of a caller. Deadline is when the caller stops waiting; zero means the route's timeout.
 type RequestArrived struct {
 	Request  RequestID
 	Message  *Message
 	Deadline time.Time
+	Detour   *Detour // set if another VM sent the request on
 }
 
 // CallerGone reports that the caller of a request no longer waits for the answer.
@@ -54,6 +66,8 @@
 func (CallerGone) isEvent()      {}
 func (AttemptEnded) isEvent()    {}
 func (TimerFired) isEvent()      {}
+func (PeersListed) isEvent()     {}
+func (ProbeEnded) isEvent()      {}
 
 // Result says how an attempt ended.
 type Result interface{ isResult() }
@@ -69,8 +83,17 @@
 	Detail  string // for the log; may be empty
 }
 
-func (Replied) isResult() {}
-func (Failed) isResult()  {}
+// PeerAnswered means that a peer has answered the request.
+type PeerAnswered struct {
+	Outcome Outcome
+	Missing []string // services of the shards that are missing from the answer
+	Leaving []string // names of upstreams whose replies said that they leave
+	Runs    int      // upstreams of a service on which the request may have run there, at most
+}
+
+func (Replied) isResult()      {}
+func (Failed) isResult()       {}
+func (PeerAnswered) isResult() {}
 
 //go:generate stringer -type=Failure,Reason -linecomment -output=strings.go
 
@@ -98,20 +121,25 @@
 // The reasons of a failed request or a missing shard. Busy means that no upstream had free capacity or a free connection, Shed that
 // the upstream did not run the request, Expired that the deadline had passed or an attempt timed out, Late that the shard had not
 // replied when the request was answered, Errored that the upstream replied with an error, Lost that an attempt ended without a
-// usable reply, Budget that the retry budget was used up, and RateLimited that the rates which the upstreams declare allow no further request
-// in time.
+// usable reply, Budget that the retry budget was used up, RateLimited that the rates which the upstreams declare allow no further request
+// in time, OutOfReach that this VM reaches too few upstreams, and OtherManifest that the VMs route the request differently.
 const (
-	None         Reason = iota // none
-	NoManifest                 // no_manifest
-	NoRoute                    // no_route
-	NoUpstream                 // no_upstream
-	Busy                       // busy
-	Shed                       // shed
-	Expired                    // expired
-	Late                       // late
-	Errored                    // errored
-	Lost                       // lost
-	Budget                     // budget
-	TooFewShards               // too_few_shards
-	RateLimited                // rate_limited
+	None          Reason = iota // none
+	NoManifest                  // no_manifest
+	NoRoute                     // no_route
+	NoUpstream                  // no_upstream
+	Busy                        // busy
+	Shed                        // shed
+	Expired                     // expired
+	Late                        // late
+	Errored                     // errored
+	Lost                        // lost
+	Budget                      // budget
+	TooFewShards                // too_few_shards
+	RateLimited                 // rate_limited
+	OutOfReach                  // out_of_reach
+	OtherManifest               // other_manifest
 )
+
+// LastReason is the largest Reason.
+const LastReason = OtherManifest
--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -17,8 +17,16 @@
 
 	LimitedSends LimitedSends // to upstreams that declare a limit on their rate; read only
 
-	reach         navigator.Reach
-	reachReported bool // the value of the last ReachChanged action
+	Detours DetourCounts // read only
+
+	reach           navigator.Reach
+	elsewhere       navigator.Elsewhere // what peers say of all upstreams
+	peers           navigator.Peers
+	reachReported   bool       // the value of the last ReachChanged action
+	avoidedServices []*service // whose requests go through peers
+	detoured        int        // requests of other VMs in progress
+	lag             time.Duration
+	lagAt           time.Time
 
 	collector   reporter.Collector
 	random      *rand.Rand
@@ -57,7 +65,12 @@
 		}
 	case AttemptEnded:
 		m.handleAttemptEnd(now, e)
+	case PeersListed:
+		m.peers.SetPeers(e.Peers)
+	case ProbeEnded:
+		m.handleProbeEnd(now, e)
 	case TimerFired:
+		m.recordLag(now)
 		m.wakeAt = time.Time{}
 	}
 	m.checkReach(now)
@@ -88,7 +101,7 @@
 
 // scheduleWake emits a Wake if the next due time is earlier than that of the pending Wake.
 func (m *Machine) scheduleWake(now time.Time) {
-	next := m.reach.NextCheck(now)
+	next := m.nextReachCheck(now)
 	if len(m.timers) > 0 && (next.IsZero() || m.timers[0].due.Before(next)) {
 		next = m.timers[0].due
 	}
--- a/core/coordination/forwarder/manifest.go
+++ b/core/coordination/forwarder/manifest.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Manifest is one version of the routing configuration. It is immutable after NewManifest.
@@ -14,7 +17,8 @@
 	Services []Service
 	Limits   Limits
 
-	hosts map[string][]*Route // longest prefix first
+	hosts        map[string][]*Route // longest prefix first
+	fingerprints map[*Route]uint64   // two VMs with the same fingerprint route requests in the same way
 }
 
 // Service limits the connections to each upstream of a service.
@@ -68,9 +72,13 @@
 
 // NewManifest returns a manifest whose routes are indexed by host and path.
 func NewManifest(version uint64, routes []Route, services []Service, limits Limits) *Manifest {
-	m := &Manifest{Version: version, Routes: routes, Services: services, Limits: limits, hosts: map[string][]*Route{}}
+	m := &Manifest{
+		Version: version, Routes: routes, Services: services, Limits: limits,
+		hosts: map[string][]*Route{}, fingerprints: make(map[*Route]uint64, len(routes)),
+	}
 	for i := range m.Routes {
 		r := &m.Routes[i]
+		m.fingerprints[r] = xxhash.Sum64String(fmt.Sprintf("%#v", *r))
 		host := strings.ToLower(r.Host)
 		m.hosts[host] = append(m.hosts[host], r)
 	}
--- a/core/coordination/forwarder/reach.go
+++ b/core/coordination/forwarder/reach.go
@@ -1,6 +1,22 @@
 package forwarder
 
-import "time"
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// probesPerRound is how many upstreams are probed at once. Some of them may be down.
+	probesPerRound = 3
+	// serviceProbeDelay is the time between two probes of a service whose requests go through peers.
+	serviceProbeDelay = 300 * time.Millisecond
+	// probeTimeout is how long the connection of a probe may take.
+	probeTimeout = 700 * time.Millisecond
+	// lagGain is the weight of one timer in the average lag.
+	lagGain = 0.2
+	// lagHalfLife is the half-life of the lag while no timer fires.
+	lagHalfLife = 200 * time.Millisecond
+)
 
 // recordReach records what the result of an attempt says about the connection of this VM to its upstreams.
 func (m *Machine) recordReach(now time.Time, a *attempt, result Result) {
@@ -14,18 +30,36 @@
 		case ConnectionRejected, Mismatched, Oversized: // its host has answered
 		}
 	}
-	if m.reach.RecordReply() {
+	m.recordContact(now)
+}
+
+// recordContact records that an upstream has answered.
+func (m *Machine) recordContact(now time.Time) {
+	if m.reach.RecordReply(now) {
 		m.emit(ReachChanged{Age: now.Sub(m.reach.LostSince())})
 	}
 }
 
-// checkReach notices the loss of all upstreams.
+// checkReach notices the loss of all upstreams and probes lost ones.
 func (m *Machine) checkReach(now time.Time) {
 	lost := m.reach.Lost(now)
 	if lost && !m.reachReported {
 		m.emit(ReachChanged{Lost: true})
+		m.moveAllToPeers(now)
 	}
 	m.reachReported = lost
+	if m.reach.ProbeDue(now) {
+		m.probeRandom(now)
+	}
+	m.avoidedServices = slices.DeleteFunc(m.avoidedServices, func(s *service) bool {
+		return !s.set.Unreachable(now) || !s.elsewhere.Reached(now)
+	})
+	for _, s := range m.avoidedServices {
+		if !now.Before(s.probeAt) {
+			s.probeAt = now.Add(serviceProbeDelay)
+			m.probe(now, s, m.random.IntN(s.set.Len()))
+		}
+	}
 }
 
 // UpstreamsLost returns 1 while this VM reaches no upstream, and 0 otherwise.
@@ -35,3 +69,109 @@
 	}
 	return 0
 }
+
+// moveAllToPeers sends the requests in progress through peers.
+func (m *Machine) moveAllToPeers(now time.Time) {
+	all := make([]*request, 0, len(m.requests))
+	for _, r := range m.requests {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b *request) int { return int(a.id) - int(b.id) })
+	for _, r := range all {
+		switch {
+		case r.finished || r.detour != nil:
+		case r.detoured != nil: // its VM may ask another one at once
+			m.answerLost(now, r)
+		case m.moveToPeer(now, r):
+			m.schedule(now, r)
+		}
+	}
+}
+
+// answerLost answers a request that no upstream is going to answer.
+func (m *Machine) answerLost(now time.Time, r *request) {
+	for index := range r.subs {
+		m.cancelAll(&r.subs[index])
+		r.subs[index].service.dequeue(r, index)
+	}
+	if r.runs() > 0 || r.mayHaveRun {
+		m.answer(now, r, Unknown{Reason: OutOfReach})
+		return
+	}
+	m.answer(now, r, Refused{Reason: OutOfReach, RetryAfter: m.retryAfter(r)})
+}
+
+// probeRandom probes upstreams of any services.
+func (m *Machine) probeRandom(now time.Time) {
+	all := m.servicesByName()
+	for range probesPerRound {
+		s := all[m.random.IntN(len(all))]
+		if n := s.set.Len(); n > 0 {
+			m.probe(now, s, m.random.IntN(n))
+		}
+	}
+}
+
+func (m *Machine) probe(now time.Time, s *service, i int) {
+	u := s.set.At(i)
+	if !u.Eligible() {
+		return
+	}
+	m.emit(Probe{
+		Service: s.name, Upstream: u.Row.Upstream, Address: u.Row.Address, Deadline: now.Add(probeTimeout), MaxConnections: s.connectionShare(m.fleetMax()),
+	})
+}
+
+// handleProbeEnd records that an upstream accepts connections.
+func (m *Machine) handleProbeEnd(now time.Time, e ProbeEnded) {
+	s := m.services[e.Service]
+	if !e.Connected || s == nil {
+		return
+	}
+	m.reach.RecordProbe(now)
+	if i, ok := s.set.Index(e.Upstream); ok && slices.Contains(m.avoidedServices, s) {
+		s.set.RecordProbe(now, i)
+		s.trial.Arm(now)
+	}
+}
+
+// avoidService records that requests to a service go through peers, so that its upstreams are probed.
+func (m *Machine) avoidService(s *service) {
+	if !slices.Contains(m.avoidedServices, s) {
+		m.avoidedServices = append(m.avoidedServices, s)
+	}
+}
+
+// recordLag records how late a timer has fired.
+func (m *Machine) recordLag(now time.Time) {
+	if m.wakeAt.IsZero() {
+		return
+	}
+	m.decayLag(now)
+	m.lag += time.Duration(lagGain * float64(now.Sub(m.wakeAt)-m.lag))
+}
+
+// decayLag reduces the lag by the time since it was last recorded.
+func (m *Machine) decayLag(now time.Time) {
+	if age := now.Sub(m.lagAt); age > 0 {
+		m.lag = time.Duration(float64(m.lag) * float64(lagHalfLife) / float64(lagHalfLife+age))
+	}
+	m.lagAt = now
+}
+
+// nextReachCheck returns when checkReach has to be called next, zero for not before the next event.
+func (m *Machine) nextReachCheck(now time.Time) time.Time {
+	next := m.reach.NextProbe()
+	if next.IsZero() {
+		next = m.reach.NextCheck(now)
+	}
+	for _, s := range m.avoidedServices {
+		if next.IsZero() || s.probeAt.Before(next) {
+			next = s.probeAt
+		}
+	}
+	if !next.IsZero() && next.Before(now) {
+		next = now
+	}
+	return next
+}
--- a/core/coordination/forwarder/request.go
+++ b/core/coordination/forwarder/request.go
@@ -23,6 +23,7 @@
 	route           *Route
 	routeState      *routeState
 	manifestVersion uint64
+	fingerprint     uint64  // of the route
 	gather          *Gather // nil for a request to one upstream
 	minShards       int     // fewest shards that an answer must have
 	arrived         time.Time
@@ -39,6 +40,10 @@
 	sends           int
 	hedges          int
 	retries         int
+	detour          *detour // the way through peers; nil for none
+	detoured        *Detour // set if another VM sent the request on
+	hosted          bool    // counted in Machine.detoured
+	prepaid         bool    // its tokens for moving to a peer are taken
 }
 
 // subRequest is the part of a request for one shard or service, with all of its attempts.
@@ -63,10 +68,14 @@
 func (r *request) HeapIndex() *int { return &r.heapIndex }
 
 func (r *request) maxAttempts() int {
+	n := defaultMaxAttempts
 	if r.route.MaxAttempts > 0 {
-		return r.route.MaxAttempts
+		n = r.route.MaxAttempts
 	}
-	return defaultMaxAttempts
+	if r.detoured != nil {
+		n = min(n, r.detoured.Attempts)
+	}
+	return n
 }
 
 // handleArrival admits a request and sends it, or refuses it at once.
@@ -85,7 +94,8 @@
 	}
 	r := &request{
 		id: e.Request, message: e.Message, route: route, routeState: m.routeState(now, route), manifestVersion: m.manifest.Version,
-		arrived: now, heapIndex: -1,
+		fingerprint: m.manifest.fingerprints[route],
+		arrived:     now, heapIndex: -1, detoured: e.Detour,
 	}
 	r.setDeadlines(now, e.Deadline)
 	if !now.Before(r.answerBy) {
@@ -93,7 +103,13 @@
 		return
 	}
 	m.requests[r.id] = r
-	m.startSubRequests(now, r)
+	m.createSubRequests(r)
+	if r.detoured != nil && !m.hostDetoured(now, r) {
+		return
+	}
+	if !m.detourOnArrival(now, r) {
+		m.dispatchSubRequests(now, r)
+	}
 	if !r.finished {
 		m.schedule(now, r)
 	}
@@ -114,12 +130,15 @@
 	if target <= 0 || target > left {
 		target = left
 	}
+	if r.detoured != nil {
+		target = max(0, target-r.detoured.Age-detourMargin)
+	}
 	r.partialAt = now.Add(target - min(latencyTargetMargin, target/marginDivisor))
 	r.waitUntil = now.Add(time.Duration(float64(target) * maxWaitShare))
 }
 
-// startSubRequests creates and dispatches the sub-requests of a request.
-func (m *Machine) startSubRequests(now time.Time, r *request) {
+// createSubRequests creates the sub-requests of a request.
+func (m *Machine) createSubRequests(r *request) {
 	switch d := r.route.Destination.(type) {
 	case Gather:
 		r.gather, r.minShards = &d, d.minShards()
@@ -132,12 +151,21 @@
 		r.subs = []subRequest{{service: m.serviceFor(r.routeState.nextService(&d))}}
 	}
 	r.pending = len(r.subs)
-	for index := range r.subs {
-		r.subs[index].service.budget.AddPrimaries(now, 1)
+}
+
+// dispatchSubRequests sends the sub-requests of a request to upstreams.
+func (m *Machine) dispatchSubRequests(now time.Time, r *request) {
+	if r.detoured == nil || !r.detoured.Counted {
+		for index := range r.subs {
+			r.subs[index].service.budget.AddPrimaries(now, 1)
+		}
 	}
 	if r.gather != nil && !m.screen(now, r) {
 		return
 	}
+	for index := range r.subs {
+		r.subs[index].needsToken = r.detoured != nil && r.detoured.Counted && !r.detoured.Paid
+	}
 	for index := range r.subs {
 		if r.finished {
 			return
@@ -160,6 +188,13 @@
 			}
 		}
 	}
+	if r.detour != nil && r.detour.attempt != nil {
+		m.cancel(r.detour.attempt)
+		r.detour.attempt.request = nil
+	}
+	if r.hosted {
+		m.detoured--
+	}
 	m.timers.Remove(r)
 	delete(m.requests, r.id)
 }
@@ -193,10 +228,19 @@
 	if r.finished {
 		panic("forwarder: a request was answered twice")
 	}
-	m.emit(Answer{Request: r.id, Outcome: o, Report: r.report(now)})
+	m.emit(Answer{Request: r.id, Outcome: o, Runs: r.runs(), Report: r.report(now)})
 	m.finish(r)
 }
 
+// runs returns on how many upstreams of a service the request may have run, at most.
+func (r *request) runs() int {
+	n := 0
+	for index := range r.subs {
+		n = max(n, r.subs[index].possibleRuns)
+	}
+	return n
+}
+
 // refuse answers a request of which nothing was sent.
 func (m *Machine) refuse(r *request, reason Reason) {
 	o := Refused{Reason: reason, RetryAfter: m.retryAfter(r)}
--- a/core/coordination/forwarder/schedule.go
+++ b/core/coordination/forwarder/schedule.go
@@ -72,10 +72,19 @@
 	}
 }
 
-// enqueue adds a sub-request to the waiting ones, ordered by the route's priority and then by the time of enqueueing.
+// precedes reports whether a waiting request goes before a new one: the requests of this VM's callers before those of other VMs, then by the
+// priority of the route, then by age.
+func (r *request) precedes(o *request) bool {
+	if own := r.detoured == nil; own != (o.detoured == nil) {
+		return own
+	}
+	return r.route.Priority <= o.route.Priority
+}
+
+// enqueue adds a sub-request to the waiting ones, in the order of precedes.
 func (s *service) enqueue(r *request, index int) {
 	at, _ := slices.BinarySearchFunc(s.waiting, r, func(w waiter, r *request) int {
-		if w.request.route.Priority <= r.route.Priority {
+		if w.request.precedes(r) {
 			return -1
 		}
 		return 1
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -8,6 +8,7 @@
 
 	"comfreyroute/core/coordination/budgeter"
 	"comfreyroute/core/coordination/limiter"
+	"comfreyroute/core/coordination/navigator"
 	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/core/coordination/selector"
 	"comfreyroute/core/state/tabler"
@@ -25,6 +26,9 @@
 	upstreams      []Upstream               // sorted by name
 	waiting        []waiter                 // in dispatch order
 	limitedSends   map[string]*LimitedSends // by upstream that declares a limit
+	elsewhere      navigator.Elsewhere      // what peers say of the upstreams
+	probeAt        time.Time                // of the next probe, while requests go through peers
+	trial          navigator.Trial
 }
 
 // waiter is a sub-request that waits for an upstream with free capacity.
--- a/core/coordination/navigator/reach.go
+++ b/core/coordination/navigator/reach.go
@@ -14,18 +14,32 @@
 	minSilence = 60 * time.Millisecond
 	// checkInterval is how often silent upstreams are looked at after minSilence.
 	checkInterval = 20 * time.Millisecond
+	// provenLifetime is how long a reply proves that the VM reaches its upstreams.
+	provenLifetime = 500 * time.Millisecond
 	// maxRecorded bounds the recorded upstreams.
 	maxRecorded = 16
+
+	// minProbeDelay and maxProbeDelay bound the time between two rounds of probes. It grows when the upstreams are lost again soon after
+	// a probe has succeeded.
+	minProbeDelay = 250 * time.Millisecond
+	maxProbeDelay = 2 * time.Second
+	// stableTime is how long the upstreams must be in reach for the next loss to be probed at minProbeDelay again.
+	stableTime = 5 * time.Second
 )
 
 // Reach tells whether a VM reaches any of its upstreams. Its evidence are the attempts since the last reply of any upstream. The zero
 // value has no evidence of a loss.
 type Reach struct {
-	silent    []silentUpstream // since the last reply, one for each upstream
-	services  int              // that have upstreams
-	upstreams int
-	lost      bool
-	lostAt    time.Time
+	silent     []silentUpstream // since the last reply, one for each upstream
+	services   int              // that have upstreams
+	upstreams  int
+	repliedAt  time.Time
+	lost       bool
+	lostAt     time.Time
+	returnedAt time.Time
+	probeAt    time.Time
+	probeDelay time.Duration
+	trial      Trial
 }
 
 // silentUpstream is an upstream that got a request since the last reply of any upstream.
@@ -59,18 +73,39 @@
 }
 
 // RecordReply records a reply of an upstream. It reports whether the upstreams were lost until now.
-func (r *Reach) RecordReply() bool {
-	r.silent = r.silent[:0]
+func (r *Reach) RecordReply(now time.Time) bool {
+	r.silent, r.repliedAt = r.silent[:0], now
 	was := r.lost
 	if was {
-		r.lost = false
+		r.lost, r.returnedAt, r.trial = false, now, Trial{}
 	}
 	return was
 }
 
+// RecordProbe records that an upstream accepted a connection. That is no reply, but a request may be tried.
+func (r *Reach) RecordProbe(now time.Time) {
+	if r.lost && r.trial.Arm(now) {
+		r.probeDelay = min(2*r.probeDelay, maxProbeDelay)
+	}
+}
+
+// TrialDue reports whether a request may be sent to the lost upstreams to find out whether they reply again.
+func (r *Reach) TrialDue() bool { return r.lost && r.trial.Due() }
+
+// TakeTrial uses up the trial.
+func (r *Reach) TakeTrial() { r.trial.Take() }
+
 // Silent reports whether several upstreams have requests and none has replied since.
 func (r *Reach) Silent() bool { return len(r.silent) >= r.needed() }
 
+// RepliedSince reports whether an upstream has replied since a time.
+func (r *Reach) RepliedSince(t time.Time) bool { return !r.repliedAt.Before(t) }
+
+// Proven reports whether an upstream has replied lately.
+func (r *Reach) Proven(now time.Time) bool {
+	return !r.repliedAt.IsZero() && now.Sub(r.repliedAt) < provenLifetime
+}
+
 // needed returns how many upstreams must be silent.
 func (r *Reach) needed() int { return max(1, min(minSilent, r.upstreams)) }
 
@@ -92,10 +127,20 @@
 	if late < r.needed() || len(services) < min(minSilentServices, r.services) {
 		return false
 	}
-	r.lost, r.lostAt = true, now
+	r.lose(now)
 	return true
 }
 
+// lose records the loss and plans the first probe.
+func (r *Reach) lose(now time.Time) {
+	if r.returnedAt.IsZero() || now.Sub(r.returnedAt) >= stableTime {
+		r.probeDelay = minProbeDelay
+	} else {
+		r.probeDelay = min(2*r.probeDelay, maxProbeDelay)
+	}
+	r.lost, r.lostAt, r.probeAt = true, now, now
+}
+
 // LostSince returns when the upstreams were lost. It is zero if they never were.
 func (r *Reach) LostSince() time.Time { return r.lostAt }
 
@@ -107,6 +152,42 @@
 	return laterOf(r.silent[0].sent.Add(minSilence), now.Add(checkInterval))
 }
 
+// Trial allows one request at a time to lost upstreams that accept connections again: they may still not reply. The zero value allows none.
+type Trial struct {
+	armed   bool
+	armedAt time.Time
+}
+
+// Arm allows the next trial. It reports whether an earlier one was used up without an effect.
+func (t *Trial) Arm(now time.Time) bool {
+	failed := !t.armed && !t.armedAt.IsZero()
+	t.armed, t.armedAt = true, now
+	return failed
+}
+
+// Due reports whether a trial is allowed.
+func (t *Trial) Due() bool { return t.armed }
+
+// Take uses up the trial, if there is one.
+func (t *Trial) Take() { t.armed = false }
+
+// ProbeDue reports whether a round of probes is due, and plans the next one if so.
+func (r *Reach) ProbeDue(now time.Time) bool {
+	if !r.lost || now.Before(r.probeAt) {
+		return false
+	}
+	r.probeAt = now.Add(r.probeDelay)
+	return true
+}
+
+// NextProbe returns when the next round of probes is due, zero while the upstreams are in reach.
+func (r *Reach) NextProbe() time.Time {
+	if !r.lost {
+		return time.Time{}
+	}
+	return r.probeAt
+}
+
 func laterOf(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/core/coordination/selector/set.go
+++ b/core/coordination/selector/set.go
@@ -142,9 +142,31 @@
 	return eligible, free, places
 }
 
+// Unreachable reports whether all upstreams that may get new work have failed or do not respond. It is false if there are none.
+func (s *Set) Unreachable(now time.Time) bool {
+	eligible := false
+	for i := range s.upstreams {
+		u := &s.upstreams[i]
+		if !u.Eligible() {
+			continue
+		}
+		if !s.avoided(now, u) {
+			return false
+		}
+		eligible = true
+	}
+	return eligible
+}
+
 // LateAfter returns the time after which a reply of the upstream at a position is late.
 func (s *Set) LateAfter(i int) time.Duration { return s.lateAfter(&s.upstreams[i]) }
 
+// RecordProbe records that the upstream at a position accepts connections, so that the next trial is due.
+func (s *Set) RecordProbe(now time.Time, i int) {
+	u := &s.upstreams[i]
+	u.trialAt, u.domain.trialAt = now, now
+}
+
 // UsualLatency returns the mean latency of the upstreams, 0 before the first reply.
 func (s *Set) UsualLatency() time.Duration { return time.Duration(s.latency.mean) }
 
--- a/core/transport/requester/client.go
+++ b/core/transport/requester/client.go
@@ -50,10 +50,11 @@
 // Response is a reply with its information about the connection.
 type Response struct {
 	Reply       *forwarder.Reply
-	Identified  bool          // the reply names its request
-	Held        int64         // bytes that the body counts for in the Memory of the protocol
-	KeepAlive   bool          // the connection can carry another request
-	IdleTimeout time.Duration // time after which the upstream closes the idle connection; 0 when the reply does not say
+	Answer      *forwarder.PeerAnswered // of a peer, in place of Reply
+	Identified  bool                    // the reply names its request
+	Held        int64                   // bytes that the body counts for in the Memory of the protocol
+	KeepAlive   bool                    // the connection can carry another request
+	IdleTimeout time.Duration           // time after which the upstream closes the idle connection; 0 when the reply does not say
 }
 
 // ErrMismatched is the error that ReadReply returns when the bytes on a connection are not the reply to its request.
@@ -69,6 +70,8 @@
 	Protocol Protocol
 	// Report is called at the end of each attempt whose Send started. The client holds no lock during the call.
 	Report func(*forwarder.Send, forwarder.Result)
+	// ReportProbe is called at the end of each Probe. The client holds no lock during the call.
+	ReportProbe func(forwarder.ProbeEnded)
 	// Dial opens a connection to an upstream; nil stands for TCP.
 	Dial   func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	Memory *bounder.Memory // counts the bodies of replies until Report returns; nil if Protocol counts none
@@ -109,13 +112,15 @@
 		c.cancelAttempt(a.Attempt)
 	case forwarder.Retire:
 		c.retireUpstream(a.Upstream)
+	case forwarder.Probe:
+		go c.probe(&a)
 	}
 	return nil
 }
 
 func (c *Client) startSend(s *forwarder.Send) forwarder.Event {
 	c.mu.Lock()
-	p := c.findPool(s)
+	p := c.findPool(s.Upstream, s.Address)
 	j := &job{send: s, started: time.Now()}
 	n := p.takeIdle(s.RecentlyActive)
 	if n == nil && p.open >= s.MaxConnections && len(p.idle) > 0 {
@@ -146,18 +151,18 @@
 
 // findPool returns the pool of an upstream and creates it if necessary. An upstream with a new address gets a new pool, and the
 // connections of the old pool are closed after their requests.
-func (c *Client) findPool(s *forwarder.Send) *pool {
+func (c *Client) findPool(upstream string, address netip.AddrPort) *pool {
 	if c.pools == nil {
 		c.pools = map[string]*pool{}
 		c.attempts = map[forwarder.AttemptID]*job{}
 	}
-	p := c.pools[s.Upstream]
-	if p == nil || p.address != s.Address {
+	p := c.pools[upstream]
+	if p == nil || p.address != address {
 		if p != nil {
 			p.abandon()
 		}
-		p = &pool{address: s.Address}
-		c.pools[s.Upstream] = p
+		p = &pool{address: address}
+		c.pools[upstream] = p
 	}
 	return p
 }
@@ -203,7 +208,8 @@
 }
 
 // watchConnect ends the attempt of a job that still waits for its connection at ConnectBy. Nothing of it was or will be written. The
-// attempt goes on while no later one has made progress: then this VM is behind, and the host of the upstream may have answered.
+// attempt goes on while no later one has made progress: then this VM is behind, and the host of the upstream may have answered. A request to a
+// peer does not wait for that, because any other peer will do.
 func (c *Client) watchConnect(j *job) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -214,7 +220,7 @@
 func (c *Client) checkConnect(j *job) {
 	c.mu.Lock()
 	pending := c.attempts[j.send.Attempt] == j && j.conn == nil
-	if pending && c.progress.Before(j.started) {
+	if pending && j.send.Detour == nil && c.progress.Before(j.started) {
 		j.watch.Reset(connectCheckInterval)
 		pending = false
 	}
@@ -262,12 +268,7 @@
 		}
 		return
 	}
-	c.Counts.Opened.Add(1)
-	opened := time.Now()
-	n := &conn{
-		client: c, pool: p, nc: nc, reader: bounder.NewReader(nc, connBufferBytes), idleTimeout: defaultIdleTimeout,
-		opened: opened, roundTrip: opened.Sub(began),
-	}
+	n := c.newConn(p, nc, began)
 	c.mu.Lock()
 	c.recordProgress(j)
 	pending := c.attempts[j.send.Attempt] == j
@@ -289,6 +290,40 @@
 	n.run()
 }
 
+// newConn returns a connection that was opened for a pool by a dial that began at a time.
+func (c *Client) newConn(p *pool, nc net.Conn, began time.Time) *conn {
+	c.Counts.Opened.Add(1)
+	opened := time.Now()
+	return &conn{
+		client: c, pool: p, nc: nc, reader: bounder.NewReader(nc, connBufferBytes), idleTimeout: defaultIdleTimeout,
+		opened: opened, roundTrip: opened.Sub(began),
+	}
+}
+
+// probe opens a connection to an upstream and reports whether it did. The connection is kept for requests if the pool has room.
+func (c *Client) probe(a *forwarder.Probe) {
+	ctx, cancel := context.WithDeadline(context.Background(), a.Deadline)
+	defer cancel()
+	began := time.Now()
+	nc, err := c.dial(ctx, a.Address)
+	c.ReportProbe(forwarder.ProbeEnded{Service: a.Service, Upstream: a.Upstream, Connected: err == nil})
+	if err != nil {
+		return // the report says so
+	}
+	c.mu.Lock()
+	p := c.findPool(a.Upstream, a.Address)
+	if c.closed || p.open >= a.MaxConnections {
+		c.mu.Unlock()
+		_ = nc.Close()
+		return
+	}
+	p.open++
+	n := c.newConn(p, nc, began)
+	n.makeIdle()
+	c.mu.Unlock()
+	n.run()
+}
+
 // writeRequest writes the request of a job, in a new goroutine when it is longer than maxInlineBytes. An error closes the
 // connection, and the goroutine that reads the connection reports the end of the attempt.
 func (c *Client) writeRequest(n *conn, j *job) {
--- a/core/transport/requester/conn.go
+++ b/core/transport/requester/conn.go
@@ -129,7 +129,11 @@
 		c.Report(j.send, f)
 		return false
 	}
-	c.Report(j.send, forwarder.Replied{Reply: response.Reply})
+	if response.Answer != nil {
+		c.Report(j.send, *response.Answer)
+	} else {
+		c.Report(j.send, forwarder.Replied{Reply: response.Reply})
+	}
 	c.Memory.Release(response.Held)
 	return keep
 }
--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -178,6 +178,9 @@
 	if refused, ok := a.Outcome.(forwarder.Refused); ok {
 		fields = append(fields, zap.Duration("retry_after", refused.RetryAfter))
 	}
+	if a.Report.Peer != "" {
+		fields = append(fields, zap.String("peer", a.Report.Peer))
+	}
 	if len(a.Report.Missing) > 0 {
 		fields = append(fields, zap.Any("missing", formatMissing(a.Report.Missing)))
 	}
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -19,10 +19,12 @@
 
 	"comfreyroute/core/coordination/elector"
 	"comfreyroute/core/coordination/forwarder"
+	"comfreyroute/core/coordination/navigator"
 	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/core/transport/bounder"
 	"comfreyroute/core/transport/requester"
 	"comfreyroute/gateway/internal/acceptor"
+	"comfreyroute/gateway/internal/detourer"
 	"comfreyroute/gateway/internal/driver"
 	"comfreyroute/gateway/internal/logger"
 	"comfreyroute/gateway/internal/receiver"
@@ -38,6 +40,8 @@
 	maxHeaderTimeout = time.Minute
 	maxIdleTimeout   = 10 * time.Minute
 	maxHeaderBytes   = 64 << 10
+	// maxDetourHeaderBytes leaves room for what the VMs add to the header of a caller.
+	maxDetourHeaderBytes = 2 * maxHeaderBytes
 	// settingsPollInterval is how often the settings file is checked for changes, which may come without a signal.
 	settingsPollInterval = 2 * time.Second
 	// softMemoryRatio is the fraction of the allowed memory that is set as the soft limit of the garbage collector.
@@ -54,7 +58,9 @@
 	FollowThreshold int // smallest failure domain, in VMs, in which VMs follow a peer instead of the store; 0 selects the default
 
 	driver       driver.Driver
-	client       requester.Client
+	client       requester.Client // to upstreams
+	peers        requester.Client // to other VMs
+	host         detourer.Host
 	memory       bounder.Memory
 	store        translator.Store
 	receiver     receiver.Receiver
@@ -64,6 +70,7 @@
 	callerServer http.Server
 	readyServer  http.Server
 	adminServer  http.Server
+	detourServer http.Server
 	history      relayer.History
 	entryRemoved chan struct{} // receives a value when the entry of this VM is gone from the store
 	watcherDone  chan struct{}
@@ -131,11 +138,15 @@
 	g.store.SetAddress(s.StoreAddress)
 	g.memory.Limit = int64(float64(s.MemoryBytes) * bodyMemoryRatio)
 	g.client.Memory, g.client.Protocol = &g.memory, translator.UpstreamProtocol{Memory: &g.memory}
-	g.client.Report = func(send *forwarder.Send, r forwarder.Result) {
+	report := func(send *forwarder.Send, r forwarder.Result) {
 		g.logAttempt(send, r)
 		g.driver.HandleEvent(forwarder.AttemptEnded{Attempt: send.Attempt, Result: r})
 	}
-	g.driver.Transport = &g.client
+	g.client.Report, g.peers.Report = report, report
+	g.client.ReportProbe = func(e forwarder.ProbeEnded) { g.driver.HandleEvent(e) }
+	g.peers.Memory, g.peers.Protocol = &g.memory, detourer.Protocol{Memory: &g.memory}
+	g.host.Dispatcher, g.host.Memory, g.host.Log = &g.driver, &g.memory, g.log
+	g.driver.Transport = &transport{upstreams: &g.client, peers: &g.peers}
 	g.driver.OnRateChanged, g.driver.OnReachChanged = g.logRateChange, g.logReachChange
 	g.driver.Machine.Config = forwarder.Config{
 		FailureDomain: s.FailureDomain, ExtraSendRatio: s.RetryBudgetRatio, ExtraSendSlack: s.RetryBudgetSlack,
@@ -175,7 +186,7 @@
 	return serve(&g.adminServer, netip.AddrPortFrom(s.CallerAddress.Addr(), s.InternalPorts[0]))
 }
 
-// startPeering serves changes of the store to the other VMs and registers this VM, so that they find it. The returned channel is
+// startPeering serves changes of the store and requests to the other VMs and registers this VM, so that they find it. The returned channel is
 // closed when the registrar has revoked the lease and stopped, or immediately when this VM has no address for peers.
 func (g *Gateway) startPeering(ctx context.Context) (<-chan struct{}, error) {
 	done := make(chan struct{})
@@ -195,6 +206,14 @@
 			g.log.Warn("relayer: stopped serving peers", zap.String("error", err.Error()))
 		}
 	}()
+	if self.DetourAddress.IsValid() {
+		g.detourServer = http.Server{
+			Handler: &g.host, ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxDetourHeaderBytes, ErrorLog: zap.NewStdLog(g.log.Logger),
+		}
+		if err := serve(&g.detourServer, self.DetourAddress); err != nil {
+			return nil, err
+		}
+	}
 	r := registrar.Registrar{Store: &g.store, Self: self, Removed: g.entryRemoved, Log: g.log}
 	go func() {
 		defer close(done)
@@ -203,12 +222,15 @@
 	return done, nil
 }
 
-// self returns this VM as a member of the fleet. Its address is zero when the settings give it no internal port for peers.
+// self returns this VM as a member of the fleet. Its addresses are zero when the settings give it too few internal ports.
 func (g *Gateway) self() elector.Member {
 	s := g.Settings
 	m := elector.Member{Name: s.VM, FailureDomain: s.FailureDomain, LinkMbps: s.LinkMbps}
 	if len(s.InternalPorts) == 2 && s.InternalPorts[0] < s.InternalPorts[1] {
 		m.Address = netip.AddrPortFrom(s.CallerAddress.Addr(), s.InternalPorts[0]+1)
+		if s.InternalPorts[0]+1 < s.InternalPorts[1] {
+			m.DetourAddress = netip.AddrPortFrom(s.CallerAddress.Addr(), s.InternalPorts[0]+2)
+		}
 	}
 	return m
 }
@@ -238,6 +260,7 @@
 	w := &watcher.Watcher{
 		Store: &g.store, Peers: &relayer.Client{}, Elector: elector.Elector{Self: g.self(), MinDomainSize: g.FollowThreshold}, History: &g.history,
 		OnFleetSize: func(n int) { g.driver.HandleEvent(forwarder.FleetResized{VMs: n}) },
+		OnMembers:   func(all []elector.Member) { g.driver.HandleEvent(forwarder.PeersListed{Peers: peersOf(all, s.VM)}) },
 		TakeReports: g.takeReports, OnRatings: func(r []reporter.Rating) { g.driver.HandleEvent(forwarder.UpstreamsRated{Ratings: r}) },
 		OnRemoved: func() {
 			select {
@@ -313,12 +336,23 @@
 // logReachChange logs that this VM has lost all upstreams, or reaches them again.
 func (g *Gateway) logReachChange(c forwarder.ReachChanged) {
 	if c.Lost {
-		g.log.Warn("forwarder: no upstream answers")
+		g.log.Warn("forwarder: no upstream answers, requests go through other VMs")
 		return
 	}
 	g.log.Info("forwarder: upstreams answer again", zap.Duration("after", c.Age))
 }
 
+// peersOf returns the VMs that take requests of this VM.
+func peersOf(all []elector.Member, self string) []navigator.Peer {
+	peers := make([]navigator.Peer, 0, len(all))
+	for _, m := range all {
+		if m.Name != self && m.DetourAddress.IsValid() {
+			peers = append(peers, navigator.Peer{Name: m.Name, FailureDomain: m.FailureDomain, Address: m.DetourAddress})
+		}
+	}
+	return peers
+}
+
 // takeReports returns and clears the reports about upstreams that were collected from attempts.
 func (g *Gateway) takeReports() []reporter.Report {
 	var all []reporter.Report
@@ -342,17 +376,25 @@
 	count("body_bytes", func() uint64 { return uint64(max(0, g.memory.Held())) })
 	count("attempts_cancelled_total", c.Cancelled.Load)
 	count("attempts_sent_total", c.Sent.Load)
-	limited := func(f func(*forwarder.Machine) uint64) func() uint64 {
+	machine := func(f func(*forwarder.Machine) uint64) func() uint64 {
 		return func() (n uint64) {
 			g.driver.WithMachine(func(m *forwarder.Machine) { n = f(m) })
 			return n
 		}
 	}
-	count("limited_upstreams", limited(func(m *forwarder.Machine) uint64 { return m.LimitedUpstreams() }))
-	count(`limited_sends_total{kind="first"}`, limited(func(m *forwarder.Machine) uint64 { return m.LimitedSends.First }))
-	count(`limited_sends_total{kind="hedge"}`, limited(func(m *forwarder.Machine) uint64 { return m.LimitedSends.Hedges }))
-	count(`limited_sends_total{kind="retry"}`, limited(func(m *forwarder.Machine) uint64 { return m.LimitedSends.Retries }))
-	count("upstreams_lost", limited(func(m *forwarder.Machine) uint64 { return m.UpstreamsLost() }))
+	count("limited_upstreams", machine(func(m *forwarder.Machine) uint64 { return m.LimitedUpstreams() }))
+	count(`limited_sends_total{kind="first"}`, machine(func(m *forwarder.Machine) uint64 { return m.LimitedSends.First }))
+	count(`limited_sends_total{kind="hedge"}`, machine(func(m *forwarder.Machine) uint64 { return m.LimitedSends.Hedges }))
+	count(`limited_sends_total{kind="retry"}`, machine(func(m *forwarder.Machine) uint64 { return m.LimitedSends.Retries }))
+	detours := func(end string, f func(*forwarder.DetourCounts) uint64) {
+		count(`detours_total{end="`+end+`"}`, machine(func(m *forwarder.Machine) uint64 { return f(&m.Detours) }))
+	}
+	detours("served", func(c *forwarder.DetourCounts) uint64 { return c.Served })
+	detours("turned_away", func(c *forwarder.DetourCounts) uint64 { return c.TurnedAway })
+	detours("broken", func(c *forwarder.DetourCounts) uint64 { return c.Broken })
+	count("hosted_requests_total", machine(func(m *forwarder.Machine) uint64 { return m.Detours.Hosted }))
+	count("hosted_requests_refused_total", machine(func(m *forwarder.Machine) uint64 { return m.Detours.Refused }))
+	count("upstreams_lost", machine(func(m *forwarder.Machine) uint64 { return m.UpstreamsLost() }))
 	count("store_calls_total", g.store.Calls.Load)
 	count("log_lines_dropped_total", g.log.DroppedLines.Load)
 }
--- a/gateway/internal/runner/shutdown.go
+++ b/gateway/internal/runner/shutdown.go
@@ -40,6 +40,7 @@
 func (g *Gateway) shutDown(signals <-chan os.Signal) {
 	start := time.Now()
 	g.receiver.StartShutdown()
+	g.host.StartShutdown()
 	g.log.Info("runner: shutting down", zap.Int("requests", g.pendingRequests()))
 	timeout := time.Duration(float64(g.Settings.GraceTime) * shutdownRatio)
 	if timeout <= 0 {
@@ -56,7 +57,12 @@
 		g.log.Warn("runner: shutdown timed out, abandoning requests in flight", zap.String("error", err.Error()))
 		_ = g.callerServer.Close() // the listener is closed already
 	}
+	if err := g.detourServer.Shutdown(ctx); err != nil {
+		g.log.Warn("runner: abandoning requests of other VMs", zap.String("error", err.Error()))
+		_ = g.detourServer.Close() // the listener is closed already
+	}
 	g.client.Close()
+	g.peers.Close()
 	g.log.Info("runner: shutdown complete", zap.Duration("took", time.Since(start)), zap.Int("lost", g.pendingRequests()))
 }
 
--- a/gateway/internal/watcher/fleet.go
+++ b/gateway/internal/watcher/fleet.go
@@ -52,6 +52,9 @@
 func (w *Watcher) updateMembers(now time.Time) {
 	members := w.fleet.members()
 	w.Elector.SetMembers(now, members)
+	if w.OnMembers != nil {
+		w.OnMembers(members)
+	}
 	present := slices.ContainsFunc(members, func(m elector.Member) bool { return m.Name == w.Elector.Self.Name })
 	if w.registered && !present {
 		w.Log.Info("watcher: this VM is no longer registered", zap.Uint64("revision", w.revision))
--- a/gateway/internal/watcher/watcher.go
+++ b/gateway/internal/watcher/watcher.go
@@ -69,6 +69,7 @@
 	OnManifest     func(*forwarder.Manifest)
 	OnUpstreams    func([]forwarder.Upstream)
 	OnFleetSize    func(size int)           // not called while no VM is registered
+	OnMembers      func([]elector.Member)   // called with all registered VMs when one of them has changed; nil ignores them
 	TakeReports    func() []reporter.Report // returns and clears this VM's reports about upstreams; nil for no reports
 	OnRatings      func([]reporter.Rating)
 	OnRemoved      func() // called when the entry of this VM disappears from the store; not before the entry was seen there
