Follow what upstreams say of themselves: that they leave, or want no requests

Both are remembered over a time without an entry, and end with a new incarnation. A VM that passes on an answer of a peer follows the leaving upstreams that the peer names.

--- a/core/coordination/forwarder/action.go
+++ b/core/coordination/forwarder/action.go
@@ -62,6 +62,14 @@
 	Sends    LimitedSends
 }
 
+// NoticeReceived reports that an upstream has said that it leaves, or for how long it wants no requests.
+type NoticeReceived struct {
+	Service  string
+	Upstream string
+	Leaving  bool
+	Pause    time.Duration
+}
+
 // LimitedSends counts the sends of this VM to an upstream since it declared a limit.
 type LimitedSends struct{ First, Hedges, Retries uint64 }
 
@@ -80,6 +88,8 @@
 
 func (ReachChanged) isAction() {}
 
+func (NoticeReceived) isAction() {}
+
 // Outcome is the result of a request, which its caller receives.
 type Outcome interface{ isOutcome() }
 
--- a/core/coordination/forwarder/detour.go
+++ b/core/coordination/forwarder/detour.go
@@ -215,6 +215,7 @@
 	}
 	switch e := result.(type) {
 	case PeerAnswered:
+		m.markLeavingByName(now, e.Leaving)
 		m.recordPeerAnswer(now, a, r, e)
 		if !live {
 			return
--- a/core/coordination/forwarder/dispatch.go
+++ b/core/coordination/forwarder/dispatch.go
@@ -159,6 +159,9 @@
 		r.subs[a.subIndex].inFlight.Remove(a.id)
 		switch result := e.Result.(type) {
 		case Replied:
+			if result.Reply.Leaving {
+				r.leaving = append(r.leaving, a.upstream)
+			}
 			m.handleReply(now, r, a, result.Reply)
 		case Failed:
 			m.handleFailure(now, r, a, result)
@@ -253,6 +256,7 @@
 	switch e := result.(type) {
 	case Replied:
 		kind = resultKind(e.Reply)
+		m.observeNotice(now, a.service, i, e.Reply)
 		if l := e.Reply.Load; l != nil {
 			a.service.set.SetLoad(now, i, l.Running, l.Waiting)
 		}
--- a/core/coordination/forwarder/request.go
+++ b/core/coordination/forwarder/request.go
@@ -40,10 +40,11 @@
 	sends           int
 	hedges          int
 	retries         int
-	detour          *detour // the way through peers; nil for none
-	detoured        *Detour // set if another VM sent the request on
-	hosted          bool    // counted in Machine.detoured
-	prepaid         bool    // its tokens for moving to a peer are taken
+	detour          *detour  // the way through peers; nil for none
+	detoured        *Detour  // set if another VM sent the request on
+	leaving         []string // names of upstreams that said so in a reply
+	hosted          bool     // counted in Machine.detoured
+	prepaid         bool     // its tokens for moving to a peer are taken
 }
 
 // subRequest is the part of a request for one shard or service, with all of its attempts.
@@ -228,7 +229,7 @@
 	if r.finished {
 		panic("forwarder: a request was answered twice")
 	}
-	m.emit(Answer{Request: r.id, Outcome: o, Runs: r.runs(), Report: r.report(now)})
+	m.emit(Answer{Request: r.id, Outcome: o, Leaving: r.leaving, Runs: r.runs(), Report: r.report(now)})
 	m.finish(r)
 }
 
--- a/core/coordination/forwarder/upstream.go
+++ b/core/coordination/forwarder/upstream.go
@@ -45,9 +45,11 @@
 	Signature string // proves which upstream made the reply; empty if it is unsigned
 	NotRun    bool   // the upstream did not run the request and never will
 
-	PromisesNoRun bool  // callers take the status for a promise that the request has not run, whatever the upstream meant
-	Misdirected   bool  // the address belongs to another upstream
-	Load          *Load // nil if not reported
+	PromisesNoRun bool          // callers take the status for a promise that the request has not run, whatever the upstream meant
+	Misdirected   bool          // the address belongs to another upstream
+	Leaving       bool          // the upstream stops soon and wants no further requests
+	Pause         time.Duration // for which the upstream wants no requests of this VM; 0 for none
+	Load          *Load         // nil if not reported
 	Rate          limiter.Declaration
 }
 
--- a/core/coordination/selector/quota.go
+++ b/core/coordination/selector/quota.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// NextGrant returns when an upstream that may get new work, and is not excluded, allows another request by the rate that it declares. The
+// NextGrant returns when an upstream that may get new work, and is not excluded, takes another request by the rate that it declares and the pause that it asked for. The
 // time is not after now if one without a limit or with a grant does, and zero if there is no such upstream.
 func (s *Set) NextGrant(now time.Time, exclude []int) time.Time {
 	var next time.Time
@@ -83,12 +83,12 @@
 	return time.Duration(float64(time.Second) / perSecond)
 }
 
-// nextGrant returns when the rate that the upstream declares allows another request.
+// nextGrant returns when the upstream takes another request: after the pause that it asked for, if the rate that it declares allows one.
 func (u *Upstream) nextGrant(now time.Time) time.Time {
 	if u.quota == nil {
-		return now
+		return later(now, u.pausedUntil)
 	}
-	return u.quota.NextGrant(now)
+	return later(u.quota.NextGrant(now), u.pausedUntil)
 }
 
 // hasRoom reports whether the upstream takes another request of this VM now.
--- a/core/coordination/selector/set.go
+++ b/core/coordination/selector/set.go
@@ -22,6 +22,7 @@
 	latency        latencyAverage    // of all replies of the service
 	quotas         map[string]*quota // by upstream
 	vms            int               // that share the rates in quotas
+	notices        map[string]*notice
 }
 
 // Update replaces the upstreams by the rows of a new table. Those with the same name and address keep their state. Positions
@@ -43,6 +44,7 @@
 		}
 		u.Row = rows[i]
 		s.attachQuota(u)
+		s.attachNotice(u)
 		name := u.Row.FailureDomain
 		if s.domains[name] == nil {
 			s.domains[name] = oldDomains[name]
@@ -58,6 +60,7 @@
 		s.groups[u.Row.Group] = append(s.groups[u.Row.Group], i)
 	}
 	s.pruneQuotas(now)
+	s.pruneNotices(now)
 	s.configureLimits()
 }
 
@@ -296,6 +299,7 @@
 	}
 	u.Incarnation = incarnation
 	s.checkQuota(u)
+	s.checkNotice(u)
 }
 
 // SetLeaving records whether an upstream gets no new work, as reported by a source other than itself. A report about an
--- a/core/coordination/selector/upstream.go
+++ b/core/coordination/selector/upstream.go
@@ -51,7 +51,8 @@
 	reportedAt         time.Time
 	lastReply          time.Time
 	shedUntil          time.Time
-	missed             int // sub-requests that ended late and without a reply since lastReply
+	pausedUntil        time.Time // the upstream wants no requests of this VM until then
+	missed             int       // sub-requests that ended late and without a reply since lastReply
 	failed             bool
 	refused            bool // the last failure was a refused connection
 	failedSince        time.Time
--- a/gateway/internal/driver/driver.go
+++ b/gateway/internal/driver/driver.go
@@ -21,8 +21,9 @@
 	Machine   forwarder.Machine
 	Transport Transport
 
-	OnRateChanged  func(forwarder.RateChanged)  // must not block; nil ignores the changes
-	OnReachChanged func(forwarder.ReachChanged) // must not block; nil ignores the changes
+	OnRateChanged  func(forwarder.RateChanged)    // must not block; nil ignores the changes
+	OnReachChanged func(forwarder.ReachChanged)   // must not block; nil ignores the changes
+	OnNotice       func(forwarder.NoticeReceived) // must not block; nil ignores the notices
 
 	mu      sync.Mutex
 	lastID  forwarder.RequestID
@@ -109,6 +110,10 @@
 		if d.OnReachChanged != nil {
 			d.OnReachChanged(a)
 		}
+	case forwarder.NoticeReceived:
+		if d.OnNotice != nil {
+			d.OnNotice(a)
+		}
 	default:
 		return d.Transport.Do(a)
 	}
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -147,7 +147,7 @@
 	g.peers.Memory, g.peers.Protocol = &g.memory, detourer.Protocol{Memory: &g.memory}
 	g.host.Dispatcher, g.host.Memory, g.host.Log = &g.driver, &g.memory, g.log
 	g.driver.Transport = &transport{upstreams: &g.client, peers: &g.peers}
-	g.driver.OnRateChanged, g.driver.OnReachChanged = g.logRateChange, g.logReachChange
+	g.driver.OnRateChanged, g.driver.OnReachChanged, g.driver.OnNotice = g.logRateChange, g.logReachChange, g.logNotice
 	g.driver.Machine.Config = forwarder.Config{
 		FailureDomain: s.FailureDomain, ExtraSendRatio: s.RetryBudgetRatio, ExtraSendSlack: s.RetryBudgetSlack,
 		BudgetWindow: s.BudgetWindow, ReplyBytes: g.memory.Limit, Seed: uint64(time.Now().UnixNano()),
@@ -342,6 +342,16 @@
 	g.log.Info("forwarder: upstreams answer again", zap.Duration("after", c.Age))
 }
 
+// logNotice logs that an upstream leaves or wants no requests for a while.
+func (g *Gateway) logNotice(n forwarder.NoticeReceived) {
+	fields := []zap.Field{zap.String("service", n.Service), zap.String("upstream", n.Upstream)}
+	if n.Leaving {
+		g.log.InfoLimited("forwarder: upstream is leaving", fields...)
+		return
+	}
+	g.log.InfoLimited("forwarder: upstream wants no requests", append(fields, zap.Duration("pause", n.Pause))...)
+}
+
 // peersOf returns the VMs that take requests of this VM.
 func peersOf(all []elector.Member, self string) []navigator.Peer {
 	peers := make([]navigator.Peer, 0, len(all))
