Answer late requests of a planned stop before the grace time ends

Cause: the stop bounds the processes and not the requests. A request was taken with its own deadline, up to 5 s, 2.6 s before the end. Now each request has its answer 0.2 s before the connections are cut, and one that the route's usual latency does not let finish is refused at once, as not run.

--- a/core/coordination/forwarder/event.go
+++ b/core/coordination/forwarder/event.go
@@ -28,6 +28,9 @@
 // UpstreamsRated reports which upstreams fail or are slow for other VMs.
 type UpstreamsRated struct{ Ratings []reporter.Rating }
 
+// StopBegun reports that this VM is stopping. All requests must have an answer by a time, and further ones may still come.
+type StopBegun struct{ AnswerBy time.Time }
+
 // PeersListed carries the VMs of the fleet that take requests of this VM.
 type PeersListed struct{ Peers []navigator.Peer }
 
@@ -67,6 +70,7 @@
 func (AttemptEnded) isEvent()    {}
 func (TimerFired) isEvent()      {}
 func (PeersListed) isEvent()     {}
+func (StopBegun) isEvent()       {}
 func (ProbeEnded) isEvent()      {}
 
 // Result says how an attempt ended.
@@ -122,7 +126,8 @@
 // the upstream did not run the request, Expired that the deadline had passed or an attempt timed out, Late that the shard had not
 // replied when the request was answered, Errored that the upstream replied with an error, Lost that an attempt ended without a
 // usable reply, Budget that the retry budget was used up, RateLimited that the rates which the upstreams declare allow no further request
-// in time, OutOfReach that this VM reaches too few upstreams, and OtherManifest that the VMs route the request differently.
+// in time, OutOfReach that this VM reaches too few upstreams, OtherManifest that the VMs route the request differently, and
+// Stopping that this VM stops before an upstream can have answered.
 const (
 	None          Reason = iota // none
 	NoManifest                  // no_manifest
@@ -139,7 +144,8 @@
 	RateLimited                 // rate_limited
 	OutOfReach                  // out_of_reach
 	OtherManifest               // other_manifest
+	Stopping                    // stopping
 )
 
 // LastReason is the largest Reason.
-const LastReason = OtherManifest
+const LastReason = Stopping
--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -38,6 +38,7 @@
 	attempts    map[AttemptID]*attempt
 	lastAttempt AttemptID
 	timers      scheduler.Queue[*request]
+	stopBy      time.Time // when all requests must have an answer, because this VM stops; zero if it does not
 	wakeAt      time.Time // time of the last Wake action that has not fired yet
 	actions     []Action
 	shards      []screener.Shard // reused by screen
@@ -65,6 +66,8 @@
 		}
 	case AttemptEnded:
 		m.handleAttemptEnd(now, e)
+	case StopBegun:
+		m.beginStop(now, e.AnswerBy)
 	case PeersListed:
 		m.peers.SetPeers(e.Peers)
 	case ProbeEnded:
--- a/core/coordination/forwarder/reach.go
+++ b/core/coordination/forwarder/reach.go
@@ -72,12 +72,7 @@
 
 // moveAllToPeers sends the requests in progress through peers.
 func (m *Machine) moveAllToPeers(now time.Time) {
-	all := make([]*request, 0, len(m.requests))
-	for _, r := range m.requests {
-		all = append(all, r)
-	}
-	slices.SortFunc(all, func(a, b *request) int { return int(a.id) - int(b.id) })
-	for _, r := range all {
+	for _, r := range m.requestsByID() {
 		switch {
 		case r.finished || r.detour != nil:
 		case r.detoured != nil: // its VM may ask another one at once
--- a/core/coordination/forwarder/request.go
+++ b/core/coordination/forwarder/request.go
@@ -99,6 +99,9 @@
 		arrived:     now, heapIndex: -1, detoured: e.Detour,
 	}
 	r.setDeadlines(now, e.Deadline)
+	if m.refuseAtStop(now, r) {
+		return
+	}
 	if !now.Before(r.answerBy) {
 		m.refuse(r, Expired)
 		return
--- a/core/coordination/forwarder/strings.go
+++ b/core/coordination/forwarder/strings.go
@@ -49,11 +49,12 @@
 	_ = x[RateLimited-12]
 	_ = x[OutOfReach-13]
 	_ = x[OtherManifest-14]
+	_ = x[Stopping-15]
 }
 
-const _Reason_name = "noneno_manifestno_routeno_upstreambusyshedexpiredlateerroredlostbudgettoo_few_shardsrate_limitedout_of_reachother_manifest"
+const _Reason_name = "noneno_manifestno_routeno_upstreambusyshedexpiredlateerroredlostbudgettoo_few_shardsrate_limitedout_of_reachother_manifeststopping"
 
-var _Reason_index = [...]uint8{0, 4, 15, 23, 34, 38, 42, 49, 53, 60, 64, 70, 84, 96, 108, 122}
+var _Reason_index = [...]uint8{0, 4, 15, 23, 34, 38, 42, 49, 53, 60, 64, 70, 84, 96, 108, 122, 130}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/gateway/internal/runner/shutdown.go
+++ b/gateway/internal/runner/shutdown.go
@@ -18,6 +18,8 @@
 	// shutdownRatio is the fraction of the grace time after which the remaining requests are abandoned. On a slow VM the process needs
 	// part of the last second to exit, and the kill at the end of the grace time would lose these requests as well.
 	shutdownRatio = 0.88
+	// answerRatio is the fraction of the time until then after which each request has an answer. The rest is for writing it.
+	answerRatio = 0.96
 )
 
 // awaitLoadBalancer waits for a duration. A second stop signal ends the wait; a request to reload the settings does not.
@@ -46,6 +48,7 @@
 	if timeout <= 0 {
 		timeout = loadBalancerDelay
 	}
+	g.driver.HandleEvent(forwarder.StopBegun{AnswerBy: start.Add(time.Duration(float64(timeout) * answerRatio))})
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	awaitLoadBalancer(min(loadBalancerDelay, timeout/2), signals)
