Keep peers in reserve whose entries are gone, and prefer those that answer

A caller that no VM can serve is told to return in 0.2 s or later instead of at once (TestPeersInReserve).

--- a/core/coordination/forwarder/detour.go
+++ b/core/coordination/forwarder/detour.go
@@ -17,6 +17,8 @@
 	// maxHedgeDelay is how old an attempt may be whose hedge waits, and hedgeCheckInterval how long it waits at a time.
 	maxHedgeDelay      = 150 * time.Millisecond
 	hedgeCheckInterval = 20 * time.Millisecond
+	// lostRetryAfter is when callers may return whose requests no VM can serve.
+	lostRetryAfter = 200 * time.Millisecond
 	// detourMargin is how much earlier a peer sends a partial answer, because it takes one more hop to the caller.
 	detourMargin = 4 * time.Millisecond
 )
@@ -55,7 +57,7 @@
 			return false
 		}
 		if !m.elsewhere.Ask(now) || !m.startDetour(now, r) {
-			m.refuse(r, OutOfReach)
+			m.refuseLost(now, r)
 		}
 		return true
 	}
@@ -75,6 +77,17 @@
 	return ask && m.startDetour(now, r)
 }
 
+// refuseLost refuses a request that neither this VM nor a peer can serve. If all VMs have lost the upstreams, another VM does not help, and
+// the caller is to return when the next probe may have succeeded.
+func (m *Machine) refuseLost(now time.Time, r *request) {
+	after := m.retryAfter(r)
+	if m.elsewhere.Unreached(now) {
+		after = max(after, m.jitter(lostRetryAfter))
+	}
+	m.emit(Answer{Request: r.id, Outcome: Refused{Reason: OutOfReach, RetryAfter: after}, Report: r.report(now)})
+	m.finish(r)
+}
+
 // mayTry reports whether a request may be used to find out whether upstreams reply again: if they do not, a peer must be able to serve it.
 func (m *Machine) mayTry(r *request) bool {
 	return r.route.Idempotent && r.maxAttempts() > 1 && m.peers.Len() > 0
@@ -194,7 +207,7 @@
 		return false
 	}
 	d.tried = append(d.tried, peer.Name)
-	m.peers.RecordStart(peer.Name)
+	m.peers.RecordStart(now, peer.Name)
 	m.lastAttempt++
 	d.attempt = &attempt{id: m.lastAttempt, request: r, upstream: peer.Name, sent: now, toPeer: true}
 	m.attempts[d.attempt.id] = d.attempt
@@ -328,8 +341,7 @@
 	case counted:
 		m.resumeSubRequests(now, r)
 	case m.reach.Lost(now):
-		m.emit(Answer{Request: r.id, Outcome: Refused{Reason: OutOfReach, RetryAfter: max(refused.RetryAfter, m.retryAfter(r))}, Report: r.report(now)})
-		m.finish(r)
+		m.refuseLost(now, r)
 	default:
 		m.dispatchSubRequests(now, r)
 	}
--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -69,7 +69,7 @@
 	case StopBegun:
 		m.beginStop(now, e.AnswerBy)
 	case PeersListed:
-		m.peers.SetPeers(e.Peers)
+		m.peers.SetPeers(now, e.Peers)
 	case ProbeEnded:
 		m.handleProbeEnd(now, e)
 	case TimerFired:
--- a/core/coordination/navigator/navigator_test.go
+++ b/core/coordination/navigator/navigator_test.go
@@ -170,7 +170,7 @@
 // that gets all of them.
 func TestPeersFindTheOnesInReach(t *testing.T) {
 	var p Peers
-	p.SetPeers(testPeers(9))
+	p.SetPeers(start, testPeers(9))
 	r := rand.New(rand.NewPCG(1, 1))
 	counts, wasted, now := map[string]int{}, 0, start
 	inReach := map[string]bool{"vm1": true, "vm4": true, "vm8": true}
@@ -182,7 +182,7 @@
 			if !ok {
 				break
 			}
-			p.RecordStart(peer.Name)
+			p.RecordStart(now, peer.Name)
 			tried = append(tried, peer.Name)
 			if inReach[peer.Name] {
 				counts[peer.Name]++
@@ -206,13 +206,13 @@
 // TestBrokenPeerIsAvoided guards against requests to a VM that is dead while its entry is still in the store.
 func TestBrokenPeerIsAvoided(t *testing.T) {
 	var p Peers
-	p.SetPeers(testPeers(1))
+	p.SetPeers(start, testPeers(1))
 	r := rand.New(rand.NewPCG(1, 1))
 	asked := 0
 	for now := start; now.Before(start.Add(30 * time.Second)); now = now.Add(10 * time.Millisecond) {
 		if peer, ok := p.Pick(now, r, "d0", nil); ok {
 			asked++
-			p.RecordStart(peer.Name)
+			p.RecordStart(now, peer.Name)
 			p.RecordEnd(now, peer.Name, Broken{})
 		}
 	}
@@ -221,6 +221,38 @@
 	}
 }
 
+// TestPeersInReserve guards against a VM without peers while the store has lost the entries of the fleet, and against requests to a peer that
+// answers none.
+func TestPeersInReserve(t *testing.T) {
+	var p Peers
+	r := rand.New(rand.NewPCG(1, 1))
+	p.SetPeers(start, testPeers(2))
+	p.SetPeers(start, testPeers(1))
+	for range 100 {
+		if peer, ok := p.Pick(start, r, "d0", nil); !ok || peer.Name != "vm0" {
+			t.Fatalf("picked %q beside a registered peer", peer.Name)
+		}
+	}
+	p.SetPeers(start, nil)
+	if _, ok := p.Pick(start.Add(goneLifetime-1), r, "d0", nil); !ok {
+		t.Error("no peer is left after the entries of all have disappeared")
+	}
+	if _, ok := p.Pick(start.Add(goneLifetime), r, "d0", nil); ok {
+		t.Error("a peer is used long after its entry has disappeared")
+	}
+	p.SetPeers(start, testPeers(2))
+	p.RecordStart(start, "vm0")
+	for range 100 {
+		if peer, ok := p.Pick(start.Add(silentAfter+1), r, "d0", nil); !ok || peer.Name != "vm1" {
+			t.Fatalf("picked %q, which is silent", peer.Name)
+		}
+	}
+	p.RecordStart(start, "vm1")
+	if _, ok := p.Pick(start.Add(silentAfter+1), r, "d0", nil); !ok {
+		t.Error("no peer is picked while all are slow")
+	}
+}
+
 // TestAdmit guards against requests of other VMs that starve the callers of a VM.
 func TestAdmit(t *testing.T) {
 	const target = 100 * time.Millisecond
--- a/core/coordination/navigator/peers.go
+++ b/core/coordination/navigator/peers.go
@@ -14,6 +14,10 @@
 	maxFailedPause = 8 * time.Second
 	// unreachedPause is how long a peer gets no requests that does not reach the upstreams itself.
 	unreachedPause = time.Second
+	// silentAfter is how long a peer may leave all of its requests unanswered before others are preferred.
+	silentAfter = 500 * time.Millisecond
+	// goneLifetime is how long a peer without an entry is kept in reserve. Entries disappear during a fault of the store.
+	goneLifetime = 30 * time.Second
 	// minBusyPause is the shortest pause of a peer that had no room.
 	minBusyPause = 20 * time.Millisecond
 	// remoteFactor multiplies the cost of a peer in another failure domain, because bytes between them are billed.
@@ -37,22 +41,36 @@
 type peerState struct {
 	Peer
 	inFlight     int
+	waitingSince time.Time // since when it has requests and has answered none
+	goneAt       time.Time // when its entry disappeared; zero while it is registered
 	servedAt     time.Time // zero before the first served request
 	pausedUntil  time.Time
 	failurePause time.Duration
 }
 
-// SetPeers replaces the peers. Those that stay keep their state.
-func (p *Peers) SetPeers(all []Peer) {
+// SetPeers replaces the peers. Those that stay keep their state, and those that disappear are kept in reserve.
+func (p *Peers) SetPeers(now time.Time, all []Peer) {
 	old := p.peers
 	p.peers = make([]peerState, 0, len(all))
 	for _, peer := range all {
 		s := peerState{Peer: peer}
 		if i := slices.IndexFunc(old, func(o peerState) bool { return o.Peer == peer }); i >= 0 {
 			s = old[i]
+			s.goneAt = time.Time{}
 		}
 		p.peers = append(p.peers, s)
 	}
+	for _, s := range old {
+		if slices.ContainsFunc(all, func(peer Peer) bool { return peer.Name == s.Name }) {
+			continue
+		}
+		if s.goneAt.IsZero() {
+			s.goneAt = now
+		}
+		if now.Sub(s.goneAt) < goneLifetime {
+			p.peers = append(p.peers, s)
+		}
+	}
 	slices.SortFunc(p.peers, func(a, b peerState) int {
 		switch {
 		case a.Name < b.Name:
@@ -70,17 +88,23 @@
 // Pick returns the peer for a request: the less loaded of two that are drawn at random, mostly from those that served requests lately, and in
 // the own failure domain rather than in another one. It returns false if all peers are excluded or paused.
 func (p *Peers) Pick(now time.Time, r *rand.Rand, domain string, exclude []string) (Peer, bool) {
-	var open, tested []*peerState
-	for i := range p.peers {
-		s := &p.peers[i]
-		if now.Before(s.pausedUntil) || slices.Contains(exclude, s.Name) {
-			continue
-		}
-		open = append(open, s)
-		if s.tested(now) {
-			tested = append(tested, s)
+	var open, tested, reserve []*peerState
+	for k := range p.peers {
+		s := &p.peers[k]
+		switch {
+		case now.Before(s.pausedUntil) || slices.Contains(exclude, s.Name) || !s.goneAt.IsZero() && now.Sub(s.goneAt) >= goneLifetime:
+		case !s.goneAt.IsZero() || s.silent(now):
+			reserve = append(reserve, s)
+		default:
+			open = append(open, s)
+			if s.tested(now) {
+				tested = append(tested, s)
+			}
 		}
 	}
+	if len(open) == 0 {
+		open = reserve
+	}
 	if len(open) == 0 {
 		return Peer{}, false
 	}
@@ -100,6 +124,11 @@
 	return !s.servedAt.IsZero() && now.Sub(s.servedAt) < reachedLifetime
 }
 
+// silent reports whether the peer has answered none of its requests for long.
+func (s *peerState) silent(now time.Time) bool {
+	return s.inFlight > 0 && now.Sub(s.waitingSince) > silentAfter
+}
+
 func (s *peerState) cost(domain string) float64 {
 	cost := float64(s.inFlight + 1)
 	if s.FailureDomain != domain {
@@ -116,8 +145,11 @@
 }
 
 // RecordStart records that a request is sent to a peer.
-func (p *Peers) RecordStart(name string) {
+func (p *Peers) RecordStart(now time.Time, name string) {
 	if s := p.find(name); s != nil {
+		if s.inFlight == 0 {
+			s.waitingSince = now
+		}
 		s.inFlight++
 	}
 }
@@ -129,6 +161,9 @@
 		return
 	}
 	s.inFlight = max(0, s.inFlight-1)
+	if _, left := e.(Left); !left {
+		s.waitingSince = now
+	}
 	switch e := e.(type) {
 	case Served:
 		s.servedAt, s.failurePause = now, 0
