Judge for each service whether a VM reaches it, and keep the budget then

A service counted as lost only after each of its upstreams had failed, which 40 upstreams never do, and a connection that is reset at once cost no token on the ground that the upstream had not read the request. Now several upstreams without a reply since are evidence for a service too, lookups go to a peer that reaches it, and such resets cost tokens once the service counts as lost. Ruled out as a mend: counting all of them, which callers pay for after all VMs were lost, when upstreams reset connections and not requests.

Lookups still fail while one upstream of 40 replies: that is not a loss.

--- a/core/coordination/forwarder/detour.go
+++ b/core/coordination/forwarder/detour.go
@@ -63,7 +63,7 @@
 	}
 	ask, trial := false, false
 	for index := range r.subs {
-		if s := r.subs[index].service; s.set.Unreachable(now) && s.elsewhere.Ask(now) {
+		if s := r.subs[index].service; s.unreachable(now) && s.elsewhere.Ask(now) {
 			m.avoidService(s)
 			ask, trial = true, trial || s.trial.Due()
 		}
@@ -357,14 +357,22 @@
 	}
 	for index := range r.subs {
 		sub := &r.subs[index]
-		if sub.state == subFailed && sub.service.set.Unreachable(now) && sub.service.elsewhere.Ask(now) {
-			m.avoidService(sub.service)
+		if sub.state == subFailed && m.mayAskElsewhere(now, sub.service) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayAskElsewhere reports whether a request to a service that this VM does not reach may go through a peer.
+func (m *Machine) mayAskElsewhere(now time.Time, s *service) bool {
+	if m.peers.Len() == 0 || !s.unreachable(now) || !s.elsewhere.Ask(now) {
+		return false
+	}
+	m.avoidService(s)
+	return true
+}
+
 // hedgeElsewhere decides about a hedge that is due while no upstream has replied since the first attempt: a second attempt of this VM is of no
 // use if its own connections are the fault. Without recent proof that they are not, a peer gets the request; otherwise the hedge waits until it
 // is known, so that the attempt is left for a peer. It returns false for a hedge to another upstream.
@@ -372,6 +380,9 @@
 	if m.peers.Len() == 0 || r.detoured != nil {
 		return false
 	}
+	if r.gather == nil && m.mayAskElsewhere(now, sub.service) && m.moveToPeer(now, r) {
+		return true
+	}
 	first := m.firstAttempt(sub)
 	if first == nil || m.reach.RepliedSince(first.sent) {
 		return false
@@ -421,7 +432,7 @@
 	reachable, waiting := 0, false
 	for index := range r.subs {
 		s := r.subs[index].service
-		if !s.set.Unreachable(now) {
+		if !s.unreachable(now) {
 			reachable++
 		}
 		waiting = waiting || len(s.waiting) > 0
--- a/core/coordination/forwarder/detour_test.go
+++ b/core/coordination/forwarder/detour_test.go
@@ -268,6 +268,56 @@
 	}
 }
 
+// TestRefusingUpstreamsKeepTheBudget guards against a request that is offered to one upstream after the other while all of them reset it, with or
+// without peers that reach them.
+func TestRefusingUpstreamsKeepTheBudget(t *testing.T) {
+	for _, peers := range []int{0, 5} {
+		t.Run(fmt.Sprint(peers, " peers"), func(t *testing.T) {
+			h := newReadyHarness(t, 1)
+			h.listPeers(peers)
+			var many []Upstream
+			for k := range 40 {
+				many = append(many, Upstream{
+					Name: fmt.Sprintf("point-%d", k), Service: "point", FailureDomain: "d0", Slots: 2,
+					Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(k)}), 80),
+				})
+			}
+			h.step(UpstreamsListed{Upstreams: append(many, upstreams("shard0")...)})
+			const noticed, requests = 10, 100 // the VM has 0.1 s to notice
+			arrivals, served := 0, 0
+			for k := range noticed + requests {
+				if k == noticed {
+					arrivals, served = 0, 0
+				}
+				h.request("/all/x", 0)
+				h.reply("shard0")
+				id := h.request("/one/x", 0)
+				for len(h.pending) > 0 {
+					s := h.pending[0]
+					h.pending = h.pending[1:]
+					if s.Detour != nil {
+						served++
+						h.endAttempt(s, PeerAnswered{Outcome: Relayed{Reply: successReply(s)}})
+						continue
+					}
+					arrivals++
+					h.endAttempt(s, Failed{Failure: ConnectionRejected, Written: true})
+				}
+				if _, ok := h.answers[id]; !ok {
+					t.Fatalf("request %d has no answer", id)
+				}
+				h.advance(10 * time.Millisecond)
+			}
+			if extra := arrivals - requests; extra > requests/5+maxSlackPerVM {
+				t.Errorf("%d arrivals of %d requests", arrivals, requests)
+			}
+			if peers > 0 && served < requests-requests/20 {
+				t.Errorf("peers serve %d of %d requests", served, requests)
+			}
+		})
+	}
+}
+
 // vmFleet joins machines whose sends to each other are delivered, over random histories.
 type vmFleet struct {
 	rt    *rapid.T
--- a/core/coordination/forwarder/dispatch.go
+++ b/core/coordination/forwarder/dispatch.go
@@ -102,7 +102,9 @@
 	sub.state = subSent
 	sub.possibleRuns++ // reverted if the result shows that it did not run
 	r.sends++
-	m.reach.RecordStart(now, sub.service.name, a.upstream, now.Add(sub.service.set.LateAfter(i)))
+	lateAt := now.Add(sub.service.set.LateAfter(i))
+	m.reach.RecordStart(now, sub.service.name, a.upstream, lateAt)
+	sub.service.reach.RecordStart(now, sub.service.name, a.upstream, lateAt)
 	sub.service.set.RecordStart(now, i)
 	m.emit(Send{
 		Attempt: a.id, Service: sub.service.name, Upstream: a.upstream, Address: u.Row.Address, Message: r.message, Deadline: r.answerBy,
@@ -207,8 +209,10 @@
 		// The upstream has most likely not read the request, but that is not certain enough to report that it did not run.
 		r.mayHaveRun = true
 		sub.possibleRuns--
-		sub.unwritten++
 		sub.reason = Busy
+		if !sub.service.unreachable(now) { // otherwise upstreams refuse requests rather than connections, and each one counts as an arrival
+			sub.unwritten++
+		}
 	case f.Written:
 		r.mayHaveRun = true
 	default:
@@ -240,6 +244,9 @@
 		m.failSub(now, r, index)
 		return
 	}
+	if r.gather == nil && m.mayAskElsewhere(now, sub.service) && m.moveToPeer(now, r) {
+		return
+	}
 	// An attempt that was never written did not reach an upstream, so the send that replaces it is not an extra one.
 	sub.needsToken = len(sub.tried) > sub.unwritten
 	r.retries++
--- a/core/coordination/forwarder/reach.go
+++ b/core/coordination/forwarder/reach.go
@@ -3,13 +3,17 @@
 import (
 	"slices"
 	"time"
+
+	"comfreyroute/core/coordination/navigator"
 )
 
 const (
 	// probesPerRound is how many upstreams are probed at once. Some of them may be down.
 	probesPerRound = 3
-	// serviceProbeDelay is the time between two probes of a service whose requests go through peers.
-	serviceProbeDelay = 300 * time.Millisecond
+	// serviceProbeDelay is the time between two probes of a service whose requests go through peers. It grows up to maxServiceProbeDelay
+	// while upstreams accept connections and no request.
+	serviceProbeDelay    = 300 * time.Millisecond
+	maxServiceProbeDelay = 2 * time.Second
 	// probeTimeout is how long the connection of a probe may take.
 	probeTimeout = 700 * time.Millisecond
 	// lagGain is the weight of one timer in the average lag.
@@ -20,16 +24,24 @@
 
 // recordReach records what the result of an attempt says about the connection of this VM to its upstreams.
 func (m *Machine) recordReach(now time.Time, a *attempt, result Result) {
+	s := a.service
 	if f, ok := result.(Failed); ok {
 		switch f.Failure {
 		case Unreachable, Reset:
-			m.reach.RecordFailure(now, a.service.name, a.upstream)
+			m.reach.RecordFailure(now, s.name, a.upstream)
+			s.reach.RecordFailure(now, s.name, a.upstream)
+			return
+		case ConnectionRejected: // its host has answered, although this VM gets nothing from it
+			s.reach.RecordFailure(now, s.name, a.upstream)
+			m.recordContact(now)
 			return
 		case NoConnection, TimedOut, SlowConnect, Cancelled:
 			return // the upstream may be silent
-		case ConnectionRejected, Mismatched, Oversized: // its host has answered
+		case Mismatched, Oversized: // it has answered
 		}
 	}
+	s.reach.RecordReply(now)
+	s.trial, s.probeDelay = navigator.Trial{}, 0
 	m.recordContact(now)
 }
 
@@ -52,11 +64,12 @@
 		m.probeRandom(now)
 	}
 	m.avoidedServices = slices.DeleteFunc(m.avoidedServices, func(s *service) bool {
-		return !s.set.Unreachable(now) || !s.elsewhere.Reached(now)
+		return !s.unreachable(now) || !s.elsewhere.Reached(now)
 	})
 	for _, s := range m.avoidedServices {
 		if !now.Before(s.probeAt) {
-			s.probeAt = now.Add(serviceProbeDelay)
+			s.probeDelay = max(s.probeDelay, serviceProbeDelay)
+			s.probeAt = now.Add(s.probeDelay)
 			m.probe(now, s, m.random.IntN(s.set.Len()))
 		}
 	}
@@ -126,7 +139,9 @@
 	m.reach.RecordProbe(now)
 	if i, ok := s.set.Index(e.Upstream); ok && slices.Contains(m.avoidedServices, s) {
 		s.set.RecordProbe(now, i)
-		s.trial.Arm(now)
+		if s.trial.Arm(now) {
+			s.probeDelay = min(2*s.probeDelay, maxServiceProbeDelay)
+		}
 	}
 }
 
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -26,8 +26,10 @@
 	upstreams      []Upstream               // sorted by name
 	waiting        []waiter                 // in dispatch order
 	limitedSends   map[string]*LimitedSends // by upstream that declares a limit
+	reach          navigator.Reach          // whether this VM reaches any of the upstreams
 	elsewhere      navigator.Elsewhere      // what peers say of the upstreams
 	probeAt        time.Time                // of the next probe, while requests go through peers
+	probeDelay     time.Duration            // between two probes
 	trial          navigator.Trial
 }
 
@@ -124,11 +126,15 @@
 			continue
 		}
 		m.retireReplaced(s.upstreams, upstreams)
+		s.reach.Configure(1, len(upstreams))
 		s.upstreams = upstreams
 		m.configureService(now, s)
 	}
 }
 
+// unreachable reports whether this VM reaches none of the upstreams: all have failed, or several are silent or refuse and none has replied since.
+func (s *service) unreachable(now time.Time) bool { return s.reach.Lost(now) || s.set.Unreachable(now) }
+
 // servicesByName returns the services sorted by name, so that the same events always result in the same actions.
 func (m *Machine) servicesByName() []*service {
 	all := make([]*service, 0, len(m.services))
