--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -26,6 +26,22 @@
 copy|gateway/internal/watcher/registry.go|s/ .. e.Precedes(&reg.entry):/ \&\& false:/|gateway/internal/watcher|TestUpstreamsAfterRestore
 leases|platform/translator/vm.go|s/era := s.era.Load(); era != 0 .. era != lease.Era/false/|platform/translator|TestEras
 queue|gateway/internal/acceptor/acceptor.go|s/case draining:/case !draining:/|gateway/internal/acceptor|TestDrainServesQueuedConnections
+detour|core/coordination/navigator/reach.go|s/if late < r.needed() .. len(services) < .*{$/if true {/|core/coordination/forwarder|TestStrandedVMUsesPeers
+elsewhere|core/coordination/navigator/elsewhere.go|s/case e.Unreached(now), .*:/case false:/|core/coordination/navigator|TestElsewhere
+trial|core/coordination/navigator/reach.go|s/if r.lost .. r.trial.Arm(now) {/if r.RecordReply(now) {/|core/coordination/forwarder|TestReturnOfUpstreams
+hosted|core/coordination/forwarder/detour.go|s/return OutOfReach, false/return None, true/|core/coordination/forwarder|TestHostedRequestIsNotSentOn
+attempts|core/coordination/forwarder/request.go|s/n = min(n, r.detoured.Attempts)/_ = n/|core/coordination/forwarder|TestHostKeepsTheLimitsOfBothVMs
+route|core/coordination/forwarder/detour.go|s/r.detoured.Route != r.fingerprint/false/|core/coordination/forwarder|TestHostKeepsTheLimitsOfBothVMs
+beside|core/coordination/forwarder/dispatch.go|s/if r.detour != nil { .*/if false {/;s/if r.detour != nil .. /if /|core/coordination/forwarder|TestFleetKeepsPromisesOverTwoVMs
+own|core/coordination/forwarder/schedule.go|s/if own := r.detoured == nil; own != .*{$/if own := true; !own {/|core/coordination/forwarder|TestHostedRequestsComeAfterOwnOnes
+admit|core/coordination/navigator/admit.go|s/ .. !l.Waiting//|core/coordination/navigator|TestAdmit
+reserve|core/coordination/navigator/peers.go|s/if now.Sub(s.goneAt) < goneLifetime {/if false {/|core/coordination/navigator|TestPeersInReserve
+refusing|core/coordination/forwarder/dispatch.go|s/if !sub.service.unreachable(now) { .*/if true {/|core/coordination/forwarder|TestRefusingUpstreamsKeepTheBudget
+leaving|core/coordination/forwarder/notice.go|s/if r.Leaving {/if false {/|core/coordination/forwarder|TestNotices
+wait|core/coordination/forwarder/notice.go|s/if r.Pause > 0 .. /if false \&\& /|core/coordination/forwarder|TestNotices
+notices|core/coordination/selector/set.go|/s.attachNotice(u)/d|core/coordination/forwarder|TestNotices
+late|core/coordination/forwarder/request.go|s/if m.refuseAtStop(now, r) {/if false {/|core/coordination/forwarder|TestLateRequestsAtStop
+grace|core/coordination/forwarder/stop.go|s/if r.answerBy.After(answerBy) {/if false {/|core/coordination/forwarder|TestStopEndsRequestsInProgress
 removal|gateway/internal/watcher/registry.go|/reg.entry.Revision = e.Revision/d|gateway/internal/watcher|TestRegistry
 draining|core/coordination/selector/upstream.go|s/return !u.Draining .. !u.Leaving .. u.Row.Weight > 0/return u.Row.Weight > 0/|core/coordination/router|TestRandomEvents
 crossed|core/transport/connector/message.go|s/reply.RequestID != id/reply.RequestID == ""/;s/h != "" .. h != id/h == "none"/|core/transport/connector|TestSendEnds
