--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -23,7 +23,7 @@
 lapse|core/coordination/limiter/quota.go|s/minGrantLifetime = time.Second/minGrantLifetime = time.Hour/|core/coordination/forwarder|TestFleetKeepsDeclaredRate
 overtaken|core/coordination/limiter/quota.go|s/ .. sent.After(q.declaredAt)//|core/coordination/limiter|TestQuotaChanges
 era|gateway/internal/watcher/source.go|s/c.Era != 0 .. w.era != 0 .. c.Era != w.era/c.Era == 1 \&\& w.era == 2/|gateway/internal/watcher|TestManifestAfterRestore
-copy|gateway/internal/watcher/registry.go|s/ .. e.Precedes(&reg.entry):/ \&\& false:/|gateway/internal/watcher|TestUpstreamsAfterRestore
+copy|gateway/internal/watcher/registry.go|s/ .. e.Precedes(&reg.entry) {/ \&\& false {/|gateway/internal/watcher|TestUpstreamsAfterRestore
 leases|platform/translator/vm.go|s/era := s.era.Load(); era != 0 .. era != lease.Era/false/|platform/translator|TestEras
 queue|gateway/internal/acceptor/acceptor.go|s/case draining:/case !draining:/|gateway/internal/acceptor|TestDrainServesQueuedConnections
 detour|core/coordination/navigator/reach.go|s/if late < r.needed() .. len(services) < .*{$/if true {/|core/coordination/forwarder|TestStrandedVMUsesPeers
