Ask peers again after one that was busy or had lost its upstreams too

Callers of a VM without upstreams could be refused for up to a second after one request had met a busy peer, and until the next served request after one had met a peer that was cut off as well: the way through peers was asked for by one request at a time. Read from the code; TestBusyPeersAreAskedAgain refused all of five further requests. Under load with most VMs cut off this would have been common.

Now three answers in turn must say that peers reach nothing, a busy peer says nothing of the upstreams, and all requests of a VM that has lost every upstream may ask. A request that no peer has taken is not moved to peers a second time.

--- a/core/coordination/forwarder/detour.go
+++ b/core/coordination/forwarder/detour.go
@@ -56,7 +56,7 @@
 			m.reach.TakeTrial()
 			return false
 		}
-		if !m.elsewhere.Ask(now) || !m.startDetour(now, r) {
+		if m.elsewhere.Unreached(now) || !m.startDetour(now, r) {
 			m.refuseLost(now, r)
 		}
 		return true
@@ -112,7 +112,7 @@
 // moveToPeer sends a request in progress through a peer, because its own attempts are unlikely to succeed. Those in flight go on. It returns
 // false if the request must not run once more, or no peer takes it.
 func (m *Machine) moveToPeer(now time.Time, r *request) bool {
-	if r.detoured != nil || r.detour != nil || m.peers.Len() == 0 || !now.Before(r.answerBy) || m.attemptsLeft(r) < 1 {
+	if r.detoured != nil || r.detour != nil || r.turnedAway || m.peers.Len() == 0 || !now.Before(r.answerBy) || m.attemptsLeft(r) < 1 {
 		return false
 	}
 	for index := range r.subs {
@@ -249,6 +249,7 @@
 		} else {
 			m.Detours.Broken++
 			m.peers.RecordEnd(now, a.upstream, navigator.Broken{})
+			recordNoAnswer(r)
 		}
 		switch {
 		case !live:
@@ -271,12 +272,14 @@
 		m.Detours.TurnedAway++
 		m.peers.RecordEnd(now, a.upstream, navigator.TurnedAway{Unreached: o.Reason == OutOfReach, RetryAfter: o.RetryAfter})
 		if !unreached {
+			recordNoAnswer(r)
 			return
 		}
 	case Unknown:
 		m.Detours.Broken++
 		m.peers.RecordEnd(now, a.upstream, navigator.TurnedAway{Unreached: o.Reason == OutOfReach})
 		if o.Reason != OutOfReach {
+			recordNoAnswer(r)
 			return
 		}
 		unreached = true
@@ -302,6 +305,16 @@
 	}
 }
 
+// recordNoAnswer records that the answer of a peer to a request says nothing about the upstreams. The request is nil if it has its answer.
+func recordNoAnswer(r *request) {
+	if r == nil {
+		return
+	}
+	for index := range r.subs {
+		r.subs[index].service.elsewhere.RecordNoAnswer()
+	}
+}
+
 // repeatAtPeer sends a request that may have run at a peer, without an answer, to another one. That peer pays for it in its retry budget.
 func (m *Machine) repeatAtPeer(now time.Time, r *request, runs int) bool {
 	d := r.detour
@@ -336,7 +349,7 @@
 		m.answerFromPeer(now, r, "", Unknown{Reason: refused.Reason}, nil)
 		return
 	}
-	r.detour = nil
+	r.detour, r.turnedAway = nil, true
 	switch {
 	case counted:
 		m.resumeSubRequests(now, r)
--- a/core/coordination/forwarder/detour_test.go
+++ b/core/coordination/forwarder/detour_test.go
@@ -122,6 +122,28 @@
 	}
 }
 
+// TestBusyPeersAreAskedAgain guards against callers that are refused for long because one request of a VM without upstreams met busy peers, or a
+// peer that has lost its upstreams too.
+func TestBusyPeersAreAskedAgain(t *testing.T) {
+	for _, reason := range []Reason{Busy, OutOfReach} {
+		t.Run(reason.String(), func(t *testing.T) {
+			h := newReadyHarness(t, 4)
+			h.listPeers(9)
+			h.strand()
+			h.advance(3 * time.Second) // the evidence is old
+			h.request("/one/x", 0)
+			s, _ := h.takeDetour()
+			h.endAttempt(s, PeerAnswered{Outcome: Refused{Reason: reason}})
+			for range 5 {
+				id := h.request("/one/x", 0)
+				if a, ok := h.answers[id]; ok {
+					t.Fatalf("a further request is answered at once: %#v", a.Outcome)
+				}
+			}
+		})
+	}
+}
+
 // hosted submits a request of another VM.
 func (h *harness) hosted(path string, d Detour) RequestID {
 	h.lastRequest++
--- a/core/coordination/forwarder/request.go
+++ b/core/coordination/forwarder/request.go
@@ -44,6 +44,7 @@
 	detoured        *Detour  // set if another VM sent the request on
 	leaving         []string // names of upstreams that said so in a reply
 	hosted          bool     // counted in Machine.detoured
+	turnedAway      bool     // no peer has taken it
 	prepaid         bool     // its tokens for moving to a peer are taken
 }
 
--- a/core/coordination/navigator/navigator_test.go
+++ b/core/coordination/navigator/navigator_test.go
@@ -137,7 +137,12 @@
 	if !e.Ask(start) || e.Ask(start.Add(time.Millisecond)) {
 		t.Error("without evidence one request at a time must ask")
 	}
-	e.RecordUnreached(start)
+	for range minUnreached {
+		if e.Unreached(start) {
+			t.Error("one peer that has lost its upstreams too is taken for all of them")
+		}
+		e.RecordUnreached(start)
+	}
 	if e.Ask(start.Add(unreachedLifetime-1)) || !e.Ask(start.Add(unreachedLifetime)) {
 		t.Error("the word of peers that they do not reach the upstreams must count until it is old")
 	}
@@ -151,6 +156,10 @@
 	if !e.Ask(later) || e.Ask(later) {
 		t.Error("old evidence must be asked for again, by one request")
 	}
+	e.RecordNoAnswer()
+	if !e.Ask(later) {
+		t.Error("after a peer without room another request must ask")
+	}
 	if !e.Ask(later.Add(askTimeout)) {
 		t.Error("a request whose answer does not arrive must not keep others from asking")
 	}
