Keep a VM alive whose avoided service loses its upstreams, and forget old losses

A VM that sent the requests of a service through peers stopped when the last upstream of the service was removed: it drew one of none for a probe. TestLostServiceWithoutUpstreams panicked.

The same test shows a VM that would have refused requests of others to a service which it had lost once, for as long as it had none of its own to it. Evidence for a service now counts for 5 s after the last request.

--- a/core/coordination/forwarder/detour_test.go
+++ b/core/coordination/forwarder/detour_test.go
@@ -340,6 +340,42 @@
 	}
 }
 
+// TestLostServiceWithoutUpstreams guards against a VM that stops working because all upstreams of a service that it avoids were removed, and
+// against a loss that is remembered although no request could have noticed its end.
+func TestLostServiceWithoutUpstreams(t *testing.T) {
+	h := newReadyHarness(t, 1)
+	h.listPeers(5)
+	lose := func() {
+		for range 3 {
+			h.request("/all/x", 0)
+			h.reply("shard0")
+			h.request("/one/x", 0)
+			for len(h.pending) > 0 {
+				s := h.pending[0]
+				h.pending = h.pending[1:]
+				if s.Detour != nil {
+					h.endAttempt(s, PeerAnswered{Outcome: Relayed{Reply: successReply(s)}})
+				} else {
+					h.endAttempt(s, Failed{Failure: Unreachable})
+				}
+			}
+			h.advance(40 * time.Millisecond)
+		}
+	}
+	lose()
+	if len(h.machine.avoidedServices) != 1 {
+		t.Fatalf("%d services are avoided, want 1", len(h.machine.avoidedServices))
+	}
+	h.step(UpstreamsListed{Upstreams: upstreams("shard0")})
+	h.advance(time.Second)
+	h.step(UpstreamsListed{Upstreams: upstreams("shard0", "point")})
+	h.advance(6 * time.Second)
+	id := h.hosted("/one/x", Detour{Attempts: 2})
+	if a, ok := h.answers[id]; ok {
+		t.Errorf("a request to a service that was lost long ago is answered at once: %#v", a.Outcome)
+	}
+}
+
 // vmFleet joins machines whose sends to each other are delivered, over random histories.
 type vmFleet struct {
 	rt    *rapid.T
--- a/core/coordination/forwarder/reach.go
+++ b/core/coordination/forwarder/reach.go
@@ -70,7 +70,7 @@
 		if !now.Before(s.probeAt) {
 			s.probeDelay = max(s.probeDelay, serviceProbeDelay)
 			s.probeAt = now.Add(s.probeDelay)
-			m.probe(now, s, m.random.IntN(s.set.Len()))
+			m.probeAny(now, s)
 		}
 	}
 }
@@ -113,15 +113,17 @@
 func (m *Machine) probeRandom(now time.Time) {
 	all := m.servicesByName()
 	for range probesPerRound {
-		s := all[m.random.IntN(len(all))]
-		if n := s.set.Len(); n > 0 {
-			m.probe(now, s, m.random.IntN(n))
-		}
+		m.probeAny(now, all[m.random.IntN(len(all))])
 	}
 }
 
-func (m *Machine) probe(now time.Time, s *service, i int) {
-	u := s.set.At(i)
+// probeAny probes one upstream of a service, if that has any.
+func (m *Machine) probeAny(now time.Time, s *service) {
+	n := s.set.Len()
+	if n == 0 {
+		return
+	}
+	u := s.set.At(m.random.IntN(n))
 	if !u.Eligible() {
 		return
 	}
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -133,7 +133,10 @@
 }
 
 // unreachable reports whether this VM reaches none of the upstreams: all have failed, or several are silent or refuse and none has replied since.
-func (s *service) unreachable(now time.Time) bool { return s.reach.Lost(now) || s.set.Unreachable(now) }
+// Without requests that is forgotten, because a VM that sends none hears of no return.
+func (s *service) unreachable(now time.Time) bool {
+	return s.reach.Lost(now) && !s.reach.Stale(now) || s.set.Unreachable(now)
+}
 
 // servicesByName returns the services sorted by name, so that the same events always result in the same actions.
 func (m *Machine) servicesByName() []*service {
--- a/core/coordination/navigator/reach.go
+++ b/core/coordination/navigator/reach.go
@@ -16,6 +16,8 @@
 	checkInterval = 20 * time.Millisecond
 	// provenLifetime is how long a reply proves that the VM reaches its upstreams.
 	provenLifetime = 500 * time.Millisecond
+	// staleAfter is how long evidence counts without a further request.
+	staleAfter = 5 * time.Second
 	// maxRecorded bounds the recorded upstreams.
 	maxRecorded = 16
 
@@ -34,6 +36,7 @@
 	services   int              // that have upstreams
 	upstreams  int
 	repliedAt  time.Time
+	triedAt    time.Time // last request or failure
 	lost       bool
 	lostAt     time.Time
 	returnedAt time.Time
@@ -55,6 +58,7 @@
 
 // RecordStart records that a request is sent to an upstream, whose reply is late from lateAt on.
 func (r *Reach) RecordStart(now time.Time, service, upstream string, lateAt time.Time) {
+	r.triedAt = now
 	if len(r.silent) == maxRecorded || slices.ContainsFunc(r.silent, func(s silentUpstream) bool { return s.upstream == upstream }) {
 		return
 	}
@@ -63,6 +67,7 @@
 
 // RecordFailure records that an upstream could not be reached.
 func (r *Reach) RecordFailure(now time.Time, service, upstream string) {
+	r.triedAt = now
 	for i := range r.silent {
 		if r.silent[i].upstream == upstream {
 			r.silent[i].lateAt = now
@@ -106,6 +111,9 @@
 	return !r.repliedAt.IsZero() && now.Sub(r.repliedAt) < provenLifetime
 }
 
+// Stale reports whether no request was tried for long, so that a loss may be over.
+func (r *Reach) Stale(now time.Time) bool { return now.Sub(r.triedAt) > staleAfter }
+
 // needed returns how many upstreams must be silent.
 func (r *Reach) needed() int { return max(1, min(minSilent, r.upstreams)) }
 
