--- a/core/transport/requester/requester_test.go
+++ b/core/transport/requester/requester_test.go
@@ -518,3 +518,50 @@
 	}
 	<-ended
 }
+
+// TestProbe guards against a probe whose connection is lost or exceeds the share of this VM, and against one without a report.
+func TestProbe(t *testing.T) {
+	h, reports := newHarness(t), make(chan forwarder.ProbeEnded, 1)
+	h.client.ReportProbe = func(e forwarder.ProbeEnded) { reports <- e }
+	u := newFakeUpstream(t, echo)
+	probe := func(address netip.AddrPort) bool {
+		h.client.Do(forwarder.Probe{Upstream: "u", Address: address, Deadline: time.Now().Add(time.Second), MaxConnections: 1})
+		return (<-reports).Connected
+	}
+	if !probe(u.address) {
+		t.Fatal("the probe of a running upstream fails")
+	}
+	<-u.accepted
+	h.send(u, "a", func(s *forwarder.Send) { s.MaxConnections = 1 })
+	if got := h.result(); got != "a" || h.client.Counts.Opened.Load() != 1 {
+		t.Errorf("result %q over %d connections, want the one of the probe", got, h.client.Counts.Opened.Load())
+	}
+	if !probe(u.address) {
+		t.Error("the second probe fails")
+	}
+	extra := <-u.accepted
+	_ = extra.SetReadDeadline(time.Now().Add(5 * time.Second))
+	// The fake closes its side once it has read the end of the connection.
+	if _, err := extra.Read(make([]byte, 1)); !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		t.Errorf("reading a connection beyond the share ends with %v, want its end", err)
+	}
+	_ = u.listener.Close()
+	if probe(u.address) {
+		t.Error("the probe of a stopped upstream succeeds")
+	}
+}
+
+// TestPeerThatDoesNotAnswerAConnect guards against a request that waits for a peer without power while others could serve it.
+func TestPeerThatDoesNotAnswerAConnect(t *testing.T) {
+	h := newHarness(t)
+	h.client.Dial = func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	h.send(&fakeUpstream{address: netip.MustParseAddrPort("127.0.0.1:1")}, "a", func(s *forwarder.Send) {
+		s.Detour, s.ConnectBy, s.Deadline = &forwarder.Detour{}, time.Now().Add(20*time.Millisecond), time.Now().Add(300*time.Millisecond)
+	})
+	if got := h.result(); got != forwarder.SlowConnect.String() {
+		t.Errorf("result %q, want %v", got, forwarder.SlowConnect)
+	}
+}
