Return to upstreams without tokens of the retry budget

While peers reach nothing either, any request is a trial; otherwise one is after two seconds in which none was fit, as when all must not run twice.

--- a/core/coordination/forwarder/detour.go
+++ b/core/coordination/forwarder/detour.go
@@ -52,7 +52,9 @@
 		return false
 	}
 	if m.reach.Lost(now) {
-		if m.mayTry(r) && m.reach.TrialDue() && m.prepay(now, r) {
+		// While peers reach nothing either, a trial without a way back to them is no worse than a refusal.
+		forced := m.reach.TrialOverdue(now) || m.elsewhere.Unreached(now) || m.peers.Len() == 0
+		if m.reach.TrialDue() && (m.mayTry(r) && m.prepay(now, r) || forced) {
 			m.reach.TakeTrial()
 			return false
 		}
@@ -61,14 +63,14 @@
 		}
 		return true
 	}
-	ask, trial := false, false
+	ask, trial, overdue := false, false, false
 	for index := range r.subs {
 		if s := r.subs[index].service; s.unreachable(now) && s.elsewhere.Ask(now) {
 			m.avoidService(s)
-			ask, trial = true, trial || s.trial.Due()
+			ask, trial, overdue = true, trial || s.trial.Due(), overdue || s.trial.Overdue(now)
 		}
 	}
-	if trial && m.mayTry(r) && m.prepay(now, r) {
+	if trial && (m.mayTry(r) && m.prepay(now, r) || overdue) {
 		for index := range r.subs {
 			r.subs[index].service.trial.Take()
 		}
--- a/core/coordination/forwarder/detour_test.go
+++ b/core/coordination/forwarder/detour_test.go
@@ -247,6 +247,52 @@
 	h.takeSend("point")
 }
 
+// TestReturnWithoutTokens guards against a VM that stays without upstreams after they are back, because no request is fit for a trial: all peers have
+// lost them too and the retry budget is used up, the only requests must not run twice, or there are no peers.
+func TestReturnWithoutTokens(t *testing.T) {
+	cases := []struct {
+		name  string
+		path  string
+		peers int
+		end   PeerAnswered // of requests to peers
+	}{
+		{"peers are lost too", "/one/x", 5, PeerAnswered{Outcome: Refused{Reason: OutOfReach}}},
+		{"peers serve", "/one/x", 5, PeerAnswered{Outcome: Relayed{Reply: &Reply{Status: 200, Signature: "s"}}}},
+		{"must not run twice", "/once/x", 5, PeerAnswered{Outcome: Relayed{Reply: &Reply{Status: 200, Signature: "s"}}}},
+		{"no peers", "/once/x", 0, PeerAnswered{}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newReadyHarness(t, 4)
+			h.machine.Config.ExtraSendRatio, h.machine.Config.ExtraSendSlack = 0, 0
+			h.step(FleetResized{VMs: 3}) // no service has a token
+			h.listPeers(c.peers)
+			h.request("/all/x", 0)
+			h.advance(2 * time.Second)
+			h.pending = nil
+			if h.machine.UpstreamsLost() != 1 {
+				t.Fatal("the loss of all upstreams is not noticed")
+			}
+			for end := h.now.Add(4 * time.Second); h.now.Before(end) && h.machine.UpstreamsLost() == 1; h.advance(100 * time.Millisecond) {
+				h.step(ProbeEnded{Service: "shard0", Upstream: "shard0-0", Connected: true})
+				h.request(c.path, 0)
+				for len(h.pending) > 0 {
+					s := h.pending[0]
+					h.pending = h.pending[1:]
+					if s.Detour != nil {
+						h.endAttempt(s, c.end)
+					} else {
+						h.endAttempt(s, Replied{Reply: successReply(s)})
+					}
+				}
+			}
+			if h.machine.UpstreamsLost() != 0 {
+				t.Error("the VM is still without upstreams 4 s after they are back")
+			}
+		})
+	}
+}
+
 // TestLostServiceUsesPeers guards against callers of a VM that has lost the upstreams of one service only, and against detours of all requests to a
 // service that is down for all VMs.
 func TestLostServiceUsesPeers(t *testing.T) {
--- a/core/coordination/navigator/reach.go
+++ b/core/coordination/navigator/reach.go
@@ -25,6 +25,8 @@
 	// a probe has succeeded.
 	minProbeDelay = 250 * time.Millisecond
 	maxProbeDelay = 2 * time.Second
+	// trialPatience is how long a trial waits for a request that may go on through a peer.
+	trialPatience = 2 * time.Second
 	// stableTime is how long the upstreams must be in reach for the next loss to be probed at minProbeDelay again.
 	stableTime = 5 * time.Second
 )
@@ -97,6 +99,9 @@
 // TrialDue reports whether a request may be sent to the lost upstreams to find out whether they reply again.
 func (r *Reach) TrialDue() bool { return r.lost && r.trial.Due() }
 
+// TrialOverdue reports whether any request is to be tried, because none was fit for it for long.
+func (r *Reach) TrialOverdue(now time.Time) bool { return r.lost && r.trial.Overdue(now) }
+
 // TakeTrial uses up the trial.
 func (r *Reach) TakeTrial() { r.trial.Take() }
 
@@ -169,10 +174,15 @@
 // Arm allows the next trial. It reports whether an earlier one was used up without an effect.
 func (t *Trial) Arm(now time.Time) bool {
 	failed := !t.armed && !t.armedAt.IsZero()
-	t.armed, t.armedAt = true, now
+	if !t.armed {
+		t.armed, t.armedAt = true, now
+	}
 	return failed
 }
 
+// Overdue reports whether no request was fit for the trial for long, so that any request is to be tried.
+func (t *Trial) Overdue(now time.Time) bool { return t.armed && now.Sub(t.armedAt) > trialPatience }
+
 // Due reports whether a trial is allowed.
 func (t *Trial) Due() bool { return t.armed }
 
