--- a/review/kit/case_stall.go
+++ b/review/kit/case_stall.go
@@ -47,9 +47,7 @@
 		at := time.Since(begin)
 		inBurst := at > burstEvery && at%burstEvery < earlyFor
 		head := fmt.Sprintf("Server-Stamp: %s\r\nKeep-Alive: timeout=%d\r\n", v.stamp(q), keepAlive)
-		if v.service == "desk" {
-			r.logf("%s: request %s on the connection from %v, body of %d bytes", v.id, id, c.RemoteAddr(), q.ContentLength)
-		}
+		r.logf("%s: request %s on the connection from %v, body of %d bytes", v.id, id, c.RemoteAddr(), q.ContentLength)
 		if r.trouble && q.ContentLength > longBody && inBurst && answersEarly(v.id, int(at/burstEvery)) {
 			time.Sleep(workTime)
 			r.logf("%s: answers %s with 413, its body of %d bytes is not read yet", v.id, id, q.ContentLength)
@@ -62,6 +60,7 @@
 		if _, err := io.Copy(io.Discard, q.Body); err != nil {
 			return false
 		}
+		r.logf("%s: runs %s", v.id, id)
 		time.Sleep(workTime)
 		return v.answer(c, q, http.StatusOK, head, "done")
 	}
