--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -49,6 +50,8 @@
 	// bodyMemoryRatio is the fraction of the allowed memory for the bodies of all requests and replies at once. The buffers of a growing
 	// body and what the garbage collector has not freed yet may take as much again.
 	bodyMemoryRatio = 0.2
+	// maxLoggedTarget bounds the path and query of a request in the log, in bytes.
+	maxLoggedTarget = 100
 )
 
 // Gateway is the daemon. Its exported fields must be set before Run.
@@ -319,9 +322,15 @@
 			fields = append(fields, zap.String("detail", r.Detail))
 		}
 	}
+	fields = append(fields, formatSignature(s.Message.Signature()), zap.String("target", s.Message.Target[:min(len(s.Message.Target), maxLoggedTarget)]))
 	g.log.InfoLimited("requester: attempt failed", fields...)
 }
 
+// formatSignature returns the log field by which lines about the same request are found when it comes again.
+func formatSignature(signature uint64) zap.Field {
+	return zap.String("signature", fmt.Sprintf("%016x", signature))
+}
+
 // logRateChange logs that an upstream has declared another limit on its rate, or none any more.
 func (g *Gateway) logRateChange(c forwarder.RateChanged) {
 	fields := []zap.Field{zap.String("service", c.Service), zap.String("upstream", c.Upstream)}
