--- a/core/coordination/forwarder/action.go
+++ b/core/coordination/forwarder/action.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"comfreyroute/core/coordination/quarantiner"
 )
 
 // Action is an operation that the caller of Machine.Step performs.
@@ -38,6 +40,18 @@
 	MaxConnections int // that this VM may open to the upstream
 }
 
+// PublishEvidence makes known to the other VMs what this one knows about requests that crash upstreams. It replaces what this VM published
+// before.
+type PublishEvidence struct{ Evidence []quarantiner.Evidence }
+
+// QuarantineChanged reports that the requests with a signature are run in another way from now on.
+type QuarantineChanged struct {
+	Signature uint64
+	Decision  quarantiner.Decision
+	Service   string // of the upstream whose crash or reply decided it; empty if other VMs reported it
+	Upstream  string
+}
+
 // ReachChanged reports that this VM has lost all upstreams, or reaches them again.
 type ReachChanged struct {
 	Lost bool
@@ -90,6 +104,10 @@
 
 func (NoticeReceived) isAction() {}
 
+func (PublishEvidence) isAction() {}
+
+func (QuarantineChanged) isAction() {}
+
 // Outcome is the result of a request, which its caller receives.
 type Outcome interface{ isOutcome() }
 
--- a/core/coordination/forwarder/config.go
+++ b/core/coordination/forwarder/config.go
@@ -4,6 +4,7 @@
 
 // Config holds the settings that do not come from a manifest. The zero value allows no extra sends (hedges and retries).
 type Config struct {
+	VM             string // name of this VM
 	FailureDomain  string
 	FleetMax       int     // most VMs that share connections and budget; 0 means the larger of the fleet's size and the default
 	ExtraSendRatio float64 // extra sends to a service per request, over all VMs
@@ -44,6 +45,22 @@
 	connectPatienceShare = 0.75
 	minConnectPatience   = 15 * time.Millisecond
 
+	// crashProbeTimeout is how long a connection to an upstream that has reset a request may take. A host that lives answers within a round trip
+	// (1 to 3 ms), also that nothing accepts connections.
+	crashProbeTimeout = 100 * time.Millisecond
+	// maxResetHold is how long a sub-request waits at most until it is known whether the upstream that reset it has crashed.
+	maxResetHold = 20 * time.Millisecond
+	// contactTime is how long after a reset this VM must reach another upstream for the crash to count. It covers two probes and the replies of
+	// some requests; a VM that has lost its connections reaches none.
+	contactTime = 250 * time.Millisecond
+	// maxOtherProbes bounds the upstreams that are probed for one reset to find out whether this VM reaches any. Others may have crashed too.
+	maxOtherProbes = 6
+	// resetLifetime is how long a reset waits for the evidence of a crash. An upstream that has started again is listed with another start
+	// time some seconds later.
+	resetLifetime = 5 * time.Second
+	// maxPendingResets bounds the resets that wait for evidence.
+	maxPendingResets = 512
+
 	// hedgeQuantile is the quantile of a route's latencies that becomes its hedge delay. One sub-request in twenty is then sent
 	// twice, which takes a quarter of the usual budget and leaves the rest for upstream pauses and retries.
 	hedgeQuantile = 0.95
--- a/core/coordination/forwarder/detour.go
+++ b/core/coordination/forwarder/detour.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"comfreyroute/core/coordination/navigator"
+	"comfreyroute/core/coordination/quarantiner"
 )
 
 const (
@@ -31,6 +32,7 @@
 	Attempts int           // upstreams of each service on which the request may still run
 	Counted  bool          // the retry budget of another VM has counted the request
 	Paid     bool          // and has paid for the first attempt of each sub-request
+	Suspect  bool          // the first VM saw upstreams crash under the request
 }
 
 // DetourCounts counts requests that went through peers, by their end, and those of other VMs that this VM took or refused.
@@ -114,7 +116,8 @@
 // moveToPeer sends a request in progress through a peer, because its own attempts are unlikely to succeed. Those in flight go on. It returns
 // false if the request must not run once more, or no peer takes it.
 func (m *Machine) moveToPeer(now time.Time, r *request) bool {
-	if r.detoured != nil || r.detour != nil || r.turnedAway || m.peers.Len() == 0 || !now.Before(r.answerBy) || m.attemptsLeft(r) < 1 {
+	if r.detoured != nil || r.detour != nil || r.turnedAway || m.peers.Len() == 0 || !now.Before(r.answerBy) || m.attemptsLeft(r) < 1 ||
+		m.decision(now, r) == quarantiner.Reject {
 		return false
 	}
 	for index := range r.subs {
@@ -144,9 +147,12 @@
 	for index := range r.subs {
 		sub := &r.subs[index]
 		sub.hedgeAt = time.Time{}
-		if sub.state == subWaiting {
+		switch sub.state {
+		case subWaiting:
 			sub.service.dequeue(r, index)
 			sub.state = subIdle
+		case subHeld:
+			sub.state, sub.heldUntil = subIdle, time.Time{}
 		}
 	}
 }
@@ -216,7 +222,10 @@
 	m.emit(Send{
 		Attempt: d.attempt.id, Upstream: peer.Name, Address: peer.Address, Message: r.message, Deadline: r.answerBy,
 		ConnectBy: now.Add(peerPatience), MaxBodyBytes: m.maxBodyBytes(r), MaxConnections: peerConnections, RecentlyActive: !r.route.Idempotent,
-		Detour: &Detour{Route: r.fingerprint, Age: now.Sub(r.arrived), Attempts: m.attemptsLeft(r), Counted: d.counted, Paid: d.paid},
+		Detour: &Detour{
+			Route: r.fingerprint, Age: now.Sub(r.arrived), Attempts: m.attemptsLeft(r), Counted: d.counted, Paid: d.paid,
+			Suspect: m.decision(now, r) != quarantiner.Clear,
+		},
 	})
 	return true
 }
@@ -243,6 +252,7 @@
 				m.answerFromPeer(now, r, a.upstream, o, e.Missing)
 			}
 		default:
+			m.quarantine.RecordAnswer(now, r.signature)
 			m.answerFromPeer(now, r, a.upstream, o, e.Missing)
 		}
 	case Failed:
@@ -343,10 +353,15 @@
 
 // continueAfterPeer goes on with a request that a peer has not run: at the next peer, or at the upstreams if this VM reaches them.
 func (m *Machine) continueAfterPeer(now time.Time, r *request, refused Refused) {
-	if m.sendDetour(now, r) {
+	if refused.Reason != Quarantined && m.sendDetour(now, r) {
 		return
 	}
 	counted, ran := r.detour.counted, r.detour.runs > 0
+	if refused.Reason == Quarantined && !ran && !r.mayHaveRun && r.runs() == 0 {
+		m.answerFromPeer(now, r, "", refused, nil)
+		return
+	}
+	ran = ran || refused.Reason == Quarantined
 	if ran {
 		m.answerFromPeer(now, r, "", Unknown{Reason: refused.Reason}, nil)
 		return
--- a/core/coordination/forwarder/dispatch.go
+++ b/core/coordination/forwarder/dispatch.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"comfreyroute/core/coordination/quarantiner"
 	"comfreyroute/core/coordination/selector"
 )
 
@@ -17,6 +18,8 @@
 	sent      time.Time
 	cancelled bool
 	toPeer    bool // upstream names a peer, and service is nil
+	signature uint64
+	alone     bool // the request ran nowhere else, because it may crash upstreams
 }
 
 // dispatch sends a sub-request to an upstream. If none has free capacity, it queues the sub-request, or fails it if it would wait too long.
@@ -26,6 +29,9 @@
 		sub.state = subIdle
 		return
 	}
+	if m.holdBack(now, r, index) {
+		return
+	}
 	i, ok := m.pickUpstream(now, sub, false)
 	switch {
 	case ok && (!sub.needsToken || sub.service.budget.TakeToken(now)):
@@ -94,7 +100,9 @@
 	m.lastAttempt++
 	a := &attempt{
 		id: m.lastAttempt, request: r, subIndex: index, service: sub.service, upstream: u.Row.Upstream, sent: now,
+		signature: r.signature,
 	}
+	m.markProbe(now, r, a)
 	m.attempts[a.id] = a
 	m.countLimitedSend(u, sub)
 	sub.inFlight.Add(a.id)
@@ -111,7 +119,7 @@
 		ConnectBy: now.Add(connectPatience(now, r)), MaxBodyBytes: m.maxBodyBytes(r), MaxConnections: sub.service.connectionShare(m.fleetMax()),
 		RecentlyActive: !r.route.Idempotent,
 	})
-	if r.route.Idempotent && sub.inFlight.Count() < maxInFlight {
+	if r.route.Idempotent && sub.inFlight.Count() < maxInFlight && !a.alone {
 		sub.hedgeAt = now.Add(r.routeState.hedgeDelay(now, r.route, r.answerBy.Sub(r.arrived)))
 		m.reschedule(r, sub.hedgeAt)
 	}
@@ -128,7 +136,7 @@
 func (m *Machine) hedge(now time.Time, r *request, index int) {
 	sub := &r.subs[index]
 	sub.hedgeAt = time.Time{}
-	if sub.inFlight.Count() >= maxInFlight || sub.possibleRuns >= r.maxAttempts() || len(sub.tried) >= maxSends {
+	if sub.inFlight.Count() >= maxInFlight || sub.possibleRuns >= r.maxAttempts() || len(sub.tried) >= maxSends || m.decision(now, r) != quarantiner.Clear {
 		return
 	}
 	if m.hedgeElsewhere(now, r, sub) {
@@ -156,6 +164,7 @@
 		return
 	}
 	m.recordReach(now, a, e.Result)
+	m.recordEvidence(now, a, e.Result)
 	m.recordResult(now, a, e.Result)
 	if r := a.request; r != nil && !r.finished {
 		r.subs[a.subIndex].inFlight.Remove(a.id)
@@ -169,6 +178,7 @@
 			m.handleFailure(now, r, a, result)
 		}
 	}
+	m.endProbe(now, a)
 	m.dispatchWaiting(now, a.service)
 }
 
--- a/core/coordination/forwarder/event.go
+++ b/core/coordination/forwarder/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"comfreyroute/core/coordination/navigator"
+	"comfreyroute/core/coordination/quarantiner"
 	"comfreyroute/core/coordination/reporter"
 )
 
@@ -39,6 +40,13 @@
 	Service   string
 	Upstream  string
 	Connected bool
+	Refused   bool // its host has answered that nothing accepts connections there
+}
+
+// EvidenceReceived carries what VMs have published about requests that crash upstreams. Complete is set if the store has nothing else.
+type EvidenceReceived struct {
+	Publications []quarantiner.Publication
+	Complete     bool
 }
 
 // RequestArrived carries a request of a caller. Deadline is when the caller stops waiting; zero means the route's timeout.
@@ -73,6 +81,8 @@
 func (StopBegun) isEvent()       {}
 func (ProbeEnded) isEvent()      {}
 
+func (EvidenceReceived) isEvent() {}
+
 // Result says how an attempt ended.
 type Result interface{ isResult() }
 
@@ -126,8 +136,8 @@
 // the upstream did not run the request, Expired that the deadline had passed or an attempt timed out, Late that the shard had not
 // replied when the request was answered, Errored that the upstream replied with an error, Lost that an attempt ended without a
 // usable reply, Budget that the retry budget was used up, RateLimited that the rates which the upstreams declare allow no further request
-// in time, OutOfReach that this VM reaches too few upstreams, OtherManifest that the VMs route the request differently, and
-// Stopping that this VM stops before an upstream can have answered.
+// in time, OutOfReach that this VM reaches too few upstreams, OtherManifest that the VMs route the request differently,
+// Stopping that this VM stops before an upstream can have answered, and Quarantined that the request crashes the upstreams that run it.
 const (
 	None          Reason = iota // none
 	NoManifest                  // no_manifest
@@ -145,7 +155,8 @@
 	OutOfReach                  // out_of_reach
 	OtherManifest               // other_manifest
 	Stopping                    // stopping
+	Quarantined                 // quarantined
 )
 
 // LastReason is the largest Reason.
-const LastReason = Stopping
+const LastReason = Quarantined
--- a/core/coordination/forwarder/harness_test.go
+++ b/core/coordination/forwarder/harness_test.go
@@ -18,6 +18,7 @@
 	answers     map[RequestID]Answer
 	cancelled   int
 	retired     []string
+	probes      []Probe
 	wake        time.Time
 	lastRequest RequestID
 	sentAt      map[AttemptID]time.Time // used by rateFleet
@@ -42,6 +43,8 @@
 			h.cancelled++
 		case Retire:
 			h.retired = append(h.retired, a.Upstream)
+		case Probe:
+			h.probes = append(h.probes, a)
 		case Wake:
 			h.wake = a.At
 		}
--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"comfreyroute/core/coordination/navigator"
+	"comfreyroute/core/coordination/quarantiner"
 	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/core/coordination/scheduler"
 	"comfreyroute/core/coordination/screener"
@@ -19,6 +20,8 @@
 
 	Detours DetourCounts // read only
 
+	QuarantineRefused uint64 // requests refused because they crash upstreams; read only
+
 	reach           navigator.Reach
 	elsewhere       navigator.Elsewhere // what peers say of all upstreams
 	peers           navigator.Peers
@@ -28,6 +31,9 @@
 	lag             time.Duration
 	lagAt           time.Time
 
+	quarantine    quarantiner.Watchlist
+	pendingResets []pendingReset // oldest first
+
 	collector   reporter.Collector
 	random      *rand.Rand
 	manifest    *Manifest
@@ -72,6 +78,8 @@
 		m.peers.SetPeers(now, e.Peers)
 	case ProbeEnded:
 		m.handleProbeEnd(now, e)
+	case EvidenceReceived:
+		m.quarantine.Receive(now, e.Publications, e.Complete)
 	case TimerFired:
 		m.recordLag(now)
 		m.wakeAt = time.Time{}
@@ -80,6 +88,9 @@
 	for len(m.timers) > 0 && !m.timers[0].due.After(now) {
 		m.runDueSteps(now, m.timers[0])
 	}
+	if evidence, ok := m.quarantine.TakePublication(now); ok {
+		m.emit(PublishEvidence{Evidence: evidence})
+	}
 	m.scheduleWake(now)
 	return m.actions
 }
@@ -90,6 +101,7 @@
 		return
 	}
 	m.random = rand.New(rand.NewPCG(m.Config.Seed, m.Config.Seed))
+	m.quarantine.VM, m.quarantine.Random = m.Config.VM, m.random
 	m.requests = map[RequestID]*request{}
 	m.attempts = map[AttemptID]*attempt{}
 }
@@ -108,6 +120,9 @@
 	if len(m.timers) > 0 && (next.IsZero() || m.timers[0].due.Before(next)) {
 		next = m.timers[0].due
 	}
+	if at := m.quarantine.NextPublication(); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+		next = at
+	}
 	if next.IsZero() {
 		return
 	}
--- /dev/null
+++ b/core/coordination/forwarder/quarantine.go
@@ -0,0 +1,299 @@
+package forwarder
+
+import (
+	"slices"
+	"time"
+
+	"comfreyroute/core/coordination/quarantiner"
+	"comfreyroute/core/coordination/selector"
+)
+
+// pendingReset is an attempt that its upstream has reset, without evidence so far whether the upstream crashed.
+type pendingReset struct {
+	attempt   *attempt
+	at        time.Time
+	startTime time.Time // of the upstream
+	refused   bool      // the upstream's host refuses connections: it has crashed, or this VM does not reach it
+	others    []string  // upstreams that were probed since, because this VM may not reach any
+}
+
+// decision returns how a request may run, because it may crash upstreams.
+func (m *Machine) decision(now time.Time, r *request) quarantiner.Decision {
+	d, _ := m.quarantine.Check(now, r.signature)
+	if d == quarantiner.Clear && r.suspect {
+		return quarantiner.Probe
+	}
+	return d
+}
+
+// refuseQuarantined refuses a request at once that crashes upstreams.
+func (m *Machine) refuseQuarantined(now time.Time, r *request) bool {
+	d, until := m.quarantine.Check(now, r.signature)
+	if d != quarantiner.Reject {
+		return false
+	}
+	m.QuarantineRefused++
+	m.emit(Answer{
+		Request: r.id, Outcome: Refused{Reason: Quarantined, RetryAfter: until.Sub(now)}, Report: Report{Route: r.route.Name, Manifest: r.manifestVersion},
+	})
+	return true
+}
+
+// firstProbe returns the sub-request that a suspect runs alone: the one to the service with the most crashes. It returns -1 for a request that
+// may run everywhere.
+func (m *Machine) firstProbe(now time.Time, r *request) int {
+	if len(r.subs) == 0 || m.decision(now, r) != quarantiner.Probe {
+		return -1
+	}
+	first, most := 0, -1
+	for index := range r.subs {
+		if n := m.quarantine.CrashesOf(now, r.signature, r.subs[index].service.name); n > most {
+			first, most = index, n
+		}
+	}
+	return first
+}
+
+// holdBack keeps a sub-request from being sent now if its request may crash upstreams: it fails one that is rejected, and holds one back while
+// another one of the request runs alone, or while it is not known whether the upstream that reset it has crashed and there is other evidence.
+func (m *Machine) holdBack(now time.Time, r *request, index int) bool {
+	sub := &r.subs[index]
+	switch m.decision(now, r) {
+	case quarantiner.Reject:
+		sub.reason = Quarantined
+		m.failSub(now, r, index)
+		return true
+	case quarantiner.Probe:
+		if r.probe != 0 {
+			sub.state, sub.heldUntil = subHeld, time.Time{}
+			return true
+		}
+	case quarantiner.Clear:
+	}
+	if now.Before(sub.heldUntil) && (r.awaitingEvidence(now) > 1 || m.quarantine.HasCrashes(now, r.signature)) {
+		sub.state = subHeld
+		m.reschedule(r, sub.heldUntil)
+		return true
+	}
+	return false
+}
+
+// awaitingEvidence returns how many sub-requests of a request were reset just now by upstreams that may have crashed.
+func (r *request) awaitingEvidence(now time.Time) int {
+	n := 0
+	for index := range r.subs {
+		if now.Before(r.subs[index].heldUntil) {
+			n++
+		}
+	}
+	return n
+}
+
+// markProbe marks an attempt of a suspect as the only one that runs.
+func (m *Machine) markProbe(now time.Time, r *request, a *attempt) {
+	if m.decision(now, r) == quarantiner.Probe && r.probe == 0 {
+		r.probe, a.alone = a.id, true
+	}
+}
+
+// recordEvidence records what the end of an attempt says about whether its request crashes upstreams.
+func (m *Machine) recordEvidence(now time.Time, a *attempt, result Result) {
+	switch e := result.(type) {
+	case Replied:
+		if e.Reply.NotRun || e.Reply.PromisesNoRun {
+			return
+		}
+		before, _ := m.quarantine.Check(now, a.signature)
+		m.quarantine.RecordReply(now, a.signature, a.service.name, a.alone)
+		if a.alone && a.request != nil {
+			a.request.suspect = false
+		}
+		m.reportDecision(now, before, a)
+		m.recordUpstreamContact(now, a.service.name, a.upstream)
+	case Failed:
+		if e.Failure == ConnectionRejected || e.Failure == Reset && e.Written {
+			m.recordReset(now, a)
+		}
+	}
+}
+
+// recordReset keeps an attempt that was reset until it is known whether its upstream has crashed, and probes the upstream.
+func (m *Machine) recordReset(now time.Time, a *attempt) {
+	i, ok := a.service.set.Index(a.upstream)
+	if !ok || !a.service.set.At(i).Eligible() {
+		return // an upstream that leaves may end
+	}
+	m.pendingResets = slices.DeleteFunc(m.pendingResets, func(p pendingReset) bool { return now.Sub(p.at) > resetLifetime })
+	if len(m.pendingResets) >= maxPendingResets {
+		return
+	}
+	probed := slices.ContainsFunc(m.pendingResets, func(p pendingReset) bool {
+		return p.attempt.upstream == a.upstream && now.Sub(p.at) < crashProbeTimeout
+	})
+	m.pendingResets = append(m.pendingResets, pendingReset{attempt: a, at: now, startTime: a.service.startTime(a.upstream)})
+	if r := a.request; r != nil {
+		r.subs[a.subIndex].heldUntil = now.Add(maxResetHold)
+	}
+	if !probed {
+		m.emitProbe(a.service, a.service.set.At(i), now.Add(crashProbeTimeout))
+	}
+}
+
+// resolveResets uses what a probe says of the upstreams. One that accepts connections has not crashed. One whose host refuses them has, if this
+// VM reaches other upstreams; otherwise its own connections may be the fault, so that a further probe is sent. Without an answer of the host, the
+// list of upstreams may still tell.
+func (m *Machine) resolveResets(now time.Time, e ProbeEnded) {
+	switch {
+	case e.Connected:
+		m.takeResets(now, func(p pendingReset) (known, crashed bool) {
+			return p.attempt.upstream == e.Upstream && p.attempt.service.name == e.Service, false
+		})
+		m.recordUpstreamContact(now, e.Service, e.Upstream)
+	case e.Refused:
+		asked := false // one further probe tells for all resets of the upstream
+		for i := range m.pendingResets {
+			p := &m.pendingResets[i]
+			first := p.attempt.upstream == e.Upstream && p.attempt.service.name == e.Service && !p.refused
+			p.refused = p.refused || first
+			if first && !asked || slices.Contains(p.others, e.Upstream) {
+				m.probeOther(now, p)
+			}
+			asked = asked || first
+		}
+	}
+}
+
+// probeOther probes another upstream than one that refuses connections, of the same service if one is left that may work.
+func (m *Machine) probeOther(now time.Time, p *pendingReset) {
+	if now.Sub(p.at) > contactTime || len(p.others) >= maxOtherProbes {
+		return
+	}
+	for _, s := range append([]*service{p.attempt.service}, m.servicesByName()...) {
+		n := s.set.Len()
+		if n == 0 {
+			continue
+		}
+		first := m.random.IntN(n)
+		for k := range n {
+			u := s.set.At((first + k) % n)
+			if u.Eligible() && !m.wasReset(s, u.Row.Upstream) && !slices.Contains(p.others, u.Row.Upstream) {
+				p.others = append(p.others, u.Row.Upstream)
+				m.emitProbe(s, u, now.Add(crashProbeTimeout))
+				return
+			}
+		}
+	}
+}
+
+// wasReset reports whether an upstream has reset an attempt lately without evidence so far of a crash.
+func (m *Machine) wasReset(s *service, upstream string) bool {
+	return slices.ContainsFunc(m.pendingResets, func(p pendingReset) bool { return p.attempt.service == s && p.attempt.upstream == upstream })
+}
+
+// recordUpstreamContact takes the resets of upstreams that refuse connections as crashes, because this VM reaches another upstream: of the same
+// service, or of any, if the service has one upstream only. A VM may be cut from one service alone.
+func (m *Machine) recordUpstreamContact(now time.Time, service, upstream string) {
+	if len(m.pendingResets) == 0 {
+		return
+	}
+	m.takeResets(now, func(p pendingReset) (known, crashed bool) {
+		crashed = p.refused && now.Sub(p.at) <= contactTime && p.attempt.upstream != upstream && (p.attempt.service.name == service || p.attempt.service.set.Len() == 1)
+		return crashed, crashed
+	})
+}
+
+// resolveReplaced takes the resets of upstreams that are no longer listed, or have started again, as crashes.
+func (m *Machine) resolveReplaced(now time.Time, service string, listed []Upstream) {
+	m.takeResets(now, func(p pendingReset) (known, crashed bool) {
+		gone := p.attempt.service.name == service && !slices.ContainsFunc(listed, func(u Upstream) bool {
+			return u.Name == p.attempt.upstream && u.StartTime.Equal(p.startTime)
+		})
+		return gone, gone
+	})
+}
+
+// takeResets removes the resets about which a function knows whether a crash was the cause, records the crashes, and goes on with the requests.
+func (m *Machine) takeResets(now time.Time, resolve func(pendingReset) (known, crashed bool)) {
+	var resolved []*attempt
+	m.pendingResets = slices.DeleteFunc(m.pendingResets, func(p pendingReset) bool {
+		if now.Sub(p.at) > resetLifetime {
+			return true
+		}
+		known, crashed := resolve(p)
+		if !known {
+			return false
+		}
+		resolved = append(resolved, p.attempt)
+		if crashed {
+			before, _ := m.quarantine.Check(now, p.attempt.signature)
+			c := quarantiner.Crash{Service: p.attempt.service.name, Upstream: p.attempt.upstream, Started: p.startTime}
+			m.quarantine.RecordCrash(now, p.attempt.signature, c, p.attempt.alone)
+			m.reportDecision(now, before, p.attempt)
+		}
+		return true
+	})
+	for _, a := range resolved {
+		if r := a.request; r != nil && !r.finished {
+			r.subs[a.subIndex].heldUntil = time.Time{}
+			if r.probe == a.id {
+				r.probe = 0
+			}
+			m.releaseHeld(now, r)
+		}
+	}
+}
+
+// endProbe lets the other sub-requests of a suspect go on after the end of the one that ran alone. After a reset they wait for the evidence.
+func (m *Machine) endProbe(now time.Time, a *attempt) {
+	r := a.request
+	if r == nil || r.finished || r.probe != a.id {
+		return
+	}
+	if slices.ContainsFunc(m.pendingResets, func(p pendingReset) bool { return p.attempt == a }) {
+		return
+	}
+	r.probe = 0
+	m.releaseHeld(now, r)
+}
+
+// endHold goes on with a sub-request whose wait for evidence is over.
+func (m *Machine) endHold(now time.Time, r *request, index int) {
+	r.subs[index].heldUntil, r.probe = time.Time{}, 0
+	m.releaseHeld(now, r)
+}
+
+// releaseHeld dispatches the sub-requests of a request that are held back. Those that still have to wait are held back again.
+func (m *Machine) releaseHeld(now time.Time, r *request) {
+	for index := range r.subs {
+		if r.finished {
+			return
+		}
+		if sub := &r.subs[index]; sub.state == subHeld {
+			sub.state = subIdle
+			m.dispatch(now, r, index)
+		}
+	}
+	if !r.finished {
+		m.schedule(now, r)
+	}
+}
+
+// reportDecision reports a change of how the requests with the signature of an attempt are run.
+func (m *Machine) reportDecision(now time.Time, before quarantiner.Decision, a *attempt) {
+	if after, _ := m.quarantine.Check(now, a.signature); after != before {
+		m.emit(QuarantineChanged{Signature: a.signature, Decision: after, Service: a.service.name, Upstream: a.upstream})
+	}
+}
+
+// emitProbe opens a connection to an upstream to find out whether it accepts one.
+func (m *Machine) emitProbe(s *service, u *selector.Upstream, deadline time.Time) {
+	m.emit(Probe{
+		Service: s.name, Upstream: u.Row.Upstream, Address: u.Row.Address, Deadline: deadline, MaxConnections: s.connectionShare(m.fleetMax()),
+	})
+}
+
+// QuarantinedSignatures returns how many signatures are rejected.
+func (m *Machine) QuarantinedSignatures() uint64 {
+	_, rejected := m.quarantine.Len()
+	return uint64(rejected)
+}
--- a/core/coordination/forwarder/reach.go
+++ b/core/coordination/forwarder/reach.go
@@ -127,13 +127,12 @@
 	if !u.Eligible() {
 		return
 	}
-	m.emit(Probe{
-		Service: s.name, Upstream: u.Row.Upstream, Address: u.Row.Address, Deadline: now.Add(probeTimeout), MaxConnections: s.connectionShare(m.fleetMax()),
-	})
+	m.emitProbe(s, u, now.Add(probeTimeout))
 }
 
 // handleProbeEnd records that an upstream accepts connections.
 func (m *Machine) handleProbeEnd(now time.Time, e ProbeEnded) {
+	m.resolveResets(now, e)
 	s := m.services[e.Service]
 	if !e.Connected || s == nil {
 		return
--- a/core/coordination/forwarder/request.go
+++ b/core/coordination/forwarder/request.go
@@ -14,6 +14,7 @@
 	subSent
 	subDone
 	subFailed
+	subHeld // until it is known whether the request crashes upstreams
 )
 
 // request is the state of one request of a caller.
@@ -46,6 +47,9 @@
 	hosted          bool     // counted in Machine.detoured
 	turnedAway      bool     // no peer has taken it
 	prepaid         bool     // its tokens for moving to a peer are taken
+	signature       uint64
+	suspect         bool      // by evidence of another VM
+	probe           AttemptID // the only one that runs, because the request may crash upstreams; 0 for none
 }
 
 // subRequest is the part of a request for one shard or service, with all of its attempts.
@@ -61,6 +65,7 @@
 	reply        *Reply // the successful one
 	failedReply  *Reply // the last one that is not successful
 	reason       Reason
+	heldUntil    time.Time // latest time to wait for evidence about a reset; zero for none
 }
 
 // Due implements scheduler.Item.
@@ -97,7 +102,7 @@
 	r := &request{
 		id: e.Request, message: e.Message, route: route, routeState: m.routeState(now, route), manifestVersion: m.manifest.Version,
 		fingerprint: m.manifest.fingerprints[route],
-		arrived:     now, heapIndex: -1, detoured: e.Detour,
+		arrived:     now, heapIndex: -1, detoured: e.Detour, signature: e.Message.Signature(), suspect: e.Detour != nil && e.Detour.Suspect,
 	}
 	r.setDeadlines(now, e.Deadline)
 	if m.refuseAtStop(now, r) {
@@ -107,6 +112,9 @@
 		m.refuse(r, Expired)
 		return
 	}
+	if m.refuseQuarantined(now, r) {
+		return
+	}
 	m.requests[r.id] = r
 	m.createSubRequests(r)
 	if r.detoured != nil && !m.hostDetoured(now, r) {
@@ -171,11 +179,17 @@
 	for index := range r.subs {
 		r.subs[index].needsToken = r.detoured != nil && r.detoured.Counted && !r.detoured.Paid
 	}
+	first := m.firstProbe(now, r)
+	if first >= 0 {
+		m.dispatch(now, r, first)
+	}
 	for index := range r.subs {
 		if r.finished {
 			return
 		}
-		m.dispatch(now, r, index)
+		if index != first {
+			m.dispatch(now, r, index)
+		}
 	}
 	if len(r.subs) == 0 {
 		m.refuse(r, NoUpstream)
--- a/core/coordination/forwarder/schedule.go
+++ b/core/coordination/forwarder/schedule.go
@@ -16,6 +16,8 @@
 		switch {
 		case sub.state == subSent && !sub.hedgeAt.IsZero() && sub.hedgeAt.Before(r.due):
 			r.due = sub.hedgeAt
+		case sub.state == subHeld && !sub.heldUntil.IsZero() && sub.heldUntil.Before(r.due):
+			r.due = sub.heldUntil
 		case sub.state == subWaiting:
 			if at := sub.retryAt(now, r); at.Before(r.due) {
 				r.due = at
@@ -59,6 +61,8 @@
 		switch {
 		case sub.state == subSent && !sub.hedgeAt.IsZero() && !sub.hedgeAt.After(now):
 			m.hedge(now, r, index)
+		case sub.state == subHeld && !sub.heldUntil.IsZero() && !sub.heldUntil.After(now):
+			m.endHold(now, r, index)
 		case sub.state == subWaiting && !now.Before(r.waitUntil):
 			sub.service.dequeue(r, index)
 			sub.reason = Busy
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -126,6 +126,7 @@
 			continue
 		}
 		m.retireReplaced(s.upstreams, upstreams)
+		m.resolveReplaced(now, s.name, upstreams)
 		s.reach.Configure(1, len(upstreams))
 		s.upstreams = upstreams
 		m.configureService(now, s)
@@ -138,6 +139,15 @@
 	return s.reach.Lost(now) && !s.reach.Stale(now) || s.set.Unreachable(now)
 }
 
+// startTime returns when an upstream has started, zero if that is unknown.
+func (s *service) startTime(name string) time.Time {
+	i, ok := slices.BinarySearchFunc(s.upstreams, name, func(u Upstream, name string) int { return strings.Compare(u.Name, name) })
+	if !ok {
+		return time.Time{}
+	}
+	return s.upstreams[i].StartTime
+}
+
 // servicesByName returns the services sorted by name, so that the same events always result in the same actions.
 func (m *Machine) servicesByName() []*service {
 	all := make([]*service, 0, len(m.services))
--- a/core/coordination/forwarder/strings.go
+++ b/core/coordination/forwarder/strings.go
@@ -50,11 +50,12 @@
 	_ = x[OutOfReach-13]
 	_ = x[OtherManifest-14]
 	_ = x[Stopping-15]
+	_ = x[Quarantined-16]
 }
 
-const _Reason_name = "noneno_manifestno_routeno_upstreambusyshedexpiredlateerroredlostbudgettoo_few_shardsrate_limitedout_of_reachother_manifeststopping"
+const _Reason_name = "noneno_manifestno_routeno_upstreambusyshedexpiredlateerroredlostbudgettoo_few_shardsrate_limitedout_of_reachother_manifeststoppingquarantined"
 
-var _Reason_index = [...]uint8{0, 4, 15, 23, 34, 38, 42, 49, 53, 60, 64, 70, 84, 96, 108, 122, 130}
+var _Reason_index = [...]uint8{0, 4, 15, 23, 34, 38, 42, 49, 53, 60, 64, 70, 84, 96, 108, 122, 130, 141}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/core/coordination/quarantiner/evaluate.go
+++ b/core/coordination/quarantiner/evaluate.go
@@ -109,7 +109,7 @@
 			continue
 		}
 		c.signatures = slices.DeleteFunc(c.signatures, func(signature uint64) bool {
-			at, ok := m.lastReply(signature, c.upstream.group)
+			at, ok := m.replies.last(signature, c.upstream.group)
 			return ok && at.After(c.at)
 		})
 		for _, signature := range c.signatures {
--- a/core/coordination/quarantiner/evidence.go
+++ b/core/coordination/quarantiner/evidence.go
@@ -91,8 +91,8 @@
 }
 
 func (m *Machine) handleReply(now time.Time, a attempt) {
-	m.recordReply(now, a.signature, anyGroup)
-	m.recordReply(now, a.signature, a.upstream.group)
+	m.replies.record(now, a.signature, anyGroup, replyTableSize)
+	m.replies.record(now, a.signature, a.upstream.group, replyTableSize)
 	if a.sentAt.After(a.upstream.lastFault) {
 		m.markUp(now, a.upstream)
 	}
--- a/core/coordination/quarantiner/machine.go
+++ b/core/coordination/quarantiner/machine.go
@@ -21,7 +21,7 @@
 	attempts  map[uint64]attempt
 	upstreams map[upstreamKey]*upstreamState
 	crashes   []*crash // oldest first
-	replies   []reply  // hash table with buckets of two entries
+	replies   replyTable
 }
 
 // suspect is a signature that is linked to crashes or to resets without an explanation.
--- /dev/null
+++ b/core/coordination/quarantiner/watchlist_test.go
@@ -0,0 +1,205 @@
+package quarantiner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// watchlistStep is one thing that a Watchlist learns.
+type watchlistStep struct {
+	after time.Duration // since the step before
+	do    func(w *Watchlist, now time.Time)
+}
+
+const testSignature = 7
+
+func crashOf(service, upstream string, alone bool) watchlistStep {
+	return watchlistStep{time.Millisecond, func(w *Watchlist, now time.Time) {
+		w.RecordCrash(now, testSignature, Crash{Service: service, Upstream: upstream}, alone)
+	}}
+}
+
+func replyOf(service string, alone bool) watchlistStep {
+	return watchlistStep{time.Millisecond, func(w *Watchlist, now time.Time) { w.RecordReply(now, testSignature, service, alone) }}
+}
+
+func received(vm string, e ...Evidence) watchlistStep {
+	return watchlistStep{time.Millisecond, func(w *Watchlist, now time.Time) { w.Receive(now, []Publication{{VM: vm, Evidence: e}}, false) }}
+}
+
+func pause(d time.Duration) watchlistStep { return watchlistStep{d, func(*Watchlist, time.Time) {}} }
+
+func evidenceOf(confirmed bool, upstreams ...string) Evidence {
+	e := Evidence{Signature: testSignature, Confirmed: confirmed}
+	for _, u := range upstreams {
+		e.Crashes = append(e.Crashes, Crash{Service: "s", Upstream: u})
+	}
+	return e
+}
+
+// TestWatchlist guards against requests that crash upstreams and go on to run, and against harmless ones at crashes that are held back.
+func TestWatchlist(t *testing.T) {
+	answered := func(e Evidence) Evidence {
+		e.Answered, e.Confirmed = true, false
+		return e
+	}
+	cases := []struct {
+		name  string
+		steps []watchlistStep
+		want  Decision
+	}{
+		{"nothing known", nil, Clear},
+		{"at one crash", []watchlistStep{crashOf("s", "a", false)}, Clear},
+		{"at one crash, twice reported", []watchlistStep{crashOf("s", "a", false), received("vm2", evidenceOf(false, "a"))}, Clear},
+		{"at two crashes", []watchlistStep{crashOf("s", "a", false), crashOf("s", "b", false)}, Probe},
+		{"at two crashes of two services", []watchlistStep{crashOf("s", "a", false), crashOf("t", "b", false)}, Probe},
+		{"at two crashes seen by two VMs", []watchlistStep{crashOf("s", "a", false), received("vm2", evidenceOf(false, "b"))}, Probe},
+		{"at five crashes at once", []watchlistStep{crashOf("s", "a", false), crashOf("s", "b", false), crashOf("s", "c", false), crashOf("s", "d", false), crashOf("s", "e", false)}, Probe},
+		{"alone at the third", []watchlistStep{crashOf("s", "a", false), crashOf("s", "b", false), crashOf("s", "c", true)}, Reject},
+		{"alone, after other VMs' reports", []watchlistStep{received("vm2", evidenceOf(false, "a", "b")), crashOf("s", "c", true)}, Reject},
+		{"confirmed by another VM", []watchlistStep{received("vm2", evidenceOf(true, "a", "b", "c"))}, Reject},
+		{"confirmed, the store lost it", []watchlistStep{received("vm2", evidenceOf(true, "a", "b", "c")), received("vm2")}, Reject},
+		{"confirmed, lifetime over", []watchlistStep{received("vm2", evidenceOf(true, "a", "b", "c")), pause(DefaultSuspicionLifetime)}, Probe},
+		{"suspect, lifetime over", []watchlistStep{crashOf("s", "a", false), crashOf("s", "b", false), pause(DefaultSuspicionLifetime)}, Clear},
+		{"answered between", []watchlistStep{crashOf("s", "a", false), replyOf("s", false), crashOf("s", "b", false)}, Clear},
+		{"answered after two", []watchlistStep{crashOf("s", "a", false), crashOf("s", "b", false), replyOf("s", true)}, Clear},
+		{"answered lately, then at three", []watchlistStep{replyOf("s", false), crashOf("s", "a", false), crashOf("s", "b", false), crashOf("s", "c", true)}, Clear},
+		{"answered long ago, then at three", []watchlistStep{replyOf("s", false), pause(exonerationTime), crashOf("s", "a", false), crashOf("s", "b", false), crashOf("s", "c", true)}, Reject},
+		{"answered by another service", []watchlistStep{crashOf("s", "a", false), crashOf("s", "b", false), replyOf("t", false)}, Probe},
+		{"answered by another service when alone", []watchlistStep{crashOf("s", "a", false), crashOf("s", "b", false), replyOf("t", true)}, Probe},
+		{"one crash for each service, answered alone", []watchlistStep{crashOf("s", "a", false), crashOf("t", "b", false), crashOf("u", "c", false), replyOf("s", true)}, Clear},
+		{"reported again after an answer", []watchlistStep{received("vm2", evidenceOf(false, "a", "b")), replyOf("s", true), pause(exonerationTime), received("vm2", evidenceOf(false, "a", "b"))}, Clear},
+		{"confirmed by another VM, answered here", []watchlistStep{replyOf("s", false), received("vm2", evidenceOf(true, "a", "b", "c"))}, Clear},
+		{"confirmed, answered at another VM", []watchlistStep{received("vm2", evidenceOf(true, "a", "b", "c")), received("vm3", answered(evidenceOf(true, "a", "b", "c")))}, Clear},
+		{"answered at another VM, then at two more", []watchlistStep{crashOf("s", "a", false), received("vm3", answered(evidenceOf(true, "a"))), crashOf("s", "b", false), crashOf("s", "c", false)}, Probe},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w, now := &Watchlist{VM: "vm1"}, time.Unix(1000, 0)
+			for _, s := range c.steps {
+				now = now.Add(s.after)
+				s.do(w, now)
+			}
+			if got, _ := w.Check(now, testSignature); got != c.want {
+				t.Errorf("decision %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// takeAll returns what a Watchlist publishes within a time.
+func takeAll(w *Watchlist, now time.Time, within time.Duration) []Evidence {
+	at := w.NextPublication()
+	if at.IsZero() || at.Sub(now) > within {
+		return nil
+	}
+	e, _ := w.TakePublication(at)
+	return e
+}
+
+// TestPublications guards against evidence that does not reach the other VMs, or is lost when a VM starts again or the store is restored.
+func TestPublications(t *testing.T) {
+	confirmed := evidenceOf(true, "a", "b", "c")
+	lists := func(w *Watchlist, now time.Time, all ...Publication) { w.Receive(now, all, true) }
+	cases := []struct {
+		name string
+		do   func(w *Watchlist, now time.Time)
+		want []Evidence
+	}{
+		{"one crash", func(w *Watchlist, now time.Time) { crashOf("s", "a", false).do(w, now) }, []Evidence{evidenceOf(false, "a")}},
+		{"one crash, answered at once", func(w *Watchlist, now time.Time) {
+			crashOf("s", "a", false).do(w, now)
+			replyOf("s", false).do(w, now)
+		}, nil},
+		{"an answer to what others suspect", func(w *Watchlist, now time.Time) {
+			received("vm2", evidenceOf(false, "a", "b")).do(w, now)
+			replyOf("s", true).do(w, now)
+		}, []Evidence{{Signature: testSignature, Crashes: evidenceOf(false, "a", "b").Crashes, Answered: true}}},
+		{"an answer to what others reject", func(w *Watchlist, now time.Time) {
+			replyOf("s", false).do(w, now)
+			received("vm2", confirmed).do(w, now)
+		}, []Evidence{{Signature: testSignature, Crashes: confirmed.Crashes, Answered: true}}},
+		{"what others have found", func(w *Watchlist, now time.Time) { received("vm2", confirmed).do(w, now) }, nil},
+		{"what this VM had found before it started again", func(w *Watchlist, now time.Time) {
+			lists(w, now, Publication{VM: "vm1", Evidence: []Evidence{evidenceOf(false, "a")}})
+			w.RecordCrash(now, testSignature, Crash{Service: "s", Upstream: "b"}, false)
+		}, []Evidence{evidenceOf(false, "a", "b")}},
+		{"restored store without it", func(w *Watchlist, now time.Time) {
+			received("vm2", confirmed).do(w, now)
+			lists(w, now)
+		}, []Evidence{confirmed}},
+		{"restored store without suspects of this VM", func(w *Watchlist, now time.Time) {
+			crashOf("s", "a", false).do(w, now)
+			_, _ = w.TakePublication(now.Add(time.Second))
+			lists(w, now)
+		}, []Evidence{evidenceOf(false, "a")}},
+		{"restored store that has it", func(w *Watchlist, now time.Time) {
+			received("vm2", confirmed).do(w, now)
+			lists(w, now, Publication{VM: "vm3", Evidence: []Evidence{confirmed}})
+		}, nil},
+		{"lost in the store, published by another VM first", func(w *Watchlist, now time.Time) {
+			received("vm2", confirmed).do(w, now)
+			received("vm2").do(w, now)
+			received("vm3", confirmed).do(w, now)
+		}, nil},
+		{"lost in the store, known from two VMs", func(w *Watchlist, now time.Time) {
+			received("vm2", confirmed).do(w, now)
+			received("vm3", confirmed).do(w, now)
+			received("vm2").do(w, now)
+		}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w, now := &Watchlist{VM: "vm1"}, time.Unix(1000, 0)
+			c.do(w, now)
+			if diff := cmp.Diff(c.want, takeAll(w, now, republishSpread+publishInterval+publishDelay)); diff != "" {
+				t.Errorf("published (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestFloodOfCrashingRequests guards against memory without bounds, and against a flood that makes the VM forget what it rejects.
+func TestFloodOfCrashingRequests(t *testing.T) {
+	w, now := &Watchlist{VM: "vm1"}, time.Unix(1000, 0)
+	w.Receive(now, []Publication{{VM: "vm2", Evidence: []Evidence{evidenceOf(true, "a", "b", "c")}}}, false)
+	for n := range uint64(20000) {
+		now = now.Add(10 * time.Millisecond)
+		for k := range 40 {
+			w.RecordCrash(now, 1000+n, Crash{Service: "s", Upstream: fmt.Sprint(n, "-", k)}, false)
+		}
+		e, ok := w.TakePublication(now)
+		if ok && len(e) > maxPublished {
+			t.Fatalf("%d signatures published, want at most %d", len(e), maxPublished)
+		}
+		for _, v := range e {
+			if len(v.Crashes) > maxCrashesListed {
+				t.Fatalf("%d crashes published for a signature, want at most %d", len(v.Crashes), maxCrashesListed)
+			}
+		}
+	}
+	if all, _ := w.Len(); all > DefaultMaxSuspects {
+		t.Errorf("%d signatures are kept, want at most %d", all, DefaultMaxSuspects)
+	}
+	if d, _ := w.Check(now, testSignature); d != Reject {
+		t.Errorf("decision %v for the confirmed signature after the flood, want %v", d, Reject)
+	}
+}
+
+// TestPublicationsKeepTheirInterval guards against a write to the store for each crash.
+func TestPublicationsKeepTheirInterval(t *testing.T) {
+	w, now, n := &Watchlist{VM: "vm1"}, time.Unix(1000, 0), 0
+	for k := range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		w.RecordCrash(now, uint64(k), Crash{Service: "s", Upstream: "a"}, k%2 == 0)
+		if _, ok := w.TakePublication(now); ok {
+			n++
+		}
+	}
+	if want := int(10*time.Second/publishInterval) + 1; n > want {
+		t.Errorf("%d publications in 10 s, want at most %d", n, want)
+	}
+}
--- a/core/transport/requester/client.go
+++ b/core/transport/requester/client.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"comfreyroute/core/coordination/forwarder"
@@ -306,7 +308,7 @@
 	defer cancel()
 	began := time.Now()
 	nc, err := c.dial(ctx, a.Address)
-	c.ReportProbe(forwarder.ProbeEnded{Service: a.Service, Upstream: a.Upstream, Connected: err == nil})
+	c.ReportProbe(forwarder.ProbeEnded{Service: a.Service, Upstream: a.Upstream, Connected: err == nil, Refused: errors.Is(err, syscall.ECONNREFUSED)})
 	if err != nil {
 		return // the report says so
 	}
--- a/gateway/internal/detourer/detourer.go
+++ b/gateway/internal/detourer/detourer.go
@@ -33,6 +33,7 @@
 	headerAttempts = "Attempts"
 	headerCounted  = "Counted"
 	headerPaid     = "Paid"
+	headerSuspect  = "Suspect" // builds before the quarantine neither set nor read it
 )
 
 // The headers of an answer.
--- a/gateway/internal/detourer/host.go
+++ b/gateway/internal/detourer/host.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return forwarder.RequestArrived{}, eris.Wrapf(err, "decode %s", headerLeft)
 	}
-	d := &forwarder.Detour{Counted: h.Get(headerCounted) == "true", Paid: h.Get(headerPaid) == "true"}
+	d := &forwarder.Detour{Counted: h.Get(headerCounted) == "true", Paid: h.Get(headerPaid) == "true", Suspect: h.Get(headerSuspect) == "true"}
 	if d.Age, err = parseMicroseconds(h.Get(headerAge)); err != nil {
 		return forwarder.RequestArrived{}, eris.Wrapf(err, "decode %s", headerAge)
 	}
--- a/gateway/internal/detourer/protocol.go
+++ b/gateway/internal/detourer/protocol.go
@@ -34,6 +34,9 @@
 	h.Set(headerAttempts, strconv.Itoa(d.Attempts))
 	h.Set(headerCounted, strconv.FormatBool(d.Counted))
 	h.Set(headerPaid, strconv.FormatBool(d.Paid))
+	if d.Suspect {
+		h.Set(headerSuspect, strconv.FormatBool(d.Suspect))
+	}
 	h.Set("Content-Length", strconv.Itoa(len(m.Body)))
 	w := bytes.NewBuffer(b)
 	w.WriteString(http.MethodPost + " " + path + " HTTP/1.1\r\nHost: " + s.Upstream + "\r\n")
--- a/gateway/internal/driver/driver.go
+++ b/gateway/internal/driver/driver.go
@@ -25,6 +25,9 @@
 	OnReachChanged func(forwarder.ReachChanged)   // must not block; nil ignores the changes
 	OnNotice       func(forwarder.NoticeReceived) // must not block; nil ignores the notices
 
+	OnQuarantine func(forwarder.QuarantineChanged) // must not block; nil ignores the changes
+	OnEvidence   func(forwarder.PublishEvidence)   // must not block; nil publishes nothing
+
 	mu      sync.Mutex
 	lastID  forwarder.RequestID
 	pending map[forwarder.RequestID]chan<- forwarder.Answer
@@ -114,6 +117,14 @@
 		if d.OnNotice != nil {
 			d.OnNotice(a)
 		}
+	case forwarder.QuarantineChanged:
+		if d.OnQuarantine != nil {
+			d.OnQuarantine(a)
+		}
+	case forwarder.PublishEvidence:
+		if d.OnEvidence != nil {
+			d.OnEvidence(a)
+		}
 	default:
 		return d.Transport.Do(a)
 	}
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -21,6 +22,7 @@
 	"comfreyroute/core/coordination/elector"
 	"comfreyroute/core/coordination/forwarder"
 	"comfreyroute/core/coordination/navigator"
+	"comfreyroute/core/coordination/quarantiner"
 	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/core/transport/bounder"
 	"comfreyroute/core/transport/requester"
@@ -28,6 +30,7 @@
 	"comfreyroute/gateway/internal/detourer"
 	"comfreyroute/gateway/internal/driver"
 	"comfreyroute/gateway/internal/logger"
+	"comfreyroute/gateway/internal/publisher"
 	"comfreyroute/gateway/internal/receiver"
 	"comfreyroute/gateway/internal/registrar"
 	"comfreyroute/gateway/internal/relayer"
@@ -75,6 +78,7 @@
 	adminServer  http.Server
 	detourServer http.Server
 	history      relayer.History
+	publisher    publisher.Publisher
 	entryRemoved chan struct{} // receives a value when the entry of this VM is gone from the store
 	watcherDone  chan struct{}
 }
@@ -151,8 +155,11 @@
 	g.host.Dispatcher, g.host.Memory, g.host.Log = &g.driver, &g.memory, g.log
 	g.driver.Transport = &transport{upstreams: &g.client, peers: &g.peers}
 	g.driver.OnRateChanged, g.driver.OnReachChanged, g.driver.OnNotice = g.logRateChange, g.logReachChange, g.logNotice
+	g.publisher.Store, g.publisher.VM, g.publisher.Log = &g.store, s.VM, g.log
+	g.driver.OnQuarantine = g.logQuarantineChange
+	g.driver.OnEvidence = func(e forwarder.PublishEvidence) { g.publisher.Publish(e.Evidence) }
 	g.driver.Machine.Config = forwarder.Config{
-		FailureDomain: s.FailureDomain, ExtraSendRatio: s.RetryBudgetRatio, ExtraSendSlack: s.RetryBudgetSlack,
+		VM: s.VM, FailureDomain: s.FailureDomain, ExtraSendRatio: s.RetryBudgetRatio, ExtraSendSlack: s.RetryBudgetSlack,
 		BudgetWindow: s.BudgetWindow, ReplyBytes: g.memory.Limit, Seed: uint64(time.Now().UnixNano()),
 	}
 	g.receiver.Memory = &g.memory
@@ -264,6 +271,9 @@
 		Store: &g.store, Peers: &relayer.Client{}, Elector: elector.Elector{Self: g.self(), MinDomainSize: g.FollowThreshold}, History: &g.history,
 		OnFleetSize: func(n int) { g.driver.HandleEvent(forwarder.FleetResized{VMs: n}) },
 		OnMembers:   func(all []elector.Member) { g.driver.HandleEvent(forwarder.PeersListed{Peers: peersOf(all, s.VM)}) },
+		OnEvidence: func(all []quarantiner.Publication, complete bool) {
+			g.driver.HandleEvent(forwarder.EvidenceReceived{Publications: all, Complete: complete})
+		},
 		TakeReports: g.takeReports, OnRatings: func(r []reporter.Rating) { g.driver.HandleEvent(forwarder.UpstreamsRated{Ratings: r}) },
 		OnRemoved: func() {
 			select {
@@ -283,7 +293,10 @@
 	}
 	go func() {
 		defer close(g.watcherDone)
+		var publishing sync.WaitGroup
+		publishing.Go(func() { g.publisher.Run(ctx) })
 		w.Run(ctx)
+		publishing.Wait()
 	}()
 }
 
@@ -361,6 +374,19 @@
 	g.log.InfoLimited("forwarder: upstream wants no requests", append(fields, zap.Duration("pause", n.Pause))...)
 }
 
+// logQuarantineChange logs that the requests with a signature are run in another way from now on.
+func (g *Gateway) logQuarantineChange(c forwarder.QuarantineChanged) {
+	fields := []zap.Field{formatSignature(c.Signature), zap.String("service", c.Service), zap.String("upstream", c.Upstream)}
+	switch c.Decision {
+	case quarantiner.Reject:
+		g.log.Warn("forwarder: request crashes upstreams, refusing it", fields...)
+	case quarantiner.Probe:
+		g.log.InfoLimited("forwarder: request may crash upstreams, running it alone", fields...)
+	default:
+		g.log.InfoLimited("forwarder: request was answered, running it as any other", fields...)
+	}
+}
+
 // peersOf returns the VMs that take requests of this VM.
 func peersOf(all []elector.Member, self string) []navigator.Peer {
 	peers := make([]navigator.Peer, 0, len(all))
@@ -414,6 +440,8 @@
 	count("hosted_requests_total", machine(func(m *forwarder.Machine) uint64 { return m.Detours.Hosted }))
 	count("hosted_requests_refused_total", machine(func(m *forwarder.Machine) uint64 { return m.Detours.Refused }))
 	count("upstreams_lost", machine(func(m *forwarder.Machine) uint64 { return m.UpstreamsLost() }))
+	count("quarantine_refused_total", machine(func(m *forwarder.Machine) uint64 { return m.QuarantineRefused }))
+	count("quarantined_signatures", machine(func(m *forwarder.Machine) uint64 { return m.QuarantinedSignatures() }))
 	count("store_calls_total", g.store.Calls.Load)
 	count("log_lines_dropped_total", g.log.DroppedLines.Load)
 }
--- a/gateway/internal/watcher/watcher.go
+++ b/gateway/internal/watcher/watcher.go
@@ -14,6 +14,7 @@
 
 	"comfreyroute/core/coordination/elector"
 	"comfreyroute/core/coordination/forwarder"
+	"comfreyroute/core/coordination/quarantiner"
 	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/gateway/internal/logger"
 	"comfreyroute/gateway/internal/relayer"
@@ -68,9 +69,10 @@
 	ApplyTime      time.Duration    // time within which a new manifest must be in force
 	OnManifest     func(*forwarder.Manifest)
 	OnUpstreams    func([]forwarder.Upstream)
-	OnFleetSize    func(size int)           // not called while no VM is registered
-	OnMembers      func([]elector.Member)   // called with all registered VMs when one of them has changed; nil ignores them
-	TakeReports    func() []reporter.Report // returns and clears this VM's reports about upstreams; nil for no reports
+	OnFleetSize    func(size int)                                     // not called while no VM is registered
+	OnMembers      func([]elector.Member)                             // called with all registered VMs when one of them has changed; nil ignores them
+	OnEvidence     func(all []quarantiner.Publication, complete bool) // called with what VMs have published about crashes; nil ignores it
+	TakeReports    func() []reporter.Report                           // returns and clears this VM's reports about upstreams; nil for no reports
 	OnRatings      func([]reporter.Rating)
 	OnRemoved      func() // called when the entry of this VM disappears from the store; not before the entry was seen there
 	Log            *logger.Logger
@@ -94,6 +96,9 @@
 	if w.TakeReports == nil {
 		w.TakeReports = func() []reporter.Report { return nil }
 	}
+	if w.OnEvidence == nil {
+		w.OnEvidence = func([]quarantiner.Publication, bool) {}
+	}
 	w.registry.entryLifetime, w.registry.reregisterTime = w.EntryLifetime, w.ReregisterTime
 	w.registry.retention = min(w.ReregisterTime, time.Duration(float64(w.DrainTime)*retentionRatio))
 	for ctx.Err() == nil {
@@ -166,6 +171,9 @@
 		}
 	}
 	w.revision = c.Revision
+	if len(c.Evidence) > 0 {
+		w.OnEvidence(c.Evidence, false)
+	}
 	w.publishUpstreams(now)
 	w.adoptManifest(c.Manifest)
 	if w.fleet.apply(c.VMs) {
@@ -194,6 +202,7 @@
 	if c.Era != 0 {
 		w.era = c.Era
 	}
+	w.OnEvidence(c.Evidence, true) // before the manifest, with which the first request is served
 	w.publishUpstreams(now)
 	if c.Manifest == nil {
 		w.Log.Info("watcher: the store has no manifest yet", zap.Uint64("revision", c.Revision))
