--- a/core/coordination/forwarder/quarantine.go
+++ b/core/coordination/forwarder/quarantine.go
@@ -19,6 +19,9 @@
 
 // decision returns how a request may run, because it may crash upstreams.
 func (m *Machine) decision(now time.Time, r *request) quarantiner.Decision {
+	if m.quarantine.Empty() && !r.suspect {
+		return quarantiner.Clear
+	}
 	d, _ := m.quarantine.Check(now, r.signature)
 	if d == quarantiner.Clear && r.suspect {
 		return quarantiner.Probe
@@ -103,12 +106,7 @@
 		if e.Reply.NotRun || e.Reply.PromisesNoRun {
 			return
 		}
-		before, _ := m.quarantine.Check(now, a.signature)
-		m.quarantine.RecordReply(now, a.signature, a.service.name, a.alone)
-		if a.alone && a.request != nil {
-			a.request.suspect = false
-		}
-		m.reportDecision(now, before, a)
+		m.recordReply(now, a)
 		m.recordUpstreamContact(now, a.service.name, a.upstream)
 	case Failed:
 		if e.Failure == ConnectionRejected || e.Failure == Reset && e.Written {
@@ -117,6 +115,21 @@
 	}
 }
 
+// recordReply records that an upstream has run a request and lives.
+func (m *Machine) recordReply(now time.Time, a *attempt) {
+	s := a.service
+	m.quarantine.RecordLife(now, a.signature, s.hash)
+	if m.quarantine.Empty() && !a.alone {
+		return
+	}
+	before, _ := m.quarantine.Check(now, a.signature)
+	m.quarantine.RecordReply(now, a.signature, s.name, a.alone)
+	if a.alone && a.request != nil {
+		a.request.suspect = false
+	}
+	m.reportDecision(now, before, a)
+}
+
 // recordReset keeps an attempt that was reset until it is known whether its upstream has crashed, and probes the upstream.
 func (m *Machine) recordReset(now time.Time, a *attempt) {
 	i, ok := a.service.set.Index(a.upstream)
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -9,6 +9,7 @@
 	"comfreyroute/core/coordination/budgeter"
 	"comfreyroute/core/coordination/limiter"
 	"comfreyroute/core/coordination/navigator"
+	"comfreyroute/core/coordination/quarantiner"
 	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/core/coordination/selector"
 	"comfreyroute/core/state/tabler"
@@ -20,6 +21,7 @@
 // service holds the upstreams of one service. Several routes may share it.
 type service struct {
 	name           string
+	hash           quarantiner.ServiceHash
 	maxConnections int // per upstream, over all VMs
 	set            selector.Set
 	budget         budgeter.Window
@@ -46,7 +48,7 @@
 	}
 	s := m.services[name]
 	if s == nil {
-		s = &service{name: name}
+		s = &service{name: name, hash: quarantiner.HashService(name)}
 		s.set.SetFleetMax(m.fleetMax())
 		s.set.SetVMs(time.Time{}, m.sharingVMs()) // no upstream has declared a rate yet, so that the time does not matter
 		m.configureBudget(s)
--- a/core/coordination/quarantiner/watchlist.go
+++ b/core/coordination/quarantiner/watchlist.go
@@ -129,7 +129,7 @@
 // RecordReply records that an upstream has run a request and lives. A reply to a run alone explains all crashes but those of services that have
 // several; any other reply explains those of its service.
 func (w *Watchlist) RecordReply(now time.Time, signature uint64, service string, alone bool) {
-	w.replies.record(now, serviceSignature(signature, service), anyGroup, watchlistReplies)
+	w.RecordLife(now, signature, HashService(service))
 	e := w.find(now, signature)
 	if e == nil || len(e.crashes) == 0 {
 		return
@@ -138,6 +138,15 @@
 	w.settle(now, e)
 }
 
+// RecordLife records that an upstream of a service has run a request and lives, for crashes to come. It is all that has to be recorded of a reply
+// while the Watchlist is empty.
+func (w *Watchlist) RecordLife(now time.Time, signature uint64, service ServiceHash) {
+	w.replies.record(now, signature^uint64(service), anyGroup, watchlistReplies)
+}
+
+// Empty reports whether no signature is watched.
+func (w *Watchlist) Empty() bool { return len(w.entries) == 0 }
+
 // RecordAnswer records that another VM has got an answer from the upstreams.
 func (w *Watchlist) RecordAnswer(now time.Time, signature uint64) {
 	if e := w.find(now, signature); e != nil && len(e.crashes) > 0 {
@@ -175,14 +184,15 @@
 
 // exonerated reports whether an upstream of a service has answered a signature lately.
 func (w *Watchlist) exonerated(now time.Time, signature uint64, service string) bool {
-	at, ok := w.replies.last(serviceSignature(signature, service), anyGroup)
+	at, ok := w.replies.last(signature^uint64(HashService(service)), anyGroup)
 	return ok && now.Sub(at) < exonerationTime
 }
 
-// serviceSignature returns the key of the replies of one service to a signature. A request to many services may crash the upstreams of one.
-func serviceSignature(signature uint64, service string) uint64 {
-	return signature ^ xxhash.Sum64String(service)
-}
+// ServiceHash tells the replies of one service to a signature from those of others. A request to many services may crash the upstreams of one.
+type ServiceHash uint64
+
+// HashService returns the hash of a service's name.
+func HashService(name string) ServiceHash { return ServiceHash(xxhash.Sum64String(name)) }
 
 // find returns the entry of a signature, nil for none. An entry that is rejected beyond its lifetime becomes a suspect, whose next run is a probe.
 func (w *Watchlist) find(now time.Time, signature uint64) *watched {
