Follow the VM list past odd entries

What was reported elsewhere: another writer leaves one odd entry among those of the servers, and the readers end or stop following the list. Here an entry VM stopped following its VM list for as long as the entry stood: one JSON decoder read the whole list, so that a field of another type, a number too large, an unknown field or deep nesting failed all of it. Entries are now separated first and decoded one by one; odd ones are skipped, counted and logged.

--- a/core/protocol/encoder/decode.go
+++ b/core/protocol/encoder/decode.go
@@ -17,7 +17,7 @@
 )
 
 // Decode reads exactly one JSON value of at most limit bytes into v. It returns an error for unknown fields, trailing data,
-// malformed JSON and oversized input.
+// malformed JSON and oversized input. In a VMList, odd entries are skipped.
 func Decode(r io.Reader, limit int64, v any) error {
 	data, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err != nil {
@@ -31,6 +31,9 @@
 	if int64(len(data)) > limit {
 		return eris.Errorf("message has more than %d bytes", limit)
 	}
+	if l, ok := v.(*VMList); ok {
+		return l.decode(data)
+	}
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
--- a/core/protocol/encoder/platform.go
+++ b/core/protocol/encoder/platform.go
@@ -81,7 +81,8 @@
 
 // VMList is the response to GET /v1/vms. The list may be out of date.
 type VMList struct {
-	VMs []ListedVM `json:"vms"`
+	VMs     []ListedVM `json:"vms"`
+	Skipped int        `json:"-"` // entries that name no VM
 }
 
 // CallCounts is the response to GET /v1/calls: the number of calls of each kind that the platform has counted.
--- a/core/transport/kvclient/client.go
+++ b/core/transport/kvclient/client.go
@@ -108,7 +108,7 @@
 func (c *Client) ListVMs(ctx context.Context) VMListResult {
 	var reply encoder.VMList
 	status, err := c.call(ctx, c.callTimeout(), http.MethodGet, c.buildURL(encoder.PathVMs, nil), nil, &reply)
-	return VMListResult{Status: status, VMs: reply.VMs, Err: err}
+	return VMListResult{Status: status, VMs: reply.VMs, Skipped: reply.Skipped, Err: err}
 }
 
 // GrantLease creates a lease. A grant with the status Uncertain may leave a lease, which expires on its own.
--- a/core/transport/kvclient/result.go
+++ b/core/transport/kvclient/result.go
@@ -51,7 +51,8 @@
 
 // VMListResult is the result of ListVMs.
 type VMListResult struct {
-	Status Status
-	VMs    []encoder.ListedVM
-	Err    error
+	Status  Status
+	VMs     []encoder.ListedVM
+	Skipped int // entries that name no VM
+	Err     error
 }
--- a/entry/internal/registrar/registrar.go
+++ b/entry/internal/registrar/registrar.go
@@ -53,6 +53,7 @@
 	membersCopied time.Time // time when the members in the view were copied from the machine
 	messageCount  int
 	lastListRead  time.Time // time of the last read of the VM list
+	skippedVMs    int       // entries of the last VM list that name no VM
 	readingList   bool
 	leaving       map[Upstream]bool // upstreams that the VM list shows as leaving
 	context       context.Context
--- a/entry/internal/registrar/vmlist.go
+++ b/entry/internal/registrar/vmlist.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"comfreyroute/core/coordination/pacer"
 	"comfreyroute/core/coordination/router"
 	"comfreyroute/core/coordination/tracker"
@@ -56,12 +58,19 @@
 		r.Log.Warn("registrar: could not read the VM list", logger.ErrorField(l.Err))
 		return
 	}
+	if l.Skipped != r.skippedVMs {
+		r.Log.Warn("registrar: entries of the VM list name no VM", zap.Int("entries", l.Skipped), zap.Int("before", r.skippedVMs))
+		r.skippedVMs = l.Skipped
+	}
 	var vms []tracker.ListedVM
 	leaving := map[Upstream]bool{}
 	for _, vm := range l.VMs {
 		switch vm.Role {
 		case roleEntry:
-			address, _ := netip.ParseAddrPort(vm.Address)
+			var address netip.AddrPort // zero for a VM that names none; the list has no malformed ones
+			if a, err := netip.ParseAddrPort(vm.Address); err == nil {
+				address = a
+			}
 			vms = append(vms, tracker.ListedVM{
 				ID: vm.Name, FailureDomain: vm.FailureDomain, PeerAddress: address, Leaving: vm.State == encoder.VMLeaving,
 			})
