Count crashes while other upstreams of the service are down too

A reset counted as a crash only if this VM reached another upstream of the same service, and the request itself had taken those down. Contact with any upstream now counts. What that rule guarded against, a VM that is cut from one service alone, is left to the VMs that get answers and say so.

--- a/core/coordination/forwarder/quarantine.go
+++ b/core/coordination/forwarder/quarantine.go
@@ -107,7 +107,7 @@
 			return
 		}
 		m.recordReply(now, a)
-		m.recordUpstreamContact(now, a.service.name, a.upstream)
+		m.recordUpstreamContact(now, a.upstream)
 	case Failed:
 		if e.Failure == ConnectionRejected || e.Failure == Reset && e.Written {
 			m.recordReset(now, a)
@@ -161,7 +161,7 @@
 		m.takeResets(now, func(p pendingReset) (known, crashed bool) {
 			return p.attempt.upstream == e.Upstream && p.attempt.service.name == e.Service, false
 		})
-		m.recordUpstreamContact(now, e.Service, e.Upstream)
+		m.recordUpstreamContact(now, e.Upstream)
 	case e.Refused:
 		asked := false // one further probe tells for all resets of the upstream
 		for i := range m.pendingResets {
@@ -176,19 +176,17 @@
 	}
 }
 
-// probeOther probes another upstream than one that refuses connections, of the same service if one is left that may work.
+// probeOther probes another upstream than one that refuses connections.
 func (m *Machine) probeOther(now time.Time, p *pendingReset) {
 	if now.Sub(p.at) > contactTime || len(p.others) >= maxOtherProbes {
 		return
 	}
-	for _, s := range append([]*service{p.attempt.service}, m.servicesByName()...) {
-		n := s.set.Len()
-		if n == 0 {
-			continue
-		}
-		first := m.random.IntN(n)
-		for k := range n {
-			u := s.set.At((first + k) % n)
+	all := m.servicesByName()
+	first := m.random.IntN(len(all))
+	for k := range all {
+		s := all[(first+k)%len(all)]
+		for i := range s.set.Len() {
+			u := s.set.At(i)
 			if u.Eligible() && !m.wasReset(s, u.Row.Upstream) && !slices.Contains(p.others, u.Row.Upstream) {
 				p.others = append(p.others, u.Row.Upstream)
 				m.emitProbe(s, u, now.Add(crashProbeTimeout))
@@ -203,14 +201,14 @@
 	return slices.ContainsFunc(m.pendingResets, func(p pendingReset) bool { return p.attempt.service == s && p.attempt.upstream == upstream })
 }
 
-// recordUpstreamContact takes the resets of upstreams that refuse connections as crashes, because this VM reaches another upstream: of the same
-// service, or of any, if the service has one upstream only. A VM may be cut from one service alone.
-func (m *Machine) recordUpstreamContact(now time.Time, service, upstream string) {
+// recordUpstreamContact takes the resets of upstreams that refuse connections as crashes, because this VM reaches another upstream. A VM that is cut
+// from one service alone may take harmless requests for suspects; the VMs that get answers to them say so.
+func (m *Machine) recordUpstreamContact(now time.Time, upstream string) {
 	if len(m.pendingResets) == 0 {
 		return
 	}
 	m.takeResets(now, func(p pendingReset) (known, crashed bool) {
-		crashed = p.refused && now.Sub(p.at) <= contactTime && p.attempt.upstream != upstream && (p.attempt.service.name == service || p.attempt.service.set.Len() == 1)
+		crashed = p.refused && now.Sub(p.at) <= contactTime && p.attempt.upstream != upstream
 		return crashed, crashed
 	})
 }
--- a/core/coordination/forwarder/quarantine_test.go
+++ b/core/coordination/forwarder/quarantine_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -57,14 +58,14 @@
 	crashWindow  = 4 * time.Second // after the third crash until the whole fleet must know
 )
 
-func newCrashFleet(t *testing.T, seed uint64, vms int) *crashFleet {
+func newCrashFleet(t *testing.T, seed uint64, vms, points int) *crashFleet {
 	f := &crashFleet{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1000, 0), downUntil: map[string]time.Time{}, store: map[string]quarantiner.Publication{},
 		spread: 1500 * time.Millisecond, arrivals: map[string][]time.Time{}, crashes: map[string][]time.Time{}, harmless: map[Reason]int{},
 		requests: map[RequestID]*crashRequest{},
 	}
 	f.upstreams = upstreams(append(shardNames(crashShards), "left", "right")...)
-	for k := range 9 {
+	for k := range points {
 		f.upstreams = append(f.upstreams, Upstream{
 			Name: fmt.Sprintf("point-%d", k), Service: "point", FailureDomain: fmt.Sprintf("d%d", k%3), Slots: 2,
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 0, byte(k)}), 80),
@@ -307,32 +308,35 @@
 	cases := []struct {
 		name    string
 		vms     int
+		points  int // upstreams of the service without shards; 0 for nine
 		path    string
 		every   time.Duration // over the fleet
 		trouble func(f *crashFleet)
 		excused [2]time.Duration // retries sent between these times after the start do not count: the store was away or the VMs were
 	}{
-		{"booking", 7, "/once/crash", 130 * time.Millisecond, nil, [2]time.Duration{}},
-		{"lookup", 7, "/one/crash", 130 * time.Millisecond, nil, [2]time.Duration{}},
-		{"search", 7, "/all/crash", 130 * time.Millisecond, nil, [2]time.Duration{}},
-		{"seldom", 7, "/one/crash", 2 * time.Second, nil, [2]time.Duration{}},
-		{"seldom search", 7, "/all/crash", 2 * time.Second, nil, [2]time.Duration{}},
-		{"large fleet", 60, "/one/crash", 300 * time.Millisecond, nil, [2]time.Duration{}},
-		{"store away at first", 7, "/one/crash", 300 * time.Millisecond, away(0, 8*time.Second), [2]time.Duration{0, 12 * time.Second}},
-		{"store away later", 7, "/one/crash", 300 * time.Millisecond, away(8*time.Second, 15*time.Second), [2]time.Duration{}},
-		{"one VM after the other starts again", 7, "/one/crash", 300 * time.Millisecond, func(f *crashFleet) {
+		{"booking", 7, 0, "/once/crash", 130 * time.Millisecond, nil, [2]time.Duration{}},
+		{"lookup", 7, 0, "/one/crash", 130 * time.Millisecond, nil, [2]time.Duration{}},
+		{"search", 7, 0, "/all/crash", 130 * time.Millisecond, nil, [2]time.Duration{}},
+		{"booking, all upstreams down at times", 7, 3, "/once/crash", 130 * time.Millisecond, nil, [2]time.Duration{}},
+		{"lookup, all upstreams down at times", 7, 3, "/one/crash", 130 * time.Millisecond, nil, [2]time.Duration{}},
+		{"seldom", 7, 0, "/one/crash", 2 * time.Second, nil, [2]time.Duration{}},
+		{"seldom search", 7, 0, "/all/crash", 2 * time.Second, nil, [2]time.Duration{}},
+		{"large fleet", 60, 0, "/one/crash", 300 * time.Millisecond, nil, [2]time.Duration{}},
+		{"store away at first", 7, 0, "/one/crash", 300 * time.Millisecond, away(0, 8*time.Second), [2]time.Duration{0, 12 * time.Second}},
+		{"store away later", 7, 0, "/one/crash", 300 * time.Millisecond, away(8*time.Second, 15*time.Second), [2]time.Duration{}},
+		{"one VM after the other starts again", 7, 0, "/one/crash", 300 * time.Millisecond, func(f *crashFleet) {
 			for n := range f.vms {
 				f.after(time.Duration(n+5)*time.Second, -1, func() { f.start(n) })
 			}
 		}, [2]time.Duration{}},
-		{"all VMs start again at once", 7, "/one/crash", 300 * time.Millisecond, func(f *crashFleet) {
+		{"all VMs start again at once", 7, 0, "/one/crash", 300 * time.Millisecond, func(f *crashFleet) {
 			f.after(9*time.Second, -1, func() {
 				for n := range f.vms {
 					f.start(n)
 				}
 			})
 		}, [2]time.Duration{}},
-		{"all VMs start again, then the store is restored without it", 7, "/one/crash", 300 * time.Millisecond, func(f *crashFleet) {
+		{"all VMs start again, then the store is restored without it", 7, 0, "/one/crash", 300 * time.Millisecond, func(f *crashFleet) {
 			f.after(9*time.Second, -1, func() {
 				for n := range f.vms {
 					f.start(n)
@@ -351,7 +355,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(20) {
-				f := newCrashFleet(t, seed, c.vms)
+				f := newCrashFleet(t, seed, c.vms, cmp.Or(c.points, 9))
 				begin := f.now
 				f.sendHarmless(24 * time.Second)
 				f.run(time.Second)
@@ -435,7 +439,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(20) {
-				f := newCrashFleet(t, seed, 7)
+				f := newCrashFleet(t, seed, 7, 9)
 				f.sendHarmless(18 * time.Second)
 				f.run(time.Second)
 				c.trouble(f)
--- a/core/coordination/forwarder/suspect_test.go
+++ b/core/coordination/forwarder/suspect_test.go
@@ -194,6 +194,32 @@
 	}
 }
 
+// TestUnreachedUpstreamsHaveNotCrashed guards against harmless requests that are refused because a VM which is cut off takes the loss of its connections
+// for crashes.
+func TestUnreachedUpstreamsHaveNotCrashed(t *testing.T) {
+	for _, reached := range []bool{false, true} {
+		h := newReadyHarness(t, 4)
+		for range 3 {
+			h.request("/once/x", 0)
+			s := h.takeSend("point")
+			h.probes = nil
+			h.endAttempt(s, Failed{Failure: Reset, Written: true})
+			for len(h.probes) > 0 {
+				p := h.probes[0]
+				h.probes = h.probes[1:]
+				refused := !reached || p.Upstream == s.Upstream
+				h.step(ProbeEnded{Service: p.Service, Upstream: p.Upstream, Connected: !refused, Refused: refused})
+			}
+			h.advance(time.Second)
+		}
+		last := h.request("/once/x", 0)
+		o, refused := h.answers[last].Outcome.(Refused)
+		if quarantined := refused && o.Reason == Quarantined; quarantined != reached {
+			t.Errorf("other upstreams reached %t: outcome %+v", reached, h.answers[last].Outcome)
+		}
+	}
+}
+
 // TestSuspectAtPeers guards against a request that crashes upstreams and then those of a peer, because its VM takes the crashes for the loss of
 // its own connections.
 func TestSuspectAtPeers(t *testing.T) {
