--- a/core/coordination/forwarder/suspect_test.go
+++ b/core/coordination/forwarder/suspect_test.go
@@ -210,7 +210,7 @@
 				refused := !reached || p.Upstream == s.Upstream
 				h.step(ProbeEnded{Service: p.Service, Upstream: p.Upstream, Connected: !refused, Refused: refused})
 			}
-			h.advance(time.Second)
+			h.advance(10 * time.Millisecond) // an upstream that was reset is avoided for longer
 		}
 		last := h.request("/once/x", 0)
 		o, refused := h.answers[last].Outcome.(Refused)
