--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -57,6 +57,20 @@
 isolation|core/coordination/tracker/readiness.go|s/now.Sub(m.lastContact) <= IsolationTimeout/true/|core/coordination/tracker|TestIsolated
 gate|core/coordination/tracker/readiness.go|s/m.isAdmitted = others < m.fleetMax/m.isAdmitted = others >= 0/|core/coordination/tracker|TestAdmission
 shutdown|core/coordination/drainer/machine.go|s/m.phase == Finishing .. e.Work.Empty()/m.phase == Finishing/|core/coordination/drainer|TestShutdown
+crashes|core/coordination/forwarder/quarantine.go|s/m.quarantine.RecordCrash(now, p.attempt.signature, c, p.attempt.alone)/_ = c/|core/coordination/forwarder|TestFleetStopsCrashingRequests
+refuse|core/coordination/forwarder/quarantine.go|s/if d != quarantiner.Reject {/if d != quarantiner.Reject .. until.IsZero() == false {/|core/coordination/forwarder|TestFleetStopsCrashingRequests
+alone|core/coordination/forwarder/quarantine.go|s/		if r.probe != 0 {/		if false {/|core/coordination/forwarder|TestSuspectRunsAlone
+hold|core/coordination/forwarder/quarantine.go|s/if now.Before(sub.heldUntil) .. /if false \&\& /|core/coordination/forwarder|TestSearchThatCrashesItsUpstreams
+contact|core/coordination/forwarder/quarantine.go|s/func(p pendingReset) (known, crashed bool) {$/&\n\t\tif p.refused {\n\t\t\treturn true, true\n\t\t}/;s/			p.refused = p.refused .. first$/&\n\t\t\tdefer m.recordUpstreamContact(now, "")/|core/coordination/forwarder|TestUnreachedUpstreamsHaveNotCrashed
+listed|core/coordination/forwarder/service.go|/m.resolveReplaced(now, s.name, upstreams)/d|core/coordination/forwarder|TestCrashSeenInTheList
+spread|core/coordination/forwarder/machine.go|s/m.emit(PublishEvidence{Evidence: evidence})/_ = evidence/|core/coordination/forwarder|TestFleetStopsCrashingRequests
+told|core/coordination/forwarder/request.go|s/suspect: e.Detour != nil .. e.Detour.Suspect/suspect: false/|core/coordination/forwarder|TestSuspectAtPeers
+answered|core/coordination/quarantiner/watchlist.go|s/return ok .. now.Sub(at) < exonerationTime/return false/|core/coordination/quarantiner|TestWatchlist
+explained|core/coordination/quarantiner/publication.go|s/slices.Contains(known.explained, c)/false/|core/coordination/quarantiner|TestWatchlist
+republish|core/coordination/quarantiner/publication.go|s/if e.confirmed .. len(e.confirmedBy) == 0 {/if false {/|core/coordination/quarantiner|TestPublications
+flood|core/coordination/quarantiner/watchlist.go|s/if len(w.entries) >= w.Settings.maxSuspects() {/if false {/|core/coordination/quarantiner|TestFloodOfCrashingRequests
+oddlist|core/protocol/encoder/decode.go|s/if l, ok := v.(.VMList); ok {/if l, ok := v.(*VMList); ok \&\& l == nil {/|core/transport/kvclient|TestOddVMEntries
+oddvm|platform/translator/vm.go|s/json.Unmarshal(i.Value, &value) == nil .. value.isVM()/json.Unmarshal(i.Value, \&value) == nil \&\& value.Address.IsValid()/|platform/translator|TestVMEntries
 return|core/coordination/pacer/pacer.go|s/now.Before(p.delayEnd) .. !p.limiter.AllowN(now, 1)/now.Before(p.delayEnd)/|core/coordination/pacer|TestReturnOfPlatform
 '
 names="$*"
