--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Checks that the tests notice a missing mechanism: disables each mechanism in a scratch copy of the committed tree and runs the
-# test that guards it, which must fail. The exit code is 1 if a test passes without its mechanism or if the source line of a
-# mechanism was not found. Usage: scripts/without.sh [NAME ...]; the default is all mechanisms.
+# test that guards it, which must fail. The exit code is 1 if a test passes without its mechanism, if the code does not build without it, or if the
+# source line of a mechanism was not found. Usage: scripts/without.sh [NAME ...]; the default is all mechanisms.
 set -u
 cd "$(dirname "$0")/.."
 copy=$(mktemp -d "${TMPDIR:-/tmp}/comfreyroute-without.XXXXXX") || exit 1
@@ -58,14 +58,14 @@
 gate|core/coordination/tracker/readiness.go|s/m.isAdmitted = others < m.fleetMax/m.isAdmitted = others >= 0/|core/coordination/tracker|TestAdmission
 shutdown|core/coordination/drainer/machine.go|s/m.phase == Finishing .. e.Work.Empty()/m.phase == Finishing/|core/coordination/drainer|TestShutdown
 crashes|core/coordination/forwarder/quarantine.go|s/m.quarantine.RecordCrash(now, p.attempt.signature, c, p.attempt.alone)/_ = c/|core/coordination/forwarder|TestFleetStopsCrashingRequests
-refuse|core/coordination/forwarder/quarantine.go|s/if d != quarantiner.Reject {/if d != quarantiner.Reject .. until.IsZero() == false {/|core/coordination/forwarder|TestFleetStopsCrashingRequests
+refuse|core/coordination/forwarder/quarantine.go|s/if d != quarantiner.Reject {/if d != quarantiner.Reject+1 {/|core/coordination/forwarder|TestFleetStopsCrashingRequests
 alone|core/coordination/forwarder/quarantine.go|s/		if r.probe != 0 {/		if false {/|core/coordination/forwarder|TestSuspectRunsAlone
 hold|core/coordination/forwarder/quarantine.go|s/if now.Before(sub.heldUntil) .. /if false \&\& /|core/coordination/forwarder|TestSearchThatCrashesItsUpstreams
 contact|core/coordination/forwarder/quarantine.go|s/func(p pendingReset) (known, crashed bool) {$/&\n\t\tif p.refused {\n\t\t\treturn true, true\n\t\t}/;s/			p.refused = p.refused .. first$/&\n\t\t\tdefer m.recordUpstreamContact(now, "")/|core/coordination/forwarder|TestUnreachedUpstreamsHaveNotCrashed
 listed|core/coordination/forwarder/service.go|/m.resolveReplaced(now, s.name, upstreams)/d|core/coordination/forwarder|TestCrashSeenInTheList
 spread|core/coordination/forwarder/machine.go|s/m.emit(PublishEvidence{Evidence: evidence})/_ = evidence/|core/coordination/forwarder|TestFleetStopsCrashingRequests
 told|core/coordination/forwarder/request.go|s/suspect: e.Detour != nil .. e.Detour.Suspect/suspect: false/|core/coordination/forwarder|TestSuspectAtPeers
-answered|core/coordination/quarantiner/watchlist.go|s/return ok .. now.Sub(at) < exonerationTime/return false/|core/coordination/quarantiner|TestWatchlist
+answered|core/coordination/quarantiner/watchlist.go|s/return ok .. now.Sub(at) < exonerationTime/return ok \&\& now.Sub(at) < 0/|core/coordination/quarantiner|TestWatchlist
 explained|core/coordination/quarantiner/publication.go|s/slices.Contains(known.explained, c)/false/|core/coordination/quarantiner|TestWatchlist
 republish|core/coordination/quarantiner/publication.go|s/if e.confirmed .. len(e.confirmedBy) == 0 {/if false {/|core/coordination/quarantiner|TestPublications
 flood|core/coordination/quarantiner/watchlist.go|s/if len(w.entries) >= w.Settings.maxSuspects() {/if false {/|core/coordination/quarantiner|TestFloodOfCrashingRequests
@@ -94,6 +94,9 @@
 	if [ $? -eq 0 ]; then
 		printf '%-11s NOT NOTICED by %s %s\n' "$name" "$package" "$test"
 		status=1
+	elif printf '%s\n' "$out" | grep -qE 'build failed|setup failed'; then
+		printf '%-11s does not build without it\n' "$name"
+		status=1
 	else
 		line=$(printf '%s\n' "$out" | grep -v 'rapid\] draw' | grep -E '_test.go:[0-9]+:|\.go:[0-9]+:[0-9]+:|panic' | grep -v 'rapid\] fail' | head -n 1 | cut -c 1-150)
 		printf '%-11s fails without it: %s:%s\n' "$name" "$test" "$line"
