--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -58,7 +58,7 @@
 gate|core/coordination/tracker/readiness.go|s/m.isAdmitted = others < m.fleetMax/m.isAdmitted = others >= 0/|core/coordination/tracker|TestAdmission
 shutdown|core/coordination/drainer/machine.go|s/m.phase == Finishing .. e.Work.Empty()/m.phase == Finishing/|core/coordination/drainer|TestShutdown
 crashes|core/coordination/forwarder/quarantine.go|s/m.quarantine.RecordCrash(now, p.attempt.signature, c, p.attempt.alone)/_ = c/|core/coordination/forwarder|TestFleetStopsCrashingRequests
-refuse|core/coordination/forwarder/quarantine.go|s/if d != quarantiner.Reject {/if d != quarantiner.Reject+1 {/|core/coordination/forwarder|TestFleetStopsCrashingRequests
+refuse|core/coordination/forwarder/quarantine.go|s/if d != quarantiner.Reject {/if d != quarantiner.Reject+1 {/|core/coordination/forwarder|TestSearchThatCrashesItsUpstreams
 alone|core/coordination/forwarder/quarantine.go|s/		if r.probe != 0 {/		if false {/|core/coordination/forwarder|TestSuspectRunsAlone
 hold|core/coordination/forwarder/quarantine.go|s/if now.Before(sub.heldUntil) .. /if false \&\& /|core/coordination/forwarder|TestSearchThatCrashesItsUpstreams
 contact|core/coordination/forwarder/quarantine.go|s/func(p pendingReset) (known, crashed bool) {$/&\n\t\tif p.refused {\n\t\t\treturn true, true\n\t\t}/;s/			p.refused = p.refused .. first$/&\n\t\t\tdefer m.recordUpstreamContact(now, "")/|core/coordination/forwarder|TestUnreachedUpstreamsHaveNotCrashed
