Do not pass on a success without a signature

Such a reply counted as a failure below 500, and failures of a single upstream are passed on as they are. It is now a reply that cannot be used: another upstream gets the request if it may run again within its attempts and the budget, and the caller gets 502 otherwise; the same for the answer of a peer. Parts of gathered answers were checked already.

Not done: the length of a body spoiled to a shorter one cannot be told from a complete body.

--- a/core/coordination/forwarder/detour.go
+++ b/core/coordination/forwarder/detour.go
@@ -239,6 +239,9 @@
 	}
 	switch e := result.(type) {
 	case PeerAnswered:
+		if o, ok := e.Outcome.(Relayed); ok && o.Reply.unproven() {
+			e.Outcome = Unknown{Reason: Errored}
+		}
 		m.markLeavingByName(now, e.Leaving)
 		m.recordPeerAnswer(now, a, r, e)
 		if !live {
--- a/core/coordination/forwarder/dispatch.go
+++ b/core/coordination/forwarder/dispatch.go
@@ -199,6 +199,11 @@
 		m.completeSub(now, r, a.subIndex, reply)
 		return
 	}
+	if reply.unproven() {
+		sub.reason, sub.failedReply = Errored, nil
+		m.retry(now, r, a.subIndex)
+		return
+	}
 	sub.reason, sub.failedReply = Errored, reply
 	// A request to one upstream is retried only after a server error: another upstream would reject an invalid request too.
 	if reply.Status < 500 && r.gather == nil {
@@ -320,7 +325,7 @@
 		return selector.Refused
 	case r.NotRun:
 		return selector.Shed
-	case r.Status >= 500:
+	case r.Status >= 500 || r.unproven():
 		return selector.Errored
 	default:
 		return selector.OK
--- a/core/coordination/forwarder/upstream.go
+++ b/core/coordination/forwarder/upstream.go
@@ -53,4 +53,9 @@
 	Rate          limiter.Declaration
 }
 
-func (r *Reply) success() bool { return r.Status >= 200 && r.Status < 300 && r.Signature != "" }
+func (r *Reply) success() bool { return r.claimsSuccess() && r.Signature != "" }
+
+// unproven reports whether a reply claims a success that nothing proves. It may have been spoiled on the way, and is not used.
+func (r *Reply) unproven() bool { return r.claimsSuccess() && r.Signature == "" }
+
+func (r *Reply) claimsSuccess() bool { return r.Status >= 200 && r.Status < 300 }
--- a/gateway/internal/detourer/detourer_test.go
+++ b/gateway/internal/detourer/detourer_test.go
@@ -73,7 +73,7 @@
 
 // TestRoundTrip guards against requests and answers that change on their way between VMs.
 func TestRoundTrip(t *testing.T) {
-	reply := &forwarder.Reply{Status: 418, Header: http.Header{"Server-Stamp": {"st"}, "Outcome": {"x"}}, Body: []byte("tea")}
+	reply := &forwarder.Reply{Status: 418, Header: http.Header{"Server-Stamp": {"st"}, "Outcome": {"x"}}, Body: []byte("tea"), Signature: "st"}
 	cases := []struct {
 		name   string
 		answer forwarder.Answer
--- a/gateway/internal/detourer/host.go
+++ b/gateway/internal/detourer/host.go
@@ -63,8 +63,8 @@
 	case a := <-answers:
 		cost := bounder.Cost(bodyLength(a.Outcome))
 		s.Memory.Take(cost)
+		defer s.Memory.Release(cost) // also when the answer cannot be written
 		writeAnswer(w, e.Message.RequestID, &a)
-		s.Memory.Release(cost)
 		s.Log.InfoLimited("detourer: request of another VM answered", zap.String("request", e.Message.RequestID), zap.String("from", request.RemoteAddr),
 			zap.String("outcome", outcomeName(a.Outcome)), zap.Duration("took", time.Since(received)), zap.Int("sends", a.Report.Sends))
 	case <-request.Context().Done():
--- a/gateway/internal/detourer/protocol.go
+++ b/gateway/internal/detourer/protocol.go
@@ -11,6 +11,7 @@
 	"comfreyroute/core/coordination/forwarder"
 	"comfreyroute/core/transport/bounder"
 	"comfreyroute/core/transport/requester"
+	"comfreyroute/platform/translator"
 )
 
 // Protocol implements requester.Protocol for requests to peers.
@@ -81,7 +82,8 @@
 		if err != nil || status < 200 || status > 999 {
 			return nil, eris.Errorf("a peer's answer has the status %q, want 200 to 999", h.Get(headerStatus))
 		}
-		return forwarder.Relayed{Reply: &forwarder.Reply{Status: status, Header: innerHeaders(h), Body: body}}, nil
+		inner := innerHeaders(h)
+		return forwarder.Relayed{Reply: &forwarder.Reply{Status: status, Header: inner, Body: body, Signature: translator.Signature(inner)}}, nil
 	case outcomeGathered:
 		missing, err := strconv.Atoi(h.Get(headerMissing))
 		if err != nil || missing < 0 {
--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -98,8 +98,8 @@
 		}
 		cost := answerCost(a.Outcome)
 		r.Memory.Take(cost)
+		defer r.Memory.Release(cost) // also when the answer cannot be written
 		status := translator.WriteAnswer(w, e.Message, a.Outcome)
-		r.Memory.Release(cost)
 		r.recordAnswer(e.Message, &a, status, time.Since(received))
 	case <-request.Context().Done():
 		r.Dispatcher.CancelRequest(id)
--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -71,6 +71,8 @@
 flood|core/coordination/quarantiner/watchlist.go|s/if len(w.entries) >= w.Settings.maxSuspects() {/if false {/|core/coordination/quarantiner|TestFloodOfCrashingRequests
 oddlist|core/protocol/encoder/decode.go|s/if l, ok := v.(.VMList); ok {/if l, ok := v.(*VMList); ok \&\& l == nil {/|core/transport/kvclient|TestOddVMEntries
 oddvm|platform/translator/vm.go|s/json.Unmarshal(i.Value, &value) == nil .. value.isVM()/json.Unmarshal(i.Value, \&value) == nil \&\& value.Address.IsValid()/|platform/translator|TestVMEntries
+unsigned|core/coordination/forwarder/upstream.go|s/return r.claimsSuccess() .. r.Signature == ""/return false/|core/coordination/forwarder|TestUnsignedSuccess
+status|platform/translator/upstreamcodec.go|s/if response.StatusCode < http.StatusOK {/if false {/|platform/translator|TestStatusBelow100
 return|core/coordination/pacer/pacer.go|s/now.Before(p.delayEnd) .. !p.limiter.AllowN(now, 1)/now.Before(p.delayEnd)/|core/coordination/pacer|TestReturnOfPlatform
 '
 names="$*"
