Never wait for the reader of the log

Lines about requests were written by the goroutine that serves them, some with the driver's lock held, into a buffer that writes to the pipe itself when it is full.

core/transport/spooler keeps lines in bounded memory and writes them from one goroutine. Without room lines are dropped and counted by level; warnings, errors, start and stop keep room of their own; one line says what is missing once the log is read again; the flush at exit has a bound; a closed pipe or a full disk ends nothing. The entry daemon uses it too. Ruled out for keystore (two lines, at start and at the end) and operator (no log; its output is its result).

--- a/entry/internal/logger/logger.go
+++ b/entry/internal/logger/logger.go
@@ -5,12 +5,16 @@
 package logger
 
 import (
+	"fmt"
+	"os"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"comfreyroute/core/state/configloader"
+	"comfreyroute/core/transport/spooler"
 )
 
 // Sampling of equal log messages. During faults, each message is logged a few times a second instead of once per request.
@@ -20,23 +24,26 @@
 	sampleEvery    = 1000
 )
 
-// New returns the logger of a VM with validated settings. It returns an error when zap cannot build the logger.
+// New returns the logger of a VM with validated settings. A reader of the log that stops never delays the VM. It returns an error when zap does not
+// know the level.
 func New(s *configloader.Settings) (*zap.Logger, error) {
-	c := zap.NewProductionConfig()
-	c.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	c.DisableStacktrace = true
-	c.Sampling = nil
-	if err := c.Level.UnmarshalText([]byte(s.Log.Level)); err != nil {
-		return nil, err
-	}
-	sample := zap.WrapCore(func(core zapcore.Core) zapcore.Core {
-		return zapcore.NewSamplerWithOptions(core, sampleInterval, sampleFirst, sampleEvery)
-	})
-	l, err := c.Build(sample)
+	c := zap.NewProductionEncoderConfig()
+	c.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	level, err := zapcore.ParseLevel(s.Log.Level)
 	if err != nil {
 		return nil, err
 	}
-	return l.With(zap.String("vm", s.VM.ID)), nil
+	lines := &spooler.Spooler{Sink: os.Stderr}
+	core := &spooler.Core{LevelEnabler: level, Encoder: zapcore.NewJSONEncoder(c), Spooler: lines}
+	l := zap.New(zapcore.NewSamplerWithOptions(core, sampleInterval, sampleFirst, sampleEvery), zap.AddCaller()).With(zap.String("vm", s.VM.ID))
+	lines.OnLost = func(lost map[string]uint64) {
+		for level, n := range lost {
+			metrics.GetOrCreateCounter(fmt.Sprintf(`comfrey_log_lines_lost_total{level=%q}`, level)).Add(int(n))
+		}
+		l.Warn("logger: lines were lost while the log was not read", zap.Any("lines", lost))
+	}
+	lines.Start()
+	return l, nil
 }
 
 // ErrorField returns the log field of an error. It omits the stack trace that zap would add for an eris error, because during faults
--- a/entry/internal/runner/shutdown.go
+++ b/entry/internal/runner/shutdown.go
@@ -25,6 +25,7 @@
 	if err != nil {
 		return eris.Wrap(err, "create logger")
 	}
+	defer func() { _ = log.Sync() }() // fails when the log is not read; there is nowhere else to say so
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	defer signal.Stop(signals)
@@ -111,7 +112,6 @@
 }
 
 func (d *daemon) finishShutdown(e drainer.Exit) error {
-	defer func() { _ = d.log.Sync() }()
 	if e.Reason != "" {
 		d.log.Error("entry: stopping with unfinished work", zap.String("reason", e.Reason),
 			zap.Strings("requests", e.Unfinished.Requests), zap.Strings("tickets", e.Unfinished.Tickets), zap.Strings("claims", e.Unfinished.Claims))
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -26,6 +26,7 @@
 	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/core/transport/bounder"
 	"comfreyroute/core/transport/requester"
+	"comfreyroute/core/transport/spooler"
 	"comfreyroute/gateway/internal/acceptor"
 	"comfreyroute/gateway/internal/detourer"
 	"comfreyroute/gateway/internal/driver"
@@ -91,7 +92,7 @@
 		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * softMemoryRatio))
 	}
 	g.log = logger.New(os.Stdout, s.VM)
-	defer func() { _ = g.log.Close() }() // fails when standard output is closed already
+	defer func() { _ = g.log.Close() }() // fails when the log is not read; there is nowhere else to say so
 	g.connectComponents()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
@@ -444,4 +445,7 @@
 	count("quarantined_signatures", machine(func(m *forwarder.Machine) uint64 { return m.QuarantinedSignatures() }))
 	count("store_calls_total", g.store.Calls.Load)
 	count("log_lines_dropped_total", g.log.DroppedLines.Load)
+	for _, level := range []string{"info", "warn", "error", spooler.Unwritable} {
+		count(`log_lines_lost_total{level="`+level+`"}`, func() uint64 { return g.log.Lines.Lost(level) })
+	}
 }
--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -73,6 +73,9 @@
 oddvm|platform/translator/vm.go|s/json.Unmarshal(i.Value, &value) == nil .. value.isVM()/json.Unmarshal(i.Value, \&value) == nil \&\& value.Address.IsValid()/|platform/translator|TestVMEntries
 unsigned|core/coordination/forwarder/upstream.go|s/return r.claimsSuccess() .. r.Signature == ""/return false/|core/coordination/forwarder|TestUnsignedSuccess
 status|platform/translator/upstreamcodec.go|s/if response.StatusCode < http.StatusOK {/if false {/|platform/translator|TestStatusBelow100
+spool|core/transport/spooler/spooler.go|s/if len(s.pending)+s.writing+len(line) > limit {/if false {/|core/transport/spooler|TestLogIsNotRead
+room|core/transport/spooler/spooler.go|s/limit -= reservedBytes/limit -= 0/|core/transport/spooler|TestLogIsNotRead
+pipe|core/transport/spooler/spooler.go|s/signal.Ignore(syscall.SIGPIPE)/_ = syscall.SIGPIPE/;s/	"os.signal"//|core/transport/spooler|TestLogCannotBeWritten
 return|core/coordination/pacer/pacer.go|s/now.Before(p.delayEnd) .. !p.limiter.AllowN(now, 1)/now.Before(p.delayEnd)/|core/coordination/pacer|TestReturnOfPlatform
 '
 names="$*"
