--- a/core/transport/spooler/spooler_test.go
+++ b/core/transport/spooler/spooler_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"os"
+	"os/exec"
 	"strings"
 	"sync"
 	"testing"
@@ -44,7 +45,7 @@
 	for range lines {
 		s.Add("info", Ordinary, line)
 	}
-	s.Add("error", Reserved, []byte("the error\n"))
+	s.Add("error", Reserved, []byte("the error"+strings.Repeat(" ", 990)+"\n"))
 	if s.Stop(50 * time.Millisecond) {
 		t.Error("the lines count as written although nobody reads them")
 	}
@@ -60,7 +61,7 @@
 	if diff := cmp.Diff(map[string]uint64{"info": uint64(lines - written)}, <-lost); diff != "" {
 		t.Errorf("lost lines (-want +got):\n%s", diff)
 	}
-	if !strings.Contains(sink.text(), "the error\n") {
+	if !strings.Contains(sink.text(), "the error") {
 		t.Error("the error is not written")
 	}
 }
@@ -91,6 +92,32 @@
 	}
 }
 
+// childStatus is the exit status of a process that has survived.
+const childStatus = 7
+
+// TestStandardOutputIsClosed guards against a process that ends because nothing reads its standard output any more.
+func TestStandardOutputIsClosed(t *testing.T) {
+	if os.Getenv("SPOOLER_CHILD") != "" {
+		s := &Spooler{Sink: os.Stdout}
+		s.Start()
+		s.Add("info", Ordinary, []byte("x\n"))
+		s.Stop(10 * time.Second)
+		os.Exit(childStatus)
+	}
+	from, to, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := from.Close(); err != nil {
+		t.Fatal(err)
+	}
+	child := exec.Command(os.Args[0], "-test.run", "^TestStandardOutputIsClosed$")
+	child.Env, child.Stdout = append(os.Environ(), "SPOOLER_CHILD=1"), to
+	if err := child.Run(); child.ProcessState.ExitCode() != childStatus {
+		t.Errorf("the process ended with %v, want exit status %d", err, childStatus)
+	}
+}
+
 type writerFunc func([]byte) (int, error)
 
 func (f writerFunc) Write(b []byte) (int, error) { return f(b) }
--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -75,7 +75,7 @@
 status|platform/translator/upstreamcodec.go|s/if response.StatusCode < http.StatusOK {/if false {/|platform/translator|TestStatusBelow100
 spool|core/transport/spooler/spooler.go|s/if len(s.pending)+s.writing+len(line) > limit {/if false {/|core/transport/spooler|TestLogIsNotRead
 room|core/transport/spooler/spooler.go|s/limit -= reservedBytes/limit -= 0/|core/transport/spooler|TestLogIsNotRead
-pipe|core/transport/spooler/spooler.go|s/signal.Ignore(syscall.SIGPIPE)/_ = syscall.SIGPIPE/;s/	"os.signal"//|core/transport/spooler|TestLogCannotBeWritten
+pipe|core/transport/spooler/spooler.go|s/signal.Ignore(syscall.SIGPIPE)/_ = syscall.SIGPIPE/;s/	"os.signal"//|core/transport/spooler|TestStandardOutputIsClosed
 return|core/coordination/pacer/pacer.go|s/now.Before(p.delayEnd) .. !p.limiter.AllowN(now, 1)/now.Before(p.delayEnd)/|core/coordination/pacer|TestReturnOfPlatform
 '
 names="$*"
