Never wait for an upstream while the driver's lock is held

A request is now written as far as the socket takes it at once; the rest waits in a goroutine of its own. A connection that carried a long request (over 16 KiB) carries no other, so that no request stands behind bytes which the upstream has not read.

--- a/core/transport/requester/client.go
+++ b/core/transport/requester/client.go
@@ -31,7 +31,7 @@
 	// resetMargin is how long after one round trip a reset counts as the upstream's rejection of a new connection. It covers the
 	// processing delay of both ends. The shortest work of the platform's services takes 3.8 ms on average.
 	resetMargin = time.Millisecond
-	// maxInlineBytes is the size up to which Do writes a request itself, because it fits into the socket's buffer.
+	// maxInlineBytes is the size up to which Do writes a request itself, as far as it fits into the socket's buffer.
 	maxInlineBytes = 16 << 10
 	// connectCheckInterval is how long after ConnectBy an attempt that waits for its connection is looked at again.
 	connectCheckInterval = 5 * time.Millisecond
@@ -296,10 +296,12 @@
 func (c *Client) newConn(p *pool, nc net.Conn, began time.Time) *conn {
 	c.Counts.Opened.Add(1)
 	opened := time.Now()
-	return &conn{
+	n := &conn{
 		client: c, pool: p, nc: nc, reader: bounder.NewReader(nc, connBufferBytes), idleTimeout: defaultIdleTimeout,
 		opened: opened, roundTrip: opened.Sub(began),
 	}
+	n.openRaw()
+	return n
 }
 
 // probe opens a connection to an upstream and reports whether it did. The connection is kept for requests if the pool has room.
@@ -326,21 +328,28 @@
 	n.run()
 }
 
-// writeRequest writes the request of a job, in a new goroutine when it is longer than maxInlineBytes. An error closes the
-// connection, and the goroutine that reads the connection reports the end of the attempt.
+// writeRequest writes the request of a job. What the kernel does not take at once, and a request that is longer than maxInlineBytes, is written in a
+// new goroutine. An error closes the connection, and the goroutine that reads the connection reports the end of the attempt.
 func (c *Client) writeRequest(n *conn, j *job) {
 	left := time.Until(j.send.Deadline)
 	b := c.Protocol.AppendRequest(buffers.Get().([]byte)[:0], j.send, left)
 	j.writeBegun.Store(true)
 	c.Counts.Sent.Add(1)
-	if len(b) > maxInlineBytes {
-		c.mu.Lock()
-		n.writing = true
-		c.mu.Unlock()
-		go n.writeBytes(j, b)
+	written, err := 0, error(nil)
+	c.mu.Lock() // a reply that arrives before the rest is written must find the connection marked
+	if len(b) <= maxInlineBytes {
+		written, err = n.tryWrite(b)
+	}
+	n.long = n.long || len(b) > maxInlineBytes
+	n.writing = err == nil && written < len(b)
+	j.unwritten = written == 0
+	writing := n.writing
+	c.mu.Unlock()
+	if !writing {
+		n.endWrite(b, err)
 		return
 	}
-	n.writeBytes(j, b)
+	go n.writeBytes(j, b, written)
 }
 
 func (c *Client) cancelAttempt(a forwarder.AttemptID) {
--- a/core/transport/requester/conn.go
+++ b/core/transport/requester/conn.go
@@ -1,6 +1,7 @@
 package requester
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"os"
@@ -22,17 +23,21 @@
 	pool   *pool
 	nc     net.Conn
 	reader *bounder.Reader
+	raw    syscall.RawConn // of nc; nil if it has none
 
 	// Guarded by the client's lock.
 	job         *job
 	removed     bool // closed and no longer counted in the pool
-	writing     bool // the rest of a long request is still being written, so no other request may follow
+	writing     bool // the rest of a request is still being written, so no other request may follow
+	long        bool // it carried a long request, which the upstream may have answered without reading all of it
 	idleSince   time.Time
 	idleTimeout time.Duration
 	opened      time.Time
 	roundTrip   time.Duration // duration of the connect
 	used        bool          // a reply was read
-	identified  bool          // a reply named its request, so one that names none is not the reply to another request
+	attempted   attemptedWrite
+	writeOnce   func(fd uintptr) (done bool) // writes attempted.bytes
+	identified  bool                         // a reply named its request, so one that names none is not the reply to another request
 }
 
 // start assigns a job to an idle or new connection. The caller holds the client's lock.
@@ -48,15 +53,57 @@
 	n.pool.idle = append(n.pool.idle, n)
 }
 
-// writeBytes writes an encoded request. An error closes the connection.
-func (n *conn) writeBytes(j *job, b []byte) {
+// tryWrite writes what the kernel takes of an encoded request at once, and returns how many bytes that are. It never waits for the upstream to
+// read. The caller holds the client's lock.
+func (n *conn) tryWrite(b []byte) (written int, err error) {
+	if n.raw == nil {
+		return 0, nil
+	}
+	n.attempted = attemptedWrite{bytes: b}
+	err = n.raw.Write(n.writeOnce)
+	if errors.Is(n.attempted.err, syscall.EAGAIN) || errors.Is(n.attempted.err, syscall.EINTR) {
+		n.attempted.err = nil
+	}
+	return max(0, n.attempted.written), cmp.Or(err, n.attempted.err)
+}
+
+// attemptedWrite is the input and the result of one write to a socket. It is a field of the connection to save allocations.
+type attemptedWrite struct {
+	bytes   []byte
+	written int
+	err     error
+}
+
+// openRaw prepares writes that do not wait. Without them, each request is written by a goroutine of its own.
+func (n *conn) openRaw() {
+	sc, ok := n.nc.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return // the connection is closed, which its reader finds too
+	}
+	n.raw = raw
+	n.writeOnce = func(fd uintptr) (done bool) {
+		n.attempted.written, n.attempted.err = syscall.Write(int(fd), n.attempted.bytes)
+		return true
+	}
+}
+
+// writeBytes writes the rest of an encoded request, from a position on.
+func (n *conn) writeBytes(j *job, b []byte, from int) {
 	_ = n.nc.SetWriteDeadline(j.send.Deadline)
-	written, err := n.nc.Write(b)
-	c := n.client
-	c.mu.Lock()
+	written, err := n.nc.Write(b[from:])
+	n.client.mu.Lock()
 	n.writing = false
-	j.unwritten = written == 0
-	c.mu.Unlock()
+	j.unwritten = from+written == 0
+	n.client.mu.Unlock()
+	n.endWrite(b, err)
+}
+
+// endWrite releases the buffer of a request. After an error it closes the connection.
+func (n *conn) endWrite(b []byte, err error) {
 	if cap(b) <= maxInlineBytes {
 		buffers.Put(b[:0]) //nolint:staticcheck // a slice header is small next to the request that it saves
 	}
@@ -105,7 +152,7 @@
 		c.recordProgress(j)
 	}
 	n.job, n.used = nil, true
-	keep := err == nil && response.KeepAlive && !n.writing && !j.cancelled && n.reader.Buffered() == 0 && n.poolActive()
+	keep := err == nil && response.KeepAlive && !n.writing && !n.long && !j.cancelled && n.reader.Buffered() == 0 && n.poolActive()
 	if keep {
 		if response.IdleTimeout > idleMargin {
 			n.idleTimeout = response.IdleTimeout - idleMargin
--- a/core/transport/requester/requester_test.go
+++ b/core/transport/requester/requester_test.go
@@ -51,7 +51,7 @@
 	listener net.Listener
 }
 
-func newFakeUpstream(t *testing.T, handle func(line string) string) *fakeUpstream {
+func newFakeUpstream(t testing.TB, handle func(line string) string) *fakeUpstream {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
