Let a suspect go on when the host that reset it does not answer, and log what other VMs report

Read in the diff, shown by a case of TestSuspectRunsAlone (no outcome before): a search that runs alone and is reset by an upstream whose host then is silent waited for its deadline, because nothing resolved the reset. Evidence of other VMs that changes how a request is run had no log line.

--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -79,7 +79,7 @@
 	case ProbeEnded:
 		m.handleProbeEnd(now, e)
 	case EvidenceReceived:
-		m.quarantine.Receive(now, e.Publications, e.Complete)
+		m.receiveEvidence(now, e)
 	case TimerFired:
 		m.recordLag(now)
 		m.wakeAt = time.Time{}
--- a/core/coordination/forwarder/quarantine.go
+++ b/core/coordination/forwarder/quarantine.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -173,6 +174,35 @@
 			}
 			asked = asked || first
 		}
+	default:
+		m.releaseAfter(now, e)
+	}
+}
+
+// releaseAfter lets requests go on that wait for evidence about an upstream whose host does not answer.
+func (m *Machine) releaseAfter(now time.Time, e ProbeEnded) {
+	for _, p := range slices.Clone(m.pendingResets) {
+		r := p.attempt.request
+		if p.attempt.upstream == e.Upstream && p.attempt.service.name == e.Service && r != nil && !r.finished && r.probe == p.attempt.id {
+			r.probe = 0
+			m.releaseHeld(now, r)
+		}
+	}
+}
+
+// receiveEvidence uses what VMs have published, and reports the requests that are run in another way from now on.
+func (m *Machine) receiveEvidence(now time.Time, e EvidenceReceived) {
+	before := map[uint64]quarantiner.Decision{}
+	for _, p := range e.Publications {
+		for _, v := range p.Evidence {
+			before[v.Signature], _ = m.quarantine.Check(now, v.Signature)
+		}
+	}
+	m.quarantine.Receive(now, e.Publications, e.Complete)
+	for _, signature := range slices.Sorted(maps.Keys(before)) {
+		if after, _ := m.quarantine.Check(now, signature); after != before[signature] {
+			m.emit(QuarantineChanged{Signature: signature, Decision: after})
+		}
 	}
 }
 
--- a/core/coordination/forwarder/suspect_test.go
+++ b/core/coordination/forwarder/suspect_test.go
@@ -133,6 +133,24 @@
 			t.Errorf("outcome %+v after %d sends, want an unknown one after one send", h.answers[id].Outcome, len(h.sent))
 		}
 	})
+	t.Run("search, reset by a host that is silent", func(t *testing.T) {
+		h := newReadyHarness(t, 4)
+		suspected(h, "/all/x")
+		id := h.request("/all/x", 0)
+		s := h.takeSend("shard2")
+		h.endAttempt(s, Failed{Failure: Reset, Written: true})
+		h.step(ProbeEnded{Service: s.Service, Upstream: s.Upstream})
+		for range 8 {
+			for len(h.pending) > 0 {
+				p := h.pending[0]
+				h.pending = h.pending[1:]
+				h.endAttempt(p, Replied{Reply: successReply(p)})
+			}
+		}
+		if o, ok := h.answers[id].Outcome.(Gathered); !ok || o.Missing > 0 || h.answers[id].Report.Elapsed > maxResetHold {
+			t.Errorf("outcome %+v after %v, want one with all shards at once", h.answers[id].Outcome, h.answers[id].Report.Elapsed)
+		}
+	})
 	t.Run("other requests", func(t *testing.T) {
 		h := newReadyHarness(t, 4)
 		suspected(h, "/all/x")
