End the spooler when the gateway's logger is closed

Loggers of tests in simulated time left the goroutine of their spooler behind, so that the watcher's tests failed since the log was spooled (found when they were next run).

--- a/gateway/internal/logger/logger.go
+++ b/gateway/internal/logger/logger.go
@@ -7,7 +7,9 @@
 import (
 	"io"
 	"sync/atomic"
+	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"golang.org/x/time/rate"
@@ -19,6 +21,8 @@
 	// linesPerSecond and lineBurst limit the request lines to about twice the request rate of one VM on a busy day.
 	linesPerSecond = 200
 	lineBurst      = 400
+	// closeTimeout bounds the flush at exit. The reader of the log may have stopped.
+	closeTimeout = 300 * time.Millisecond
 )
 
 // Logger writes JSON lines. DroppedLines counts the lines that InfoLimited dropped, Lines.Lost those that found no room.
@@ -57,5 +61,10 @@
 	l.requests.Info(message, fields...)
 }
 
-// Close writes the buffered lines. It returns an error if the log is not read in time.
-func (l *Logger) Close() error { return l.Sync() }
+// Close writes the buffered lines and ends the logger. It returns an error if the log is not read in time.
+func (l *Logger) Close() error {
+	if !l.Lines.Stop(closeTimeout) {
+		return eris.New("the log is not read")
+	}
+	return nil
+}
