Read everything when there are too many changes for one response

The watch's response was over the bound, and the watcher asked for the same changes again until the store had dropped its history. Such a response now counts as a compacted history: a listing has only the last write of each key, in pages. The same in the client of the entry daemon's store, whose watch had the same loop (TestTooManyChanges).

--- a/core/protocol/encoder/decode.go
+++ b/core/protocol/encoder/decode.go
@@ -16,6 +16,9 @@
 	MaxValueBytes    = 1 << 20
 )
 
+// ErrTooLong reports a message over its size limit.
+var ErrTooLong = eris.New("message is too long")
+
 // Decode reads exactly one JSON value of at most limit bytes into v. It returns an error for unknown fields, trailing data,
 // malformed JSON and oversized input. In a VMList, odd entries are skipped.
 func Decode(r io.Reader, limit int64, v any) error {
@@ -29,7 +32,7 @@
 // DecodeBytes is like Decode, but decodes a message that is already in memory.
 func DecodeBytes(data []byte, limit int64, v any) error {
 	if int64(len(data)) > limit {
-		return eris.Errorf("message has more than %d bytes", limit)
+		return eris.Wrapf(ErrTooLong, "more than %d bytes", limit)
 	}
 	if l, ok := v.(*VMList); ok {
 		return l.decode(data)
--- a/core/transport/kvclient/client.go
+++ b/core/transport/kvclient/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -92,7 +93,8 @@
 	return WriteResult{Status: status, Revision: reply.Revision, Current: reply.Current, Err: err}
 }
 
-// Watch waits up to wait for a change of a key with a prefix after a revision, and returns the changes.
+// Watch waits up to wait for a change of a key with a prefix after a revision, and returns the changes. Too many of them for one response count as
+// compacted: the same call would get no shorter one, and a range has the last write of each key only.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) WatchResult {
 	q := url.Values{
 		"prefix":  {prefix},
@@ -101,6 +103,9 @@
 	}
 	var reply encoder.WatchReply
 	status, err := c.call(ctx, wait+c.callTimeout(), http.MethodGet, c.buildURL(encoder.PathWatch, q), nil, &reply)
+	if errors.Is(err, encoder.ErrTooLong) {
+		return WatchResult{Status: OK, Revision: after, Compacted: true}
+	}
 	return WatchResult{Status: status, Revision: reply.Revision, Items: reply.Items, Compacted: reply.Compacted, Err: err}
 }
 
--- a/core/transport/kvclient/vmlist_test.go
+++ b/core/transport/kvclient/vmlist_test.go
@@ -62,3 +62,12 @@
 		}
 	}
 }
+
+// TestTooManyChanges guards against a watch that is repeated for ever because its response is over the bound.
+func TestTooManyChanges(t *testing.T) {
+	long := strings.Repeat(" ", encoder.MaxPlatformBytes) + `{"revision":9}`
+	r := newClient(t, respondWith(http.StatusOK, long)).Watch(context.Background(), "p", 7, 0)
+	if diff := cmp.Diff(WatchResult{Status: OK, Revision: 7, Compacted: true}, r); diff != "" {
+		t.Errorf("result (-want +got):\n%s", diff)
+	}
+}
--- a/gateway/internal/watcher/source.go
+++ b/gateway/internal/watcher/source.go
@@ -46,6 +46,12 @@
 		w.revision = 0
 		return 0, nil
 	}
+	if errors.Is(err, translator.ErrTooLong) { // a listing has the last write of each key only, and comes in pages
+		w.recordStoreAnswer()
+		w.Log.Info("watcher: too many changes for one response, reading all keys", zap.Uint64("revision", w.revision))
+		w.revision = 0
+		return 0, nil
+	}
 	if err != nil {
 		return 0, err
 	}
--- a/gateway/internal/watcher/watcher_test.go
+++ b/gateway/internal/watcher/watcher_test.go
@@ -129,6 +129,8 @@
 			[]string{"read", "watch", "watch"}, []uint64{2}, 0},
 		{"history compacted", 1, []func() (*translator.Changes, error){change(translator.Changes{}, translator.ErrCompacted)},
 			[]string{"read", "watch", "read", "watch"}, []uint64{1}, 0},
+		{"too many changes", 1, []func() (*translator.Changes, error){change(translator.Changes{}, eris.Wrap(translator.ErrTooLong, "call"))},
+			[]string{"read", "watch", "read", "watch"}, []uint64{1}, 0},
 		{"manifest not newer", 1, []func() (*translator.Changes, error){change(translator.Changes{Revision: 8, Manifest: manifest(1)}, nil)},
 			[]string{"read", "watch", "watch"}, []uint64{1}, 0},
 		{"store unavailable", 1, []func() (*translator.Changes, error){change(translator.Changes{}, eris.New("refused"))},
