--- a/gateway/internal/watcher/watcher_test.go
+++ b/gateway/internal/watcher/watcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/netip"
 	"slices"
@@ -15,6 +16,7 @@
 
 	"comfreyroute/core/coordination/elector"
 	"comfreyroute/core/coordination/forwarder"
+	"comfreyroute/core/coordination/quarantiner"
 	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/gateway/internal/logger"
 	"comfreyroute/gateway/internal/relayer"
@@ -81,6 +83,7 @@
 	manifest   uint64 // version, 0 for none
 	era        uint64
 	vms        []translator.VMEntry
+	evidence   []quarantiner.Publication
 	reconnects int
 	wait       time.Duration // of the last watch
 	cancel     context.CancelFunc
@@ -88,7 +91,7 @@
 
 func (s *fakeStore) ReadAll(context.Context) (*translator.Changes, error) {
 	s.calls = append(s.calls, "read")
-	c := &translator.Changes{Revision: 7, Era: s.era, Upstreams: []translator.UpstreamEntry{entry("a", 1, 1)}, VMs: s.vms}
+	c := &translator.Changes{Revision: 7, Era: s.era, Upstreams: []translator.UpstreamEntry{entry("a", 1, 1)}, VMs: s.vms, Evidence: s.evidence}
 	if s.manifest > 0 {
 		c.Manifest = forwarder.NewManifest(s.manifest, nil, nil, forwarder.Limits{})
 	}
@@ -408,3 +411,31 @@
 		}
 	}
 }
+
+// TestEvidenceComesBeforeTheManifest guards against a VM that has started again and serves requests before it knows which of them crash upstreams.
+func TestEvidenceComesBeforeTheManifest(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	known := quarantiner.Publication{VM: "vm2", Evidence: []quarantiner.Evidence{{Signature: 1, Confirmed: true}}}
+	changed := quarantiner.Publication{VM: "vm3"}
+	s := &fakeStore{manifest: 1, evidence: []quarantiner.Publication{known}, cancel: cancel, watches: []func() (*translator.Changes, error){
+		func() (*translator.Changes, error) {
+			return &translator.Changes{Revision: 8, Evidence: []quarantiner.Publication{changed}}, nil
+		},
+	}}
+	var events []string
+	w := &Watcher{
+		Store: s, DrainTime: 3 * time.Second, ReregisterTime: 2 * time.Second, Log: logger.New(io.Discard, "vm"),
+		OnManifest:  func(*forwarder.Manifest) { events = append(events, "manifest") },
+		OnUpstreams: func([]forwarder.Upstream) {},
+		OnEvidence: func(all []quarantiner.Publication, complete bool) {
+			for _, p := range all {
+				events = append(events, fmt.Sprint(p.VM, " ", complete))
+			}
+		},
+	}
+	w.Run(ctx)
+	if diff := cmp.Diff([]string{"vm2 true", "manifest", "vm3 false"}, events); diff != "" {
+		t.Errorf("events (-want +got):\n%s", diff)
+	}
+}
--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -74,7 +74,7 @@
 unsigned|core/coordination/forwarder/upstream.go|s/return r.claimsSuccess() .. r.Signature == ""/return false/|core/coordination/forwarder|TestUnsignedSuccess
 status|platform/translator/upstreamcodec.go|s/if response.StatusCode < http.StatusOK {/if false {/|platform/translator|TestStatusBelow100
 unheld|core/coordination/forwarder/quarantine.go|s/		m.releaseAfter(now, e)/		_ = e/|core/coordination/forwarder|TestSuspectRunsAlone
-wait|core/transport/requester/client.go|s/written, err = n.tryWrite(b)/written, err = n.nc.Write(b)/|core/transport/requester|TestSendNeverBlocks
+stall|core/transport/requester/client.go|s/written, err = n.tryWrite(b)/written, err = n.nc.Write(b)/|core/transport/requester|TestSendNeverBlocks
 unread|core/transport/requester/client.go|s/n.long = n.long .. len(b) > maxInlineBytes/n.long = false/|core/transport/requester|TestRequestAfterEarlyReply
 toolong|gateway/internal/watcher/source.go|s/if errors.Is(err, translator.ErrTooLong) {/if false {/|gateway/internal/watcher|TestWatcher
 spool|core/transport/spooler/spooler.go|s/if len(s.pending)+s.writing+len(line) > limit {/if false {/|core/transport/spooler|TestLogIsNotRead
