--- a/core/coordination/forwarder/dispatch.go
+++ b/core/coordination/forwarder/dispatch.go
@@ -102,7 +102,7 @@
 		id: m.lastAttempt, request: r, subIndex: index, service: sub.service, upstream: u.Row.Upstream, sent: now,
 		signature: r.signature,
 	}
-	m.markProbe(now, r, a)
+	m.markAlone(now, r, a)
 	m.attempts[a.id] = a
 	m.countLimitedSend(u, sub)
 	sub.inFlight.Add(a.id)
@@ -178,7 +178,7 @@
 			m.handleFailure(now, r, a, result)
 		}
 	}
-	m.endProbe(now, a)
+	m.endAlone(now, a)
 	m.dispatchWaiting(now, a.service)
 }
 
--- a/core/coordination/forwarder/quarantine.go
+++ b/core/coordination/forwarder/quarantine.go
@@ -6,18 +6,8 @@
 	"time"
 
 	"comfreyroute/core/coordination/quarantiner"
-	"comfreyroute/core/coordination/selector"
 )
 
-// pendingReset is an attempt that its upstream has reset, without evidence so far whether the upstream crashed.
-type pendingReset struct {
-	attempt   *attempt
-	at        time.Time
-	startTime time.Time // of the upstream
-	refused   bool      // the upstream's host refuses connections: it has crashed, or this VM does not reach it
-	others    []string  // upstreams that were probed since, because this VM may not reach any
-}
-
 // decision returns how a request may run, because it may crash upstreams.
 func (m *Machine) decision(now time.Time, r *request) quarantiner.Decision {
 	if m.quarantine.Empty() && !r.suspect {
@@ -43,9 +33,10 @@
 	return true
 }
 
-// firstProbe returns the sub-request that a suspect runs alone: the one to the service with the most crashes. It returns -1 for a request that
+// firstAlone returns the sub-request that a suspect runs alone: the one to the service with the most crashes. It returns -1 for a request that
+
 // may run everywhere.
-func (m *Machine) firstProbe(now time.Time, r *request) int {
+func (m *Machine) firstAlone(now time.Time, r *request) int {
 	if len(r.subs) == 0 || m.decision(now, r) != quarantiner.Probe {
 		return -1
 	}
@@ -59,6 +50,7 @@
 }
 
 // holdBack keeps a sub-request from being sent now if its request may crash upstreams: it fails one that is rejected, and holds one back while
+
 // another one of the request runs alone, or while it is not known whether the upstream that reset it has crashed and there is other evidence.
 func (m *Machine) holdBack(now time.Time, r *request, index int) bool {
 	sub := &r.subs[index]
@@ -68,7 +60,7 @@
 		m.failSub(now, r, index)
 		return true
 	case quarantiner.Probe:
-		if r.probe != 0 {
+		if r.alone != 0 {
 			sub.state, sub.heldUntil = subHeld, time.Time{}
 			return true
 		}
@@ -93,10 +85,10 @@
 	return n
 }
 
-// markProbe marks an attempt of a suspect as the only one that runs.
-func (m *Machine) markProbe(now time.Time, r *request, a *attempt) {
-	if m.decision(now, r) == quarantiner.Probe && r.probe == 0 {
-		r.probe, a.alone = a.id, true
+// markAlone marks an attempt of a suspect as the only one that runs.
+func (m *Machine) markAlone(now time.Time, r *request, a *attempt) {
+	if m.decision(now, r) == quarantiner.Probe && r.alone == 0 {
+		r.alone, a.alone = a.id, true
 	}
 }
 
@@ -131,30 +123,8 @@
 	m.reportDecision(now, before, a)
 }
 
-// recordReset keeps an attempt that was reset until it is known whether its upstream has crashed, and probes the upstream.
-func (m *Machine) recordReset(now time.Time, a *attempt) {
-	i, ok := a.service.set.Index(a.upstream)
-	if !ok || !a.service.set.At(i).Eligible() {
-		return // an upstream that leaves may end
-	}
-	m.pendingResets = slices.DeleteFunc(m.pendingResets, func(p pendingReset) bool { return now.Sub(p.at) > resetLifetime })
-	if len(m.pendingResets) >= maxPendingResets {
-		return
-	}
-	probed := slices.ContainsFunc(m.pendingResets, func(p pendingReset) bool {
-		return p.attempt.upstream == a.upstream && now.Sub(p.at) < crashProbeTimeout
-	})
-	m.pendingResets = append(m.pendingResets, pendingReset{attempt: a, at: now, startTime: a.service.startTime(a.upstream)})
-	if r := a.request; r != nil {
-		r.subs[a.subIndex].heldUntil = now.Add(maxResetHold)
-	}
-	if !probed {
-		m.emitProbe(a.service, a.service.set.At(i), now.Add(crashProbeTimeout))
-	}
-}
-
-// resolveResets uses what a probe says of the upstreams. One that accepts connections has not crashed. One whose host refuses them has, if this
 // VM reaches other upstreams; otherwise its own connections may be the fault, so that a further probe is sent. Without an answer of the host, the
+
 // list of upstreams may still tell.
 func (m *Machine) resolveResets(now time.Time, e ProbeEnded) {
 	switch {
@@ -179,17 +149,6 @@
 	}
 }
 
-// releaseAfter lets requests go on that wait for evidence about an upstream whose host does not answer.
-func (m *Machine) releaseAfter(now time.Time, e ProbeEnded) {
-	for _, p := range slices.Clone(m.pendingResets) {
-		r := p.attempt.request
-		if p.attempt.upstream == e.Upstream && p.attempt.service.name == e.Service && r != nil && !r.finished && r.probe == p.attempt.id {
-			r.probe = 0
-			m.releaseHeld(now, r)
-		}
-	}
-}
-
 // receiveEvidence uses what VMs have published, and reports the requests that are run in another way from now on.
 func (m *Machine) receiveEvidence(now time.Time, e EvidenceReceived) {
 	before := map[uint64]quarantiner.Decision{}
@@ -206,32 +165,6 @@
 	}
 }
 
-// probeOther probes another upstream than one that refuses connections.
-func (m *Machine) probeOther(now time.Time, p *pendingReset) {
-	if now.Sub(p.at) > contactTime || len(p.others) >= maxOtherProbes {
-		return
-	}
-	all := m.servicesByName()
-	first := m.random.IntN(len(all))
-	for k := range all {
-		s := all[(first+k)%len(all)]
-		for i := range s.set.Len() {
-			u := s.set.At(i)
-			if u.Eligible() && !m.wasReset(s, u.Row.Upstream) && !slices.Contains(p.others, u.Row.Upstream) {
-				p.others = append(p.others, u.Row.Upstream)
-				m.emitProbe(s, u, now.Add(crashProbeTimeout))
-				return
-			}
-		}
-	}
-}
-
-// wasReset reports whether an upstream has reset an attempt lately without evidence so far of a crash.
-func (m *Machine) wasReset(s *service, upstream string) bool {
-	return slices.ContainsFunc(m.pendingResets, func(p pendingReset) bool { return p.attempt.service == s && p.attempt.upstream == upstream })
-}
-
-// recordUpstreamContact takes the resets of upstreams that refuse connections as crashes, because this VM reaches another upstream. A VM that is cut
 // from one service alone may take harmless requests for suspects; the VMs that get answers to them say so.
 func (m *Machine) recordUpstreamContact(now time.Time, upstream string) {
 	if len(m.pendingResets) == 0 {
@@ -243,63 +176,22 @@
 	})
 }
 
-// resolveReplaced takes the resets of upstreams that are no longer listed, or have started again, as crashes.
-func (m *Machine) resolveReplaced(now time.Time, service string, listed []Upstream) {
-	m.takeResets(now, func(p pendingReset) (known, crashed bool) {
-		gone := p.attempt.service.name == service && !slices.ContainsFunc(listed, func(u Upstream) bool {
-			return u.Name == p.attempt.upstream && u.StartTime.Equal(p.startTime)
-		})
-		return gone, gone
-	})
-}
-
-// takeResets removes the resets about which a function knows whether a crash was the cause, records the crashes, and goes on with the requests.
-func (m *Machine) takeResets(now time.Time, resolve func(pendingReset) (known, crashed bool)) {
-	var resolved []*attempt
-	m.pendingResets = slices.DeleteFunc(m.pendingResets, func(p pendingReset) bool {
-		if now.Sub(p.at) > resetLifetime {
-			return true
-		}
-		known, crashed := resolve(p)
-		if !known {
-			return false
-		}
-		resolved = append(resolved, p.attempt)
-		if crashed {
-			before, _ := m.quarantine.Check(now, p.attempt.signature)
-			c := quarantiner.Crash{Service: p.attempt.service.name, Upstream: p.attempt.upstream, Started: p.startTime}
-			m.quarantine.RecordCrash(now, p.attempt.signature, c, p.attempt.alone)
-			m.reportDecision(now, before, p.attempt)
-		}
-		return true
-	})
-	for _, a := range resolved {
-		if r := a.request; r != nil && !r.finished {
-			r.subs[a.subIndex].heldUntil = time.Time{}
-			if r.probe == a.id {
-				r.probe = 0
-			}
-			m.releaseHeld(now, r)
-		}
-	}
-}
-
-// endProbe lets the other sub-requests of a suspect go on after the end of the one that ran alone. After a reset they wait for the evidence.
-func (m *Machine) endProbe(now time.Time, a *attempt) {
+// endAlone lets the other sub-requests of a suspect go on after the end of the one that ran alone. After a reset they wait for the evidence.
+func (m *Machine) endAlone(now time.Time, a *attempt) {
 	r := a.request
-	if r == nil || r.finished || r.probe != a.id {
+	if r == nil || r.finished || r.alone != a.id {
 		return
 	}
 	if slices.ContainsFunc(m.pendingResets, func(p pendingReset) bool { return p.attempt == a }) {
 		return
 	}
-	r.probe = 0
+	r.alone = 0
 	m.releaseHeld(now, r)
 }
 
 // endHold goes on with a sub-request whose wait for evidence is over.
 func (m *Machine) endHold(now time.Time, r *request, index int) {
-	r.subs[index].heldUntil, r.probe = time.Time{}, 0
+	r.subs[index].heldUntil, r.alone = time.Time{}, 0
 	m.releaseHeld(now, r)
 }
 
@@ -326,13 +218,6 @@
 	}
 }
 
-// emitProbe opens a connection to an upstream to find out whether it accepts one.
-func (m *Machine) emitProbe(s *service, u *selector.Upstream, deadline time.Time) {
-	m.emit(Probe{
-		Service: s.name, Upstream: u.Row.Upstream, Address: u.Row.Address, Deadline: deadline, MaxConnections: s.connectionShare(m.fleetMax()),
-	})
-}
-
 // QuarantinedSignatures returns how many signatures are rejected.
 func (m *Machine) QuarantinedSignatures() uint64 {
 	_, rejected := m.quarantine.Len()
--- a/core/coordination/forwarder/request.go
+++ b/core/coordination/forwarder/request.go
@@ -49,7 +49,7 @@
 	prepaid         bool     // its tokens for moving to a peer are taken
 	signature       uint64
 	suspect         bool      // by evidence of another VM
-	probe           AttemptID // the only one that runs, because the request may crash upstreams; 0 for none
+	alone           AttemptID // the only one that runs, because the request may crash upstreams; 0 for none
 }
 
 // subRequest is the part of a request for one shard or service, with all of its attempts.
@@ -179,7 +179,7 @@
 	for index := range r.subs {
 		r.subs[index].needsToken = r.detoured != nil && r.detoured.Counted && !r.detoured.Paid
 	}
-	first := m.firstProbe(now, r)
+	first := m.firstAlone(now, r)
 	if first >= 0 {
 		m.dispatch(now, r, first)
 	}
--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -57,11 +57,11 @@
 isolation|core/coordination/tracker/readiness.go|s/now.Sub(m.lastContact) <= IsolationTimeout/true/|core/coordination/tracker|TestIsolated
 gate|core/coordination/tracker/readiness.go|s/m.isAdmitted = others < m.fleetMax/m.isAdmitted = others >= 0/|core/coordination/tracker|TestAdmission
 shutdown|core/coordination/drainer/machine.go|s/m.phase == Finishing .. e.Work.Empty()/m.phase == Finishing/|core/coordination/drainer|TestShutdown
-crashes|core/coordination/forwarder/quarantine.go|s/m.quarantine.RecordCrash(now, p.attempt.signature, c, p.attempt.alone)/_ = c/|core/coordination/forwarder|TestFleetStopsCrashingRequests
+crashes|core/coordination/forwarder/crash.go|s/m.quarantine.RecordCrash(now, p.attempt.signature, c, p.attempt.alone)/_ = c/|core/coordination/forwarder|TestFleetStopsCrashingRequests
 refuse|core/coordination/forwarder/quarantine.go|s/if d != quarantiner.Reject {/if d != quarantiner.Reject+1 {/|core/coordination/forwarder|TestSearchThatCrashesItsUpstreams
-alone|core/coordination/forwarder/quarantine.go|s/		if r.probe != 0 {/		if false {/|core/coordination/forwarder|TestSuspectRunsAlone
+alone|core/coordination/forwarder/quarantine.go|s/		if r.alone != 0 {/		if false {/|core/coordination/forwarder|TestSuspectRunsAlone
 hold|core/coordination/forwarder/quarantine.go|s/if now.Before(sub.heldUntil) .. /if false \&\& /|core/coordination/forwarder|TestSearchThatCrashesItsUpstreams
-contact|core/coordination/forwarder/quarantine.go|s/func(p pendingReset) (known, crashed bool) {$/&\n\t\tif p.refused {\n\t\t\treturn true, true\n\t\t}/;s/			p.refused = p.refused .. first$/&\n\t\t\tdefer m.recordUpstreamContact(now, "")/|core/coordination/forwarder|TestUnreachedUpstreamsHaveNotCrashed
+contact|core/coordination/forwarder/crash.go|s/func(p pendingReset) (known, crashed bool) {$/&\n\t\tif p.refused {\n\t\t\treturn true, true\n\t\t}/;s/			p.refused = p.refused .. first$/&\n\t\t\tdefer m.recordUpstreamContact(now, "")/|core/coordination/forwarder|TestUnreachedUpstreamsHaveNotCrashed
 listed|core/coordination/forwarder/service.go|/m.resolveReplaced(now, s.name, upstreams)/d|core/coordination/forwarder|TestCrashSeenInTheList
 spread|core/coordination/forwarder/machine.go|s/m.emit(PublishEvidence{Evidence: evidence})/_ = evidence/|core/coordination/forwarder|TestFleetStopsCrashingRequests
 told|core/coordination/forwarder/request.go|s/suspect: e.Detour != nil .. e.Detour.Suspect/suspect: false/|core/coordination/forwarder|TestSuspectAtPeers
@@ -73,7 +73,7 @@
 oddvm|platform/translator/vm.go|s/json.Unmarshal(i.Value, &value) == nil .. value.isVM()/json.Unmarshal(i.Value, \&value) == nil \&\& value.Address.IsValid()/|platform/translator|TestVMEntries
 unsigned|core/coordination/forwarder/upstream.go|s/return r.claimsSuccess() .. r.Signature == ""/return false/|core/coordination/forwarder|TestUnsignedSuccess
 status|platform/translator/upstreamcodec.go|s/if response.StatusCode < http.StatusOK {/if false {/|platform/translator|TestStatusBelow100
-unheld|core/coordination/forwarder/quarantine.go|s/		m.releaseAfter(now, e)/		_ = e/|core/coordination/forwarder|TestSuspectRunsAlone
+unheld|core/coordination/forwarder/crash.go|s/		m.releaseAfter(now, e)/		_ = e/|core/coordination/forwarder|TestSuspectRunsAlone
 stall|core/transport/requester/client.go|s/written, err = n.tryWrite(b)/written, err = n.nc.Write(b)/|core/transport/requester|TestSendNeverBlocks
 unread|core/transport/requester/client.go|s/n.long = n.long .. len(b) > maxInlineBytes/n.long = false/|core/transport/requester|TestRequestAfterEarlyReply
 toolong|gateway/internal/watcher/source.go|s/if errors.Is(err, translator.ErrTooLong) {/if false {/|gateway/internal/watcher|TestWatcher
