--- a/core/coordination/forwarder/crash.go
+++ b/core/coordination/forwarder/crash.go
@@ -40,6 +40,30 @@
 }
 
 // resolveResets uses what a probe says of the upstreams. One that accepts connections has not crashed. One whose host refuses them has, if this
+// VM reaches other upstreams; otherwise its own connections may be the fault, so that a further probe is sent. Without an answer of the host, the
+// list of upstreams may still tell.
+func (m *Machine) resolveResets(now time.Time, e ProbeEnded) {
+	switch {
+	case e.Connected:
+		m.takeResets(now, func(p pendingReset) (known, crashed bool) {
+			return p.attempt.upstream == e.Upstream && p.attempt.service.name == e.Service, false
+		})
+		m.recordUpstreamContact(now, e.Upstream)
+	case e.Refused:
+		asked := false // one further probe tells for all resets of the upstream
+		for i := range m.pendingResets {
+			p := &m.pendingResets[i]
+			first := p.attempt.upstream == e.Upstream && p.attempt.service.name == e.Service && !p.refused
+			p.refused = p.refused || first
+			if first && !asked || slices.Contains(p.others, e.Upstream) {
+				m.probeOther(now, p)
+			}
+			asked = asked || first
+		}
+	default:
+		m.releaseAfter(now, e)
+	}
+}
 
 // releaseAfter lets requests go on that wait for evidence about an upstream whose host does not answer.
 func (m *Machine) releaseAfter(now time.Time, e ProbeEnded) {
@@ -78,6 +102,16 @@
 }
 
 // recordUpstreamContact takes the resets of upstreams that refuse connections as crashes, because this VM reaches another upstream. A VM that is cut
+// from one service alone may take harmless requests for suspects; the VMs that get answers to them say so.
+func (m *Machine) recordUpstreamContact(now time.Time, upstream string) {
+	if len(m.pendingResets) == 0 {
+		return
+	}
+	m.takeResets(now, func(p pendingReset) (known, crashed bool) {
+		crashed = p.refused && now.Sub(p.at) <= contactTime && p.attempt.upstream != upstream
+		return crashed, crashed
+	})
+}
 
 // resolveReplaced takes the resets of upstreams that are no longer listed, or have started again, as crashes.
 func (m *Machine) resolveReplaced(now time.Time, service string, listed []Upstream) {
--- a/core/coordination/forwarder/quarantine.go
+++ b/core/coordination/forwarder/quarantine.go
@@ -34,7 +34,6 @@
 }
 
 // firstAlone returns the sub-request that a suspect runs alone: the one to the service with the most crashes. It returns -1 for a request that
-
 // may run everywhere.
 func (m *Machine) firstAlone(now time.Time, r *request) int {
 	if len(r.subs) == 0 || m.decision(now, r) != quarantiner.Probe {
@@ -50,7 +49,6 @@
 }
 
 // holdBack keeps a sub-request from being sent now if its request may crash upstreams: it fails one that is rejected, and holds one back while
-
 // another one of the request runs alone, or while it is not known whether the upstream that reset it has crashed and there is other evidence.
 func (m *Machine) holdBack(now time.Time, r *request, index int) bool {
 	sub := &r.subs[index]
@@ -123,32 +121,6 @@
 	m.reportDecision(now, before, a)
 }
 
-// VM reaches other upstreams; otherwise its own connections may be the fault, so that a further probe is sent. Without an answer of the host, the
-
-// list of upstreams may still tell.
-func (m *Machine) resolveResets(now time.Time, e ProbeEnded) {
-	switch {
-	case e.Connected:
-		m.takeResets(now, func(p pendingReset) (known, crashed bool) {
-			return p.attempt.upstream == e.Upstream && p.attempt.service.name == e.Service, false
-		})
-		m.recordUpstreamContact(now, e.Upstream)
-	case e.Refused:
-		asked := false // one further probe tells for all resets of the upstream
-		for i := range m.pendingResets {
-			p := &m.pendingResets[i]
-			first := p.attempt.upstream == e.Upstream && p.attempt.service.name == e.Service && !p.refused
-			p.refused = p.refused || first
-			if first && !asked || slices.Contains(p.others, e.Upstream) {
-				m.probeOther(now, p)
-			}
-			asked = asked || first
-		}
-	default:
-		m.releaseAfter(now, e)
-	}
-}
-
 // receiveEvidence uses what VMs have published, and reports the requests that are run in another way from now on.
 func (m *Machine) receiveEvidence(now time.Time, e EvidenceReceived) {
 	before := map[uint64]quarantiner.Decision{}
@@ -165,17 +137,6 @@
 	}
 }
 
-// from one service alone may take harmless requests for suspects; the VMs that get answers to them say so.
-func (m *Machine) recordUpstreamContact(now time.Time, upstream string) {
-	if len(m.pendingResets) == 0 {
-		return
-	}
-	m.takeResets(now, func(p pendingReset) (known, crashed bool) {
-		crashed = p.refused && now.Sub(p.at) <= contactTime && p.attempt.upstream != upstream
-		return crashed, crashed
-	})
-}
-
 // endAlone lets the other sub-requests of a suspect go on after the end of the one that ran alone. After a reset they wait for the evidence.
 func (m *Machine) endAlone(now time.Time, a *attempt) {
 	r := a.request
--- a/core/coordination/forwarder/unsigned_test.go
+++ b/core/coordination/forwarder/unsigned_test.go
@@ -16,7 +16,7 @@
 		replies []Result // of the upstreams, in turn
 		want    Outcome
 	}{
-		{"another upstream answers", "/one/x", []Result{unsigned, signed}, Relayed{Reply: signed.Reply}},
+		{"another upstream answers", "/one/x", []Result{unsigned, signed}, Relayed(signed)},
 		{"no attempt is left", "/one/x", []Result{unsigned, unsigned}, Unknown{Reason: Errored}},
 		{"must not run twice", "/once/x", []Result{unsigned}, Unknown{Reason: Errored}},
 		{"an error before", "/one/x", []Result{failedReply(500), unsigned}, Unknown{Reason: Errored}},
@@ -49,7 +49,7 @@
 		if !ok {
 			t.Fatal("the request does not go through a peer")
 		}
-		h.endAttempt(s, PeerAnswered{Outcome: Relayed{Reply: unsigned.Reply}, Runs: 1})
+		h.endAttempt(s, PeerAnswered{Outcome: Relayed(unsigned), Runs: 1})
 		if diff := cmp.Diff(Outcome(Unknown{Reason: Errored}), h.answers[id].Outcome); diff != "" {
 			t.Errorf("outcome (-want +got):\n%s", diff)
 		}
