Do not refuse a harmless request that met a crashing one while both ran alone

A search that had never been answered was in flight at the first crashes, became a suspect beside the crashing request, and ran alone on the very upstream where that one ran alone: with few replicas both choose the same. A confirmed signature is now refused only if no other was present at all of its crashes; the next run of either tells them apart.

TestRivals is new.

--- a/core/coordination/quarantiner/watchlist.go
+++ b/core/coordination/quarantiner/watchlist.go
@@ -64,15 +64,35 @@
 	switch {
 	case e == nil:
 		return Clear, time.Time{}
-	case e.confirmed:
+	case e.confirmed && !w.hasRival(e):
 		return Reject, e.expires
-	case len(e.crashes) >= suspectCrashes:
+	case e.confirmed, len(e.crashes) >= suspectCrashes:
 		return Probe, time.Time{}
 	default:
 		return Clear, time.Time{}
 	}
 }
 
+// hasRival reports whether another signature was present at all crashes of a confirmed one. Each of the two may be the cause: two requests that ran
+// alone may have met at one upstream, also from two VMs. The next run of either tells them apart.
+func (w *Watchlist) hasRival(e *watched) bool {
+	for _, o := range w.entries {
+		if o != e && len(o.crashes) >= len(e.crashes) && o.coversCrashesOf(e) {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *watched) coversCrashesOf(o *watched) bool {
+	for _, c := range o.crashes {
+		if !slices.Contains(e.crashes, c) {
+			return false
+		}
+	}
+	return true
+}
+
 // HasCrashes reports whether a signature was present at a crash that no reply explains.
 func (w *Watchlist) HasCrashes(now time.Time, signature uint64) bool {
 	e := w.find(now, signature)
@@ -114,7 +134,10 @@
 		return
 	}
 	e := w.add(now, signature)
-	if !slices.Contains(e.crashes, c) && len(e.crashes) < maxCrashesListed {
+	if !slices.Contains(e.crashes, c) {
+		if len(e.crashes) >= maxCrashesListed {
+			e.crashes = slices.Delete(e.crashes, 0, 1) // the latest ones tell it apart from other signatures
+		}
 		e.crashes = append(e.crashes, c)
 	}
 	e.expires, e.own, e.substitute = now.Add(w.Settings.suspicionLifetime()), true, false
--- a/core/coordination/quarantiner/watchlist_test.go
+++ b/core/coordination/quarantiner/watchlist_test.go
@@ -90,6 +90,43 @@
 	}
 }
 
+// TestRivals guards against a harmless request that is refused for long because it ran alone on the upstream which another one crashed, here or at
+// another VM.
+func TestRivals(t *testing.T) {
+	const harmless = testSignature + 1
+	w, now := &Watchlist{VM: "vm1"}, time.Unix(1000, 0)
+	crash := func(signature uint64, upstream string, alone bool) {
+		now = now.Add(time.Millisecond)
+		w.RecordCrash(now, signature, Crash{Service: "s", Upstream: upstream}, alone)
+	}
+	check := func(what string, signature uint64, want Decision) {
+		t.Helper()
+		if got, _ := w.Check(now, signature); got != want {
+			t.Errorf("%s: decision %v for signature %d, want %v", what, got, signature, want)
+		}
+	}
+	for _, upstream := range []string{"a", "b"} {
+		crash(testSignature, upstream, false)
+		crash(harmless, upstream, false)
+	}
+	crash(testSignature, "c", true)
+	crash(harmless, "c", true)
+	check("met at all crashes", testSignature, Probe)
+	check("met at all crashes", harmless, Probe)
+	crash(testSignature, "d", true)
+	check("one crash more", testSignature, Reject)
+	check("one crash more of the other", harmless, Probe)
+	w.RecordReply(now, harmless, "s", true)
+	check("answered", harmless, Clear)
+	check("the other answered", testSignature, Reject)
+	for n := range 2 * maxCrashesListed {
+		crash(testSignature, fmt.Sprint("u", n), false)
+		crash(harmless+1, fmt.Sprint("u", n), false)
+	}
+	crash(testSignature, "last", true)
+	check("more crashes than are listed", testSignature, Reject)
+}
+
 // takeAll returns what a Watchlist publishes within a time.
 func takeAll(w *Watchlist, now time.Time, within time.Duration) []Evidence {
 	at := w.NextPublication()
