--- a/core/coordination/forwarder/crash.go
+++ b/core/coordination/forwarder/crash.go
@@ -61,12 +61,12 @@
 			asked = asked || first
 		}
 	default:
-		m.releaseAfter(now, e)
+		m.releaseUnexplained(now, e)
 	}
 }
 
-// releaseAfter lets requests go on that wait for evidence about an upstream whose host does not answer.
-func (m *Machine) releaseAfter(now time.Time, e ProbeEnded) {
+// releaseUnexplained lets requests go on whose reset has no explanation yet, because the host of the upstream does not answer.
+func (m *Machine) releaseUnexplained(now time.Time, e ProbeEnded) {
 	for _, p := range slices.Clone(m.pendingResets) {
 		r := p.attempt.request
 		if p.attempt.upstream == e.Upstream && p.attempt.service.name == e.Service && r != nil && !r.finished && r.alone == p.attempt.id {
--- a/core/coordination/forwarder/dispatch.go
+++ b/core/coordination/forwarder/dispatch.go
@@ -19,7 +19,7 @@
 	cancelled bool
 	toPeer    bool // upstream names a peer, and service is nil
 	signature uint64
-	alone     bool // the request ran nowhere else, because it may crash upstreams
+	alone     bool // its request has no other attempt in flight, because it may crash upstreams
 }
 
 // dispatch sends a sub-request to an upstream. If none has free capacity, it queues the sub-request, or fails it if it would wait too long.
--- a/core/coordination/forwarder/request.go
+++ b/core/coordination/forwarder/request.go
@@ -48,8 +48,8 @@
 	turnedAway      bool     // no peer has taken it
 	prepaid         bool     // its tokens for moving to a peer are taken
 	signature       uint64
-	suspect         bool      // by evidence of another VM
-	alone           AttemptID // the only one that runs, because the request may crash upstreams; 0 for none
+	suspect         bool      // the VM that sent it on saw upstreams crash under it
+	alone           AttemptID // the only attempt that may be in flight, because the request may crash upstreams; 0 for none
 }
 
 // subRequest is the part of a request for one shard or service, with all of its attempts.
--- a/core/coordination/quarantiner/watchlist.go
+++ b/core/coordination/quarantiner/watchlist.go
@@ -32,8 +32,8 @@
 //
 // Unlike a Machine, whose VMs exchange each suspicion within milliseconds, it holds nothing back on the first evidence: a signature that was
 // present at two crashes and not answered since is a suspect and runs alone, without retries and hedges, at any VM. A crash under a run alone
-// confirms it, and a reply clears it. A crash with any other cause thus holds back no request that upstreams answer. The zero value is usable. It
-// is not safe for concurrent use.
+// confirms it, unless another signature was present at all of its crashes, and it is rejected from then on. A reply clears it, so that crashes of
+// other causes hold back no request that upstreams answer. The zero value is usable. It is not safe for concurrent use.
 type Watchlist struct {
 	VM       string // name of this VM; must not change after the first call of another method
 	Settings Settings
--- a/core/transport/requester/client.go
+++ b/core/transport/requester/client.go
@@ -335,7 +335,8 @@
 	b := c.Protocol.AppendRequest(buffers.Get().([]byte)[:0], j.send, left)
 	j.writeBegun.Store(true)
 	c.Counts.Sent.Add(1)
-	written, err := 0, error(nil)
+	var written int
+	var err error
 	c.mu.Lock() // a reply that arrives before the rest is written must find the connection marked
 	if len(b) <= maxInlineBytes {
 		written, err = n.tryWrite(b)
--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -73,7 +73,7 @@
 oddvm|platform/translator/vm.go|s/json.Unmarshal(i.Value, &value) == nil .. value.isVM()/json.Unmarshal(i.Value, \&value) == nil \&\& value.Address.IsValid()/|platform/translator|TestVMEntries
 unsigned|core/coordination/forwarder/upstream.go|s/return r.claimsSuccess() .. r.Signature == ""/return false/|core/coordination/forwarder|TestUnsignedSuccess
 status|platform/translator/upstreamcodec.go|s/if response.StatusCode < http.StatusOK {/if false {/|platform/translator|TestStatusBelow100
-unheld|core/coordination/forwarder/crash.go|s/		m.releaseAfter(now, e)/		_ = e/|core/coordination/forwarder|TestSuspectRunsAlone
+unheld|core/coordination/forwarder/crash.go|s/		m.releaseUnexplained(now, e)/		_ = e/|core/coordination/forwarder|TestSuspectRunsAlone
 stall|core/transport/requester/client.go|s/written, err = n.tryWrite(b)/written, err = n.nc.Write(b)/|core/transport/requester|TestSendNeverBlocks
 unread|core/transport/requester/client.go|s/n.long = n.long .. len(b) > maxInlineBytes/n.long = false/|core/transport/requester|TestRequestAfterEarlyReply
 toolong|gateway/internal/watcher/source.go|s/if errors.Is(err, translator.ErrTooLong) {/if false {/|gateway/internal/watcher|TestWatcher
