Do not use replies whose framing may be spoiled

What callers saw: with one spoiled byte in a reply's head or framing, successes with another body or signature than the upstream's.

Cause: net/http takes any reply that it can parse, and the transport took what followed a body for an additional reply that belongs to no request. Not told from a whole reply: the value of the signature and a status spoiled to another success or failure.

An additional reply is dropped as before (TestBytesAfterReply). The rest of a body that arrives later than the reply is read is not noticed.

--- a/core/coordination/forwarder/unsigned_test.go
+++ b/core/coordination/forwarder/unsigned_test.go
@@ -10,6 +10,7 @@
 func TestUnsignedSuccess(t *testing.T) {
 	unsigned := Replied{Reply: &Reply{Status: 200, Body: []byte("x")}}
 	signed := Replied{Reply: &Reply{Status: 200, Signature: "stamp"}}
+	overrun := Replied{Reply: &Reply{Status: 200, Signature: "stamp", Overrun: true}}
 	cases := []struct {
 		name    string
 		path    string
@@ -19,6 +20,8 @@
 		{"another upstream answers", "/one/x", []Result{unsigned, signed}, Relayed(signed)},
 		{"no attempt is left", "/one/x", []Result{unsigned, unsigned}, Unknown{Reason: Errored}},
 		{"must not run twice", "/once/x", []Result{unsigned}, Unknown{Reason: Errored}},
+		{"too long, another upstream answers", "/one/x", []Result{overrun, signed}, Relayed(signed)},
+		{"too long, must not run twice", "/once/x", []Result{overrun}, Unknown{Reason: Errored}},
 		{"an error before", "/one/x", []Result{failedReply(500), unsigned}, Unknown{Reason: Errored}},
 		{"an error after", "/one/x", []Result{unsigned, failedReply(500)}, Relayed{Reply: failedReply(500).Reply}},
 		{"no content", "/once/x", []Result{Replied{Reply: &Reply{Status: 204}}}, Unknown{Reason: Errored}},
--- a/core/coordination/forwarder/upstream.go
+++ b/core/coordination/forwarder/upstream.go
@@ -43,6 +43,7 @@
 	Header    http.Header // as forwarded to the caller
 	Body      []byte
 	Signature string // proves which upstream made the reply; empty if it is unsigned
+	Overrun   bool   // bytes that are no reply followed it at once: its length may be spoiled, and its body cut short
 	NotRun    bool   // the upstream did not run the request and never will
 
 	PromisesNoRun bool          // callers take the status for a promise that the request has not run, whatever the upstream meant
@@ -53,9 +54,11 @@
 	Rate          limiter.Declaration
 }
 
-func (r *Reply) success() bool { return r.claimsSuccess() && r.Signature != "" }
+func (r *Reply) success() bool { return r.claimsSuccess() && r.proven() }
 
 // unproven reports whether a reply claims a success that nothing proves. It may have been spoiled on the way, and is not used.
-func (r *Reply) unproven() bool { return r.claimsSuccess() && r.Signature == "" }
+func (r *Reply) unproven() bool { return r.claimsSuccess() && !r.proven() }
+
+func (r *Reply) proven() bool { return r.Signature != "" && !r.Overrun }
 
 func (r *Reply) claimsSuccess() bool { return r.Status >= 200 && r.Status < 300 }
--- a/core/transport/requester/conn.go
+++ b/core/transport/requester/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -145,6 +146,9 @@
 			err = ErrMismatched
 		}
 		n.identified = n.identified || response.Identified
+		if err == nil && response.Reply != nil && n.overruns(len(response.Reply.Body)) {
+			response.Reply.Overrun, response.KeepAlive = true, false
+		}
 	}
 	c.mu.Lock()
 	delete(c.attempts, j.send.Attempt)
@@ -185,6 +189,38 @@
 	return keep
 }
 
+// replyStart begins each reply.
+const replyStart = "HTTP/1."
+
+// overruns reports whether bytes that do not begin another reply follow one that was just read with a body of a length in bytes. They may be the rest
+// of its body.
+func (n *conn) overruns(length int) bool {
+	next, err := n.reader.Peek(min(n.reader.Buffered(), len(replyStart)))
+	if err != nil {
+		return false // Peek does not read from the connection
+	}
+	if len(next) == 0 && length >= connBufferBytes { // the rest of a long body need not be in the buffer
+		next = n.peekSocket()
+	}
+	return len(next) > 0 && !strings.HasPrefix(replyStart, string(next))
+}
+
+// peekSocket returns the first bytes that have arrived on the connection and were not read, without waiting for any.
+func (n *conn) peekSocket() []byte {
+	if n.raw == nil {
+		return nil
+	}
+	b, count := make([]byte, len(replyStart)), 0
+	err := n.raw.Read(func(fd uintptr) (done bool) {
+		count, _, _ = syscall.Recvfrom(int(fd), b, syscall.MSG_PEEK|syscall.MSG_DONTWAIT) // the next read reports an error
+		return true
+	})
+	if err != nil || count < 0 {
+		return nil // the connection is closed
+	}
+	return b[:count]
+}
+
 // isRejectedConn reports whether the upstream reset a new connection before it can have processed the first request, as it does
 // with connections beyond its limit. age is the time since the connection was opened, and roundTrip the duration of the connect.
 func isRejectedConn(err error, used bool, age, roundTrip time.Duration) bool {
