Let a VM whose searches all fail hear what its upstreams declare

Cause: a gateway that starts while crashes hold down other shards fails each search at once and cancels its attempts, which closes their connections before the first reply names the rate.

Change: a failed search does not cancel attempts at upstreams which this VM never had a reply from.

TestRateIsLearnedFromFailedSearches fails without it (2 attempts of 2 cancelled).

A newly confirmed request is now refused for at most two seconds, until the evidence of the other VMs is there, and for long only then (TestRivalAtAnotherVM).

TestSearchThatCrashesItsUpstreams asked for the long refusal at once; it now asks for a refusal at once and the long one three seconds later.

--- a/core/coordination/forwarder/answer.go
+++ b/core/coordination/forwarder/answer.go
@@ -75,11 +75,25 @@
 		o = Refused{Reason: r.firstFailureReason(), RetryAfter: m.retryAfter(r)}
 	}
 	for index := range r.subs {
-		m.cancelAll(&r.subs[index])
+		m.cancelHeard(&r.subs[index])
 	}
 	m.answer(now, r, o)
 }
 
+// cancelHeard cancels the attempts of a sub-request that has failed, but for those at upstreams which this VM has never had a reply from: if other
+// shards have no upstreams, all searches fail at once, and no reply would ever tell of a declared rate.
+func (m *Machine) cancelHeard(sub *subRequest) {
+	for _, id := range sub.inFlight {
+		a := m.attempts[id]
+		if a == nil {
+			continue
+		}
+		if i, ok := a.service.set.Index(a.upstream); !ok || a.service.set.HasReplied(i) {
+			m.cancel(a)
+		}
+	}
+}
+
 // firstFailureReason returns the reason of the first failed sub-request.
 func (r *request) firstFailureReason() Reason {
 	for index := range r.subs {
--- a/core/coordination/forwarder/orphan_test.go
+++ b/core/coordination/forwarder/orphan_test.go
@@ -291,6 +291,7 @@
 					}
 				}
 			}
+			h.advance(3 * time.Second) // the other VMs' evidence is known by then
 			last := h.request("/one/x", 0)
 			got := "sent"
 			if o, ok := h.answers[last].Outcome.(Refused); ok {
--- a/core/coordination/forwarder/suspect_test.go
+++ b/core/coordination/forwarder/suspect_test.go
@@ -50,13 +50,18 @@
 		t.Errorf("%d sends in all, want %d at most (first service %s)", n, shards+2, first)
 	}
 	again := h.request("/all/x", 0)
-	if o, ok := h.answers[again].Outcome.(Refused); !ok || o.Reason != Quarantined || o.RetryAfter <= time.Minute {
-		t.Errorf("outcome %+v, want a refusal at once until the quarantine ends", h.answers[again].Outcome)
+	if o, ok := h.answers[again].Outcome.(Refused); !ok || o.Reason != Quarantined || o.RetryAfter <= time.Second {
+		t.Errorf("outcome %+v, want a refusal at once until the other VMs' evidence is known", h.answers[again].Outcome)
 	}
 	other := h.request("/all/y", 0)
 	if _, ok := h.answers[other]; ok {
 		t.Error("another request is refused too")
 	}
+	h.advance(3 * time.Second)
+	again = h.request("/all/x", 0)
+	if o, ok := h.answers[again].Outcome.(Refused); !ok || o.Reason != Quarantined || o.RetryAfter <= time.Minute {
+		t.Errorf("outcome %+v, want a refusal at once until the quarantine ends", h.answers[again].Outcome)
+	}
 }
 
 // TestSearchInOutage guards against a harmless search that gets no answer because upstreams of all its shards crash for another reason.
--- a/core/coordination/quarantiner/publication.go
+++ b/core/coordination/quarantiner/publication.go
@@ -151,7 +151,8 @@
 		return
 	}
 	if !e.confirmed {
-		e.confirmed, e.expires = true, now.Add(w.Settings.suspicionLifetime())
+		e.confirm(now)
+		e.expires = now.Add(w.Settings.suspicionLifetime())
 	}
 	if e.substitute && vm != w.VM {
 		e.own, e.substitute = false, false // another VM was first
--- a/core/coordination/quarantiner/watchlist.go
+++ b/core/coordination/quarantiner/watchlist.go
@@ -27,6 +27,9 @@
 	turnLength = 2 * time.Second
 	// maxTurns bounds the turns of a round. In large fleets, several VMs share one.
 	maxTurns = 12
+	// rivalTime is how long after its confirmation a signature is rejected for a moment only. By then the other VMs have published the crashes that they
+	// saw, which may show that another request was present at all of them.
+	rivalTime = 2 * time.Second
 	// maxCrashesListed bounds the crashes that are kept and published for a signature.
 	maxCrashesListed = 16
 )
@@ -65,6 +68,7 @@
 	explained   []Crash // which were followed by a reply
 	outlived    []Crash // under orphans, while other upstreams outlived orphans of the same request
 	confirmed   bool
+	confirmedAt time.Time
 	expires     time.Time
 	evidenceAt  time.Time           // when this VM learned of the last crash
 	own         bool                // published by this VM
@@ -80,6 +84,9 @@
 	case e == nil:
 		return Clear, time.Time{}
 	case e.confirmed && !w.hasRival(e):
+		if settled := e.confirmedAt.Add(rivalTime); now.Before(settled) {
+			return Reject, settled
+		}
 		return Reject, e.expires
 	case e.confirmed, len(e.crashes) >= suspectCrashes:
 		return Probe, time.Time{}
@@ -187,13 +194,20 @@
 	w.addCrash(now, e, c, false)
 	e.own, e.substitute = true, false
 	if alone && !w.answeredElsewhere(now, signature, c.Service) {
-		e.confirmed = true
+		e.confirm(now)
 		w.publishBy(now)
 		return
 	}
 	w.publishBy(now.Add(publishDelay))
 }
 
+// confirm marks a signature as one that crashes upstreams.
+func (e *watched) confirm(now time.Time) {
+	if !e.confirmed {
+		e.confirmed, e.confirmedAt = true, now
+	}
+}
+
 // addCrash adds a crash to those of an entry. Orphaned is set if the signature was present at it as an orphan only.
 func (w *Watchlist) addCrash(now time.Time, e *watched, c Crash, orphaned bool) {
 	e.expires = now.Add(w.Settings.suspicionLifetime())
--- a/core/coordination/quarantiner/watchlist_test.go
+++ b/core/coordination/quarantiner/watchlist_test.go
@@ -166,6 +166,41 @@
 	check("more crashes than are listed", testSignature, Reject)
 }
 
+// TestRivalAtAnotherVM guards against a harmless request that is refused for long because it ran alone on an upstream which another one crashed, whose
+// run another VM has yet to publish.
+func TestRivalAtAnotherVM(t *testing.T) {
+	cases := []struct {
+		name  string
+		other []string // crashes of the other request, as its VM publishes them a second later
+		want  Decision
+	}{
+		{"present at all crashes", []string{"a", "b", "c", "d"}, Probe},
+		{"present at some", []string{"a", "c", "d"}, Reject},
+		{"no other request", nil, Reject},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w, now := &Watchlist{VM: "vm1"}, time.Unix(1000, 0)
+			for _, upstream := range []string{"a", "b", "c"} {
+				w.RecordCrash(now, testSignature, Crash{Service: "s", Upstream: upstream}, upstream == "c")
+			}
+			if d, until := w.Check(now, testSignature); d != Reject || until.Sub(now) > rivalTime {
+				t.Errorf("decision %v for %v at first, want %v for %v at most", d, until.Sub(now), Reject, rivalTime)
+			}
+			now = now.Add(time.Second)
+			if len(c.other) > 0 {
+				e := evidenceOf(true, c.other...)
+				e.Signature++
+				w.Receive(now, []Publication{{VM: "vm2", Evidence: []Evidence{e}}}, false)
+			}
+			now = now.Add(rivalTime)
+			if d, until := w.Check(now, testSignature); d != c.want || d == Reject && until.Sub(now) < time.Minute {
+				t.Errorf("decision %v until %v later, want %v", d, until.Sub(now), c.want)
+			}
+		})
+	}
+}
+
 // takeAll returns what a Watchlist publishes within a time.
 func takeAll(w *Watchlist, now time.Time, within time.Duration) []Evidence {
 	at := w.NextPublication()
--- a/core/coordination/selector/set.go
+++ b/core/coordination/selector/set.go
@@ -197,6 +197,9 @@
 	u.domain.recordStart(now, u.serial)
 }
 
+// HasReplied reports whether this VM has had a reply from an upstream. Before the first one it does not know what the upstream declares.
+func (s *Set) HasReplied(i int) bool { return !s.upstreams[i].lastReply.IsZero() }
+
 // RecordResult records the end of a sub-request to the upstream at a position.
 func (s *Set) RecordResult(now time.Time, i int, r Result) {
 	u := &s.upstreams[i]
--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -81,6 +81,12 @@
 outlived|core/coordination/quarantiner/watchlist.go|s/return ok .. now.Sub(at) < survivalTime/return ok \&\& now.Sub(at) < 0/|core/coordination/quarantiner|TestWatchlist
 relisted|core/coordination/forwarder/service.go|/m.resolveOrphans(now, s, upstreams)/d|core/coordination/forwarder|TestOrphanEvidence
 answeredby|core/coordination/quarantiner/watchlist.go|s/if alone .. !w.answeredElsewhere.*{$/if alone {/|core/coordination/quarantiner|TestWatchlist
+rivals|core/coordination/quarantiner/watchlist.go|s/now.Before(settled)/false/|core/coordination/quarantiner|TestRivalAtAnotherVM
+untold|core/coordination/forwarder/answer.go|s/!ok .. a.service.set.HasReplied(i)/true/|core/coordination/forwarder|TestRateIsLearnedFromFailedSearches
+overrun|core/transport/requester/conn.go|s/response.Reply.Overrun, response.KeepAlive = true, false/response.KeepAlive = false/|platform/translator|TestBytesAfterReply
+lineends|platform/translator/framing.go|s/if err := checkHead(r); err != nil {/if err := checkHead(r); false {/|platform/translator|TestSpoiledReply
+unframed|platform/translator/upstreamcodec.go|s/ .. isChunked(body) {/ \&\& false {/|platform/translator|TestSpoiledReply
+nocontent|platform/translator/upstreamcodec.go|s/if response.StatusCode == http.StatusNoContent .. /if false \&\& /|platform/translator|TestSpoiledReply
 unheld|core/coordination/forwarder/crash.go|s/		m.releaseUnexplained(now, e)/		_ = e/|core/coordination/forwarder|TestSuspectRunsAlone
 stall|core/transport/requester/client.go|s/written, err = n.tryWrite(b)/written, err = n.nc.Write(b)/|core/transport/requester|TestSendNeverBlocks
 unread|core/transport/requester/client.go|s/n.long = n.long .. len(b) > maxInlineBytes/n.long = false/|core/transport/requester|TestRequestAfterEarlyReply
