Probe lost upstreams again soon after a trial that met refused connections

Trace: lost at 46.54, upstreams back at 48.6, in reach again at 50.31. Each trial request went to upstreams that were still down, while probes reached those of another service, and each such trial doubled the time to the next probe, as if the upstreams were silent.

Ruled out: the quarantine (no refusal had its reason) and requests that are in flight for long (a reply clears the record).

Change: a trial that ends with a refused or reset connection costs nobody a time-out and does not lengthen the time to the next probe.

--- a/core/coordination/navigator/navigator_test.go
+++ b/core/coordination/navigator/navigator_test.go
@@ -131,6 +131,47 @@
 	}
 }
 
+// TestProbesAfterRefusedTrials guards against a VM that returns seconds after its upstreams, because its trials met upstreams that were still down
+// while others accepted connections.
+func TestProbesAfterRefusedTrials(t *testing.T) {
+	cases := []struct {
+		name    string
+		refused bool
+		want    int // rounds of probes in 4 s, at least
+	}{
+		{"refused", true, int(4 * time.Second / minProbeDelay)},
+		{"silent", false, int(4 * time.Second / maxProbeDelay)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var r Reach
+			r.Configure(3, 9)
+			now := start
+			loseAll(&r, now)
+			if !r.Lost(now) {
+				t.Fatal("the loss is not noticed")
+			}
+			for range 8 {
+				r.RecordProbe(now)
+				r.TakeTrial()
+				r.RecordStart(now, "a", "u", now.Add(time.Second))
+				if c.refused {
+					r.RecordFailure(now, "a", "u")
+				}
+			}
+			n := 0
+			for end := now.Add(4 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+				if r.ProbeDue(now) {
+					n++
+				}
+			}
+			if n < c.want || !c.refused && n > c.want+1 {
+				t.Errorf("%d rounds of probes in 4 s, want %d", n, c.want)
+			}
+		})
+	}
+}
+
 // TestElsewhere guards against requests that all go through peers although no peer reaches the upstreams, and against old evidence.
 func TestElsewhere(t *testing.T) {
 	var e Elsewhere
--- a/core/coordination/navigator/reach.go
+++ b/core/coordination/navigator/reach.go
@@ -70,6 +70,7 @@
 // RecordFailure records that an upstream could not be reached.
 func (r *Reach) RecordFailure(now time.Time, service, upstream string) {
 	r.triedAt = now
+	r.trial.recordFailure()
 	for i := range r.silent {
 		if r.silent[i].upstream == upstream {
 			r.silent[i].lateAt = now
@@ -169,17 +170,23 @@
 type Trial struct {
 	armed   bool
 	armedAt time.Time
+	failed  bool // a request that used it up was refused or reset
 }
 
-// Arm allows the next trial. It reports whether an earlier one was used up without an effect.
+// Arm allows the next trial. It reports whether an earlier one was used up without any sign of the upstreams: they accept connections and are silent,
+// so that the next trial would cost a request as much. One that met upstreams which are down fails at once, and others may be back.
 func (t *Trial) Arm(now time.Time) bool {
-	failed := !t.armed && !t.armedAt.IsZero()
-	if !t.armed {
-		t.armed, t.armedAt = true, now
+	if t.armed {
+		return false
 	}
-	return failed
+	silent := !t.armedAt.IsZero() && !t.failed
+	t.armed, t.armedAt, t.failed = true, now, false
+	return silent
 }
 
+// recordFailure records that a request was refused or reset.
+func (t *Trial) recordFailure() { t.failed = !t.armed && !t.armedAt.IsZero() }
+
 // Overdue reports whether no request was fit for the trial for long, so that any request is to be tried.
 func (t *Trial) Overdue(now time.Time) bool { return t.armed && now.Sub(t.armedAt) > trialPatience }
 
--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -29,6 +29,7 @@
 detour|core/coordination/navigator/reach.go|s/if late < r.needed() .. len(services) < .*{$/if true {/|core/coordination/forwarder|TestStrandedVMUsesPeers
 elsewhere|core/coordination/navigator/elsewhere.go|s/case e.Unreached(now), .*:/case false:/|core/coordination/navigator|TestElsewhere
 trial|core/coordination/navigator/reach.go|s/if r.lost .. r.trial.Arm(now) {/if r.RecordReply(now) {/|core/coordination/forwarder|TestReturnOfUpstreams
+refused|core/coordination/navigator/reach.go|s/silent := .*$/silent := !t.armedAt.IsZero()/|core/coordination/navigator|TestProbesAfterRefusedTrials
 hosted|core/coordination/forwarder/detour.go|s/return OutOfReach, false/return None, true/|core/coordination/forwarder|TestHostedRequestIsNotSentOn
 attempts|core/coordination/forwarder/request.go|s/n = min(n, r.detoured.Attempts)/_ = n/|core/coordination/forwarder|TestHostKeepsTheLimitsOfBothVMs
 route|core/coordination/forwarder/detour.go|s/r.detoured.Route != r.fingerprint/false/|core/coordination/forwarder|TestHostKeepsTheLimitsOfBothVMs
