--- a/core/coordination/forwarder/orphan_test.go
+++ b/core/coordination/forwarder/orphan_test.go
@@ -74,6 +74,36 @@
 	}
 }
 
+// TestQuarantineOfTenMinutesEnds guards against a request that crashes upstreams and reaches them once more at each VM when its quarantine ends.
+func TestQuarantineOfTenMinutesEnds(t *testing.T) {
+	const allowedRetries = 3
+	cases := []struct {
+		name   string
+		caller crashCaller
+		every  time.Duration // over the fleet
+	}{
+		{"crashes at once", crashCaller{}, time.Second},
+		{"crashes past its deadline", crashCaller{work: time.Second, deadline: 500 * time.Millisecond}, time.Second},
+		{"crashes past its deadline, seldom", crashCaller{work: time.Second, deadline: 500 * time.Millisecond}, 5 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(5) {
+				f := newCrashFleet(t, seed, 7, 20)
+				f.relisted = true
+				d := quarantiner.DefaultSuspicionLifetime + 2*time.Minute
+				f.every(50*time.Millisecond, d, func() { f.request(f.random.IntN(len(f.vms)), fmt.Sprint("/one/", f.lastRequest)) })
+				f.every(c.every, d, func() { f.requestWith(f.random.IntN(len(f.vms)), "/one/crash", c.caller) })
+				f.run(d)
+				if late := f.lateRetries(func(time.Time) bool { return false }); late > allowedRetries {
+					t.Errorf("seed %d: %d retries reached upstreams later than %v after the third of %d crashes, want at most %d", seed, late, crashWindow, len(f.crashes["/one/crash"]), allowedRetries)
+				}
+			}
+		})
+	}
+}
+
 // TestTimeoutsBesideCrashes guards against harmless requests that time out or are left by their callers while upstreams crash for other reasons,
 // and are then held back as if they had crashed them.
 func TestTimeoutsBesideCrashes(t *testing.T) {
