--- a/core/coordination/forwarder/orphan.go
+++ b/core/coordination/forwarder/orphan.go
@@ -14,8 +14,23 @@
 	aloneLinger = quarantiner.OrphanWindow
 	// aloneRetryAfter is when the caller of a suspect may return that is refused because another caller's run is awaited.
 	aloneRetryAfter = time.Second
+	// maxAloneRuns is the number of runs from which those are looked for of which nothing more will be known.
+	maxAloneRuns = 64
 )
 
+// recordAlone records that an attempt of a suspect runs alone.
+func (m *Machine) recordAlone(now time.Time, a *attempt) {
+	if m.aloneRuns == nil {
+		m.aloneRuns = map[uint64]*attempt{}
+	}
+	if len(m.aloneRuns) >= maxAloneRuns {
+		for signature := range m.aloneRuns {
+			m.findAlone(now, signature)
+		}
+	}
+	m.aloneRuns[a.signature] = a
+}
+
 // findAlone returns the last attempt of a suspect that ran alone, if it is not known yet whether its upstream crashes, and nil otherwise. Until then
 // no other request with its signature runs at this VM.
 func (m *Machine) findAlone(now time.Time, signature uint64) *attempt {
@@ -46,6 +61,7 @@
 
 // releaseSame goes on with the requests of a signature that wait for the end of a run alone.
 func (m *Machine) releaseSame(now time.Time, signature uint64) {
+	m.findAlone(now, signature) // forgets the run if it has ended
 	var same []*request
 	for _, r := range m.requests {
 		if r.signature == signature && r.alone == 0 {
--- a/core/coordination/forwarder/quarantine.go
+++ b/core/coordination/forwarder/quarantine.go
@@ -106,10 +106,7 @@
 func (m *Machine) markAlone(now time.Time, r *request, a *attempt) {
 	if m.decision(now, r) == quarantiner.Probe && r.alone == 0 {
 		r.alone, a.alone = a.id, true
-		if m.aloneRuns == nil {
-			m.aloneRuns = map[uint64]*attempt{}
-		}
-		m.aloneRuns[a.signature] = a
+		m.recordAlone(now, a)
 	}
 }
 
