--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -58,8 +58,8 @@
 isolation|core/coordination/tracker/readiness.go|s/now.Sub(m.lastContact) <= IsolationTimeout/true/|core/coordination/tracker|TestIsolated
 gate|core/coordination/tracker/readiness.go|s/m.isAdmitted = others < m.fleetMax/m.isAdmitted = others >= 0/|core/coordination/tracker|TestAdmission
 shutdown|core/coordination/drainer/machine.go|s/m.phase == Finishing .. e.Work.Empty()/m.phase == Finishing/|core/coordination/drainer|TestShutdown
-crashes|core/coordination/forwarder/crash.go|s/m.quarantine.RecordCrash(now, p.attempt.signature, c, p.attempt.alone)/_ = c/|core/coordination/forwarder|TestFleetStopsCrashingRequests
-refuse|core/coordination/forwarder/quarantine.go|s/if d != quarantiner.Reject {/if d != quarantiner.Reject+1 {/|core/coordination/forwarder|TestSearchThatCrashesItsUpstreams
+crashes|core/coordination/forwarder/crash.go|s/m.quarantine.RecordCrash(now, a.signature, c, a.alone)/_ = c/|core/coordination/forwarder|TestFleetStopsCrashingRequests
+refuse|core/coordination/forwarder/quarantine.go|s/if d == quarantiner.Clear .. !now.Before(until) {/if true {/|core/coordination/forwarder|TestSearchThatCrashesItsUpstreams
 alone|core/coordination/forwarder/quarantine.go|s/		if r.alone != 0 {/		if false {/|core/coordination/forwarder|TestSuspectRunsAlone
 hold|core/coordination/forwarder/quarantine.go|s/if now.Before(sub.heldUntil) .. /if false \&\& /|core/coordination/forwarder|TestSearchThatCrashesItsUpstreams
 contact|core/coordination/forwarder/crash.go|s/func(p pendingReset) (known, crashed bool) {$/&\n\t\tif p.refused {\n\t\t\treturn true, true\n\t\t}/;s/			p.refused = p.refused .. first$/&\n\t\t\tdefer m.recordUpstreamContact(now, "")/|core/coordination/forwarder|TestUnreachedUpstreamsHaveNotCrashed
@@ -83,11 +83,11 @@
 relisted|core/coordination/forwarder/service.go|/m.resolveOrphans(now, s, upstreams)/d|core/coordination/forwarder|TestOrphanEvidence
 answeredby|core/coordination/quarantiner/watchlist.go|s/if alone .. !w.answeredElsewhere.*{$/if alone {/|core/coordination/quarantiner|TestWatchlist
 rivals|core/coordination/quarantiner/watchlist.go|s/now.Before(settled)/false/|core/coordination/quarantiner|TestRivalAtAnotherVM
-untold|core/coordination/forwarder/answer.go|s/!ok .. a.service.set.HasReplied(i)/true/|core/coordination/forwarder|TestRateIsLearnedFromFailedSearches
+untold|core/coordination/forwarder/answer.go|s/if i, ok := .*HasReplied(i) {/if m != nil {/|core/coordination/forwarder|TestRateIsLearnedFromFailedSearches
 overrun|core/transport/requester/conn.go|s/response.Reply.Overrun, response.KeepAlive = true, false/response.KeepAlive = false/|platform/translator|TestBytesAfterReply
 lineends|platform/translator/framing.go|s/if err := checkHead(r); err != nil {/if err := checkHead(r); false {/|platform/translator|TestSpoiledReply
 unframed|platform/translator/upstreamcodec.go|s/ .. isChunked(body) {/ \&\& false {/|platform/translator|TestSpoiledReply
-nocontent|platform/translator/upstreamcodec.go|s/if response.StatusCode == http.StatusNoContent .. /if false \&\& /|platform/translator|TestSpoiledReply
+nocontent|platform/translator/upstreamcodec.go|s/if response.StatusCode == http.StatusNoContent .. /if false \&\& /|platform/translator|TestNoContentWithBody
 unheld|core/coordination/forwarder/crash.go|s/		m.releaseUnexplained(now, e)/		_ = e/|core/coordination/forwarder|TestSuspectRunsAlone
 stall|core/transport/requester/client.go|s/written, err = n.tryWrite(b)/written, err = n.nc.Write(b)/|core/transport/requester|TestSendNeverBlocks
 unread|core/transport/requester/client.go|s/n.long = n.long .. len(b) > maxInlineBytes/n.long = false/|core/transport/requester|TestRequestAfterEarlyReply
