--- a/core/coordination/quarantiner/watchlist.go
+++ b/core/coordination/quarantiner/watchlist.go
@@ -46,7 +46,8 @@
 // Unlike a Machine, whose VMs exchange each suspicion within milliseconds, it holds nothing back on the first evidence: a signature that was
 // present at two crashes and not answered since is a suspect and runs alone, without retries and hedges, at any VM. A crash under a run alone
 // confirms it, unless another signature was present at all of its crashes, and it is rejected from then on. A reply clears it, so that crashes of
-// other causes hold back no request that upstreams answer. The zero value is usable. It is not safe for concurrent use.
+// other causes hold back no request that upstreams answer. Crashes under orphans make a suspect too, unless upstreams outlive other orphans of the
+// request, and confirm nothing. The zero value is usable. It is not safe for concurrent use.
 type Watchlist struct {
 	VM       string // name of this VM; must not change after the first call of another method
 	Settings Settings
@@ -185,7 +186,8 @@
 	return len(w.entries), rejected
 }
 
-// RecordCrash records that an upstream crashed while it ran a request. Alone is set if the request was run as a probe.
+// RecordCrash records that an upstream crashed while it ran a request. Alone is set if the request was run as a probe, which confirms it unless another
+// VM has had a reply to it lately.
 func (w *Watchlist) RecordCrash(now time.Time, signature uint64, c Crash, alone bool) {
 	if w.Exonerated(now, signature, c.Service) {
 		return
