--- a/core/coordination/forwarder/orphan_test.go
+++ b/core/coordination/forwarder/orphan_test.go
@@ -11,7 +11,7 @@
 )
 
 // lateSeeds is how many plays of a case are simulated. Each takes as long as some thousand requests.
-const lateSeeds = 10
+const lateSeeds = 20
 
 // TestFleetStopsLateCrashes guards against a request that crashes its upstream after its caller's deadline has passed or its caller has left, and
 // comes to one VM after the other.
