Authenticate callers by the API keys of customers

Cause: a manifest may name customers with keys. Change: authenticator.Directory decides; the adapter keeps the headers about the caller apart, and writes the customer's name only for a verified request. TestHostRefuses: its unknown format is 3 now, because 2 is known; a malformed key is a further case.

--- a/core/coordination/forwarder/action.go
+++ b/core/coordination/forwarder/action.go
@@ -24,6 +24,13 @@
 	Linger         time.Duration // after Deadline, in which the result is still awaited; if it is not 0, a Cancel does not end an attempt that was sent
 	RecentlyActive bool          // reuse only a connection with a recent reply, because the request must not be lost on a dead one
 	Detour         *Detour       // set if Upstream names a peer, which serves the whole request
+	Identity       Identity
+}
+
+// Identity is what an upstream gets to know of the customer whose caller sent a request.
+type Identity struct {
+	Verified bool   // this VM has authenticated the caller, whose own headers about it are not passed on
+	Customer string // empty for a caller that needs no key
 }
 
 // Cancel ends an attempt whose reply is no longer needed.
--- a/core/coordination/forwarder/detour.go
+++ b/core/coordination/forwarder/detour.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"comfreyroute/core/coordination/authenticator"
 	"comfreyroute/core/coordination/navigator"
 	"comfreyroute/core/coordination/quarantiner"
 )
@@ -33,6 +34,8 @@
 	Counted  bool          // the retry budget of another VM has counted the request
 	Paid     bool          // and has paid for the first attempt of each sub-request
 	Suspect  bool          // the first VM saw upstreams crash under the request
+	Identity Identity
+	Key      authenticator.Digest // of the customer; zero for a caller that needs no key
 }
 
 // DetourCounts counts requests that went through peers, by their end, and those of other VMs that this VM took or refused.
@@ -224,7 +227,7 @@
 		ConnectBy: now.Add(peerPatience), MaxBodyBytes: m.maxBodyBytes(r), MaxConnections: peerConnections, RecentlyActive: !r.route.Idempotent,
 		Detour: &Detour{
 			Route: r.fingerprint, Age: now.Sub(r.arrived), Attempts: m.attemptsLeft(r), Counted: d.counted, Paid: d.paid,
-			Suspect: m.decision(now, r) != quarantiner.Clear,
+			Suspect: m.decision(now, r) != quarantiner.Clear, Identity: r.identity, Key: r.key,
 		},
 	})
 	return true
--- a/core/coordination/forwarder/dispatch.go
+++ b/core/coordination/forwarder/dispatch.go
@@ -121,7 +121,7 @@
 	m.emit(Send{
 		Attempt: a.id, Service: sub.service.name, Upstream: a.upstream, Address: u.Row.Address, Message: r.message, Deadline: r.answerBy,
 		ConnectBy: now.Add(connectPatience(now, r)), MaxBodyBytes: m.maxBodyBytes(r), MaxConnections: sub.service.connectionShare(m.fleetMax()),
-		RecentlyActive: !r.route.Idempotent, Linger: linger,
+		RecentlyActive: !r.route.Idempotent, Linger: linger, Identity: r.identity,
 	})
 	if r.route.Idempotent && sub.inFlight.Count() < maxInFlight && !a.alone {
 		sub.hedgeAt = now.Add(r.routeState.hedgeDelay(now, r.route, r.answerBy.Sub(r.arrived)))
--- a/core/coordination/forwarder/event.go
+++ b/core/coordination/forwarder/event.go
@@ -53,6 +53,7 @@
 type RequestArrived struct {
 	Request  RequestID
 	Message  *Message
+	Keys     []string // API keys that the caller presented
 	Deadline time.Time
 	Detour   *Detour // set if another VM sent the request on
 }
@@ -138,6 +139,7 @@
 // usable reply, Budget that the retry budget was used up, RateLimited that the rates which the upstreams declare allow no further request
 // in time, OutOfReach that this VM reaches too few upstreams, OtherManifest that the VMs route the request differently,
 // Stopping that this VM stops before an upstream can have answered, and Quarantined that the request crashes the upstreams that run it.
+// NoKey, SeveralKeys and UnknownKey mean that the request does not prove to which customer it belongs.
 const (
 	None          Reason = iota // none
 	NoManifest                  // no_manifest
@@ -156,7 +158,10 @@
 	OtherManifest               // other_manifest
 	Stopping                    // stopping
 	Quarantined                 // quarantined
+	NoKey                       // no_key
+	SeveralKeys                 // several_keys
+	UnknownKey                  // unknown_key
 )
 
 // LastReason is the largest Reason.
-const LastReason = Quarantined
+const LastReason = UnknownKey
--- a/core/coordination/forwarder/manifest.go
+++ b/core/coordination/forwarder/manifest.go
@@ -8,15 +8,19 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"comfreyroute/core/coordination/authenticator"
 )
 
-// Manifest is one version of the routing configuration. It is immutable after NewManifest.
+// Manifest is one version of the routing configuration. It is immutable once a ManifestAdopted event carries it.
 type Manifest struct {
 	Version  uint64
 	Routes   []Route
 	Services []Service
 	Limits   Limits
 
+	Customers *authenticator.Directory // nil if callers need no key
+
 	hosts        map[string][]*Route // longest prefix first
 	fingerprints map[*Route]uint64   // two VMs with the same fingerprint route requests in the same way
 }
@@ -45,6 +49,7 @@
 	LatencyTarget time.Duration // latency within which an answer gets full credit; 0 for none
 	Priority      int           // 0 is the highest
 	MaxAttempts   int           // upstreams on which one request may run, per shard
+	Anonymous     bool          // callers need no key
 	Destination   Destination
 }
 
--- a/core/coordination/forwarder/request.go
+++ b/core/coordination/forwarder/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"comfreyroute/core/coordination/authenticator"
 	"comfreyroute/core/coordination/scheduler"
 )
 
@@ -48,8 +49,11 @@
 	turnedAway      bool     // no peer has taken it
 	prepaid         bool     // its tokens for moving to a peer are taken
 	signature       uint64
-	suspect         bool      // the VM that sent it on saw upstreams crash under it
-	alone           AttemptID // the only attempt that may be in flight, because the request may crash upstreams; 0 for none
+	suspect         bool                    // the VM that sent it on saw upstreams crash under it
+	alone           AttemptID               // the only attempt that may be in flight, because the request may crash upstreams; 0 for none
+	customer        *authenticator.Customer // nil if callers need no key
+	key             authenticator.Digest    // of the customer
+	identity        Identity
 }
 
 // subRequest is the part of a request for one shard or service, with all of its attempts.
@@ -104,6 +108,10 @@
 		fingerprint: m.manifest.fingerprints[route],
 		arrived:     now, heapIndex: -1, detoured: e.Detour, signature: e.Message.Signature(), suspect: e.Detour != nil && e.Detour.Suspect,
 	}
+	if reason, ok := m.authenticate(r, e.Keys); !ok {
+		m.emit(Answer{Request: r.id, Outcome: Refused{Reason: reason}, Report: Report{Route: route.Name, Manifest: r.manifestVersion}})
+		return
+	}
 	r.setDeadlines(now, e.Deadline)
 	if m.refuseAtStop(now, r) {
 		return
--- a/core/coordination/forwarder/schedule.go
+++ b/core/coordination/forwarder/schedule.go
@@ -76,13 +76,14 @@
 	}
 }
 
-// precedes reports whether a waiting request goes before a new one: the requests of this VM's callers before those of other VMs, then by the
-// priority of the route, then by age.
+// precedes reports whether a waiting request goes before a new one: the requests of this VM's callers before those of other VMs, then by
+// priority, then by age.
 func (r *request) precedes(o *request) bool {
 	if own := r.detoured == nil; own != (o.detoured == nil) {
 		return own
 	}
-	return r.route.Priority <= o.route.Priority
+	a, b := r.priorities(), o.priorities()
+	return slices.Compare(a[:], b[:]) <= 0
 }
 
 // enqueue adds a sub-request to the waiting ones, in the order of precedes.
--- a/core/coordination/forwarder/signature.go
+++ b/core/coordination/forwarder/signature.go
@@ -1,6 +1,10 @@
 package forwarder
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // credentialHeaders are the headers by which upstreams tell callers apart. The address of a caller is not used: it changes between two
 // connections, and a peer that serves the request does not know it.
@@ -19,8 +23,10 @@
 	add(m.Host)
 	add(m.Target)
 	for _, name := range credentialHeaders {
-		for _, value := range m.Header[name] {
-			add(value)
+		for _, header := range [...]http.Header{m.Header, m.Identity} {
+			for _, value := range header[name] {
+				add(value)
+			}
 		}
 		add("")
 	}
--- a/core/coordination/forwarder/strings.go
+++ b/core/coordination/forwarder/strings.go
@@ -24,11 +24,10 @@
 var _Failure_index = [...]uint8{0, 11, 24, 29, 40, 49, 59, 68, 80, 89}
 
 func (i Failure) String() string {
-	idx := int(i) - 0
-	if i < 0 || idx >= len(_Failure_index)-1 {
+	if i < 0 || i >= Failure(len(_Failure_index)-1) {
 		return "Failure(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
-	return _Failure_name[_Failure_index[idx]:_Failure_index[idx+1]]
+	return _Failure_name[_Failure_index[i]:_Failure_index[i+1]]
 }
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
@@ -51,16 +50,18 @@
 	_ = x[OtherManifest-14]
 	_ = x[Stopping-15]
 	_ = x[Quarantined-16]
+	_ = x[NoKey-17]
+	_ = x[SeveralKeys-18]
+	_ = x[UnknownKey-19]
 }
 
-const _Reason_name = "noneno_manifestno_routeno_upstreambusyshedexpiredlateerroredlostbudgettoo_few_shardsrate_limitedout_of_reachother_manifeststoppingquarantined"
+const _Reason_name = "noneno_manifestno_routeno_upstreambusyshedexpiredlateerroredlostbudgettoo_few_shardsrate_limitedout_of_reachother_manifeststoppingquarantinedno_keyseveral_keysunknown_key"
 
-var _Reason_index = [...]uint8{0, 4, 15, 23, 34, 38, 42, 49, 53, 60, 64, 70, 84, 96, 108, 122, 130, 141}
+var _Reason_index = [...]uint8{0, 4, 15, 23, 34, 38, 42, 49, 53, 60, 64, 70, 84, 96, 108, 122, 130, 141, 147, 159, 170}
 
 func (i Reason) String() string {
-	idx := int(i) - 0
-	if i < 0 || idx >= len(_Reason_index)-1 {
+	if i < 0 || i >= Reason(len(_Reason_index)-1) {
 		return "Reason(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
-	return _Reason_name[_Reason_index[idx]:_Reason_index[idx+1]]
+	return _Reason_name[_Reason_index[i]:_Reason_index[i+1]]
 }
--- a/core/coordination/forwarder/upstream.go
+++ b/core/coordination/forwarder/upstream.go
@@ -27,6 +27,7 @@
 	Path      string // as received, without the query
 	Target    string // as received, path and query
 	Header    http.Header
+	Identity  http.Header // by which the caller says who it is; upstreams get it only while the manifest names no customers
 	Body      []byte
 }
 
--- a/gateway/internal/detourer/detourer.go
+++ b/gateway/internal/detourer/detourer.go
@@ -14,8 +14,12 @@
 	"comfreyroute/core/coordination/forwarder"
 )
 
-// format is the version of the message format. A VM refuses requests in a format that it does not know.
-const format = "1"
+// The versions of the message format. A VM refuses requests in a format that it does not know. Builds before customers do not know the second
+// one, so that they do not serve a request without its customer.
+const (
+	format         = "1"
+	verifiedFormat = "2" // the first VM has authenticated the caller
+)
 
 // path is the path of all requests between VMs.
 const path = "/detour"
@@ -34,6 +38,8 @@
 	headerCounted  = "Counted"
 	headerPaid     = "Paid"
 	headerSuspect  = "Suspect" // builds before the quarantine neither set nor read it
+	headerCustomer = "Customer"
+	headerKey      = "Key" // digest of the caller's API key
 )
 
 // The headers of an answer.
--- a/gateway/internal/detourer/detourer_test.go
+++ b/gateway/internal/detourer/detourer_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap/zapcore"
 
+	"comfreyroute/core/coordination/authenticator"
 	"comfreyroute/core/coordination/forwarder"
 	"comfreyroute/core/transport/bounder"
 	"comfreyroute/gateway/internal/logger"
@@ -90,10 +91,16 @@
 		{"unknown", forwarder.Answer{Outcome: forwarder.Unknown{Reason: forwarder.Lost}, Runs: 1},
 			forwarder.PeerAnswered{Outcome: forwarder.Unknown{Reason: forwarder.Lost}, Runs: 1}},
 	}
-	for _, c := range cases {
+	for i, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			d := &fakeDispatcher{answer: &c.answer}
 			s, send := &Host{Dispatcher: d, Memory: &bounder.Memory{}, Log: logger.New(zapcore.AddSync(t.Output()), "vm2")}, testSend()
+			send.Message.Identity = http.Header{"X-Api-Key": {"secret"}, "Tenant": {"forged"}}
+			if i%2 == 0 {
+				send.Message.Identity = nil
+				send.Detour.Identity = forwarder.Identity{Verified: true, Customer: "acme"}
+				send.Detour.Key = authenticator.DigestOf("secret")
+			}
 			text := exchange(t, s, send)
 			if diff := cmp.Diff(send.Message, d.got.Message); diff != "" {
 				t.Errorf("request (-want +got):\n%s", diff)
@@ -133,7 +140,8 @@
 		text     string
 		stopping bool
 	}{
-		{"another format", strings.Replace(valid, "Format: 1", "Format: 2", 1), false},
+		{"another format", strings.Replace(valid, "Format: 1", "Format: 3", 1), false},
+		{"malformed key", strings.Replace(valid, "Format: 1", "Format: 2\r\nKey: 12", 1), false},
 		{"no attempts", strings.Replace(valid, "\r\nAttempts: 2", "\r\nAttempts: 0", 1), false},
 		{"malformed time", strings.Replace(valid, "Left: ", "Left: x", 1), false},
 		{"malformed route", strings.Replace(valid, "Route: ", "Route: x", 1), false},
--- a/gateway/internal/detourer/host.go
+++ b/gateway/internal/detourer/host.go
@@ -10,9 +10,11 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"comfreyroute/core/coordination/authenticator"
 	"comfreyroute/core/coordination/forwarder"
 	"comfreyroute/core/transport/bounder"
 	"comfreyroute/gateway/internal/logger"
+	"comfreyroute/platform/translator"
 )
 
 const (
@@ -76,8 +78,9 @@
 // decodeRequest decodes a request of another VM, without its body.
 func decodeRequest(request *http.Request, received time.Time) (forwarder.RequestArrived, error) {
 	h := request.Header
-	if h.Get(headerFormat) != format || request.URL.Path != path {
-		return forwarder.RequestArrived{}, eris.Errorf("the format is %q at %s, want %q at %s", h.Get(headerFormat), request.URL.Path, format, path)
+	verified := h.Get(headerFormat) == verifiedFormat
+	if h.Get(headerFormat) != format && !verified || request.URL.Path != path {
+		return forwarder.RequestArrived{}, eris.Errorf("the format is %q at %s, want %q or %q at %s", h.Get(headerFormat), request.URL.Path, format, verifiedFormat, path)
 	}
 	left, err := parseMicroseconds(h.Get(headerLeft))
 	if err != nil {
@@ -93,9 +96,16 @@
 	if d.Attempts, err = strconv.Atoi(h.Get(headerAttempts)); err != nil || d.Attempts < 1 {
 		return forwarder.RequestArrived{}, eris.Errorf("%s is %q, want at least 1", headerAttempts, h.Get(headerAttempts))
 	}
+	d.Identity = forwarder.Identity{Verified: verified, Customer: h.Get(headerCustomer)}
+	if key := h.Get(headerKey); key != "" {
+		if d.Key, err = authenticator.ParseDigest(key); err != nil {
+			return forwarder.RequestArrived{}, eris.Wrapf(err, "decode %s", headerKey)
+		}
+	}
 	m := &forwarder.Message{
 		RequestID: h.Get(headerID), Method: h.Get(headerMethod), Host: h.Get(headerHost), Target: h.Get(headerTarget), Header: innerHeaders(h),
 	}
+	m.Identity = translator.SplitIdentity(m.Header)
 	m.Path, _, _ = strings.Cut(m.Target, "?")
 	return forwarder.RequestArrived{Message: m, Deadline: received.Add(left), Detour: d}, nil
 }
--- a/gateway/internal/detourer/protocol.go
+++ b/gateway/internal/detourer/protocol.go
@@ -25,6 +25,16 @@
 	h := make(http.Header, len(m.Header)+12)
 	outerHeaders(h, m.Header)
 	h.Set(headerFormat, format)
+	switch {
+	case !d.Identity.Verified:
+		outerHeaders(h, m.Identity)
+	default:
+		h.Set(headerFormat, verifiedFormat)
+		if d.Identity.Customer != "" {
+			h.Set(headerCustomer, d.Identity.Customer)
+			h.Set(headerKey, d.Key.String())
+		}
+	}
 	h.Set(headerID, m.RequestID)
 	h.Set(headerMethod, m.Method)
 	h.Set(headerHost, m.Host)
