Log the customer of each answered request

Cause: an operator could not tell from the log which customer a refused or late request belonged to. Change: Report.Customer, logged where it is known. The name comes from the manifest, never from the caller.

--- a/core/coordination/forwarder/action.go
+++ b/core/coordination/forwarder/action.go
@@ -146,6 +146,7 @@
 // Report describes for the log how a request was processed.
 type Report struct {
 	Route    string
+	Customer string // empty if the caller needs no key, or has none that is known
 	Manifest uint64 // version by which the request was routed
 	Elapsed  time.Duration
 	Sends    int
--- a/core/coordination/forwarder/admission.go
+++ b/core/coordination/forwarder/admission.go
@@ -26,7 +26,7 @@
 	if rejected.Until > 0 {
 		reason, after = Busy, max(after, m.jitter(rejected.Until))
 	}
-	p := Report{Route: r.route.Name, Manifest: r.manifestVersion}
+	p := Report{Route: r.route.Name, Customer: r.identity.Customer, Manifest: r.manifestVersion}
 	for _, index := range rejected.Unreachable {
 		p.Missing = append(p.Missing, MissingShard{Service: r.subs[index].service.name, Reason: screenedReason(m.shards[index])})
 	}
--- a/core/coordination/forwarder/request.go
+++ b/core/coordination/forwarder/request.go
@@ -271,13 +271,13 @@
 // refuse answers a request of which nothing was sent.
 func (m *Machine) refuse(r *request, reason Reason) {
 	o := Refused{Reason: reason, RetryAfter: m.retryAfter(r)}
-	m.emit(Answer{Request: r.id, Outcome: o, Report: Report{Route: r.route.Name, Manifest: r.manifestVersion}})
+	m.emit(Answer{Request: r.id, Outcome: o, Report: Report{Route: r.route.Name, Customer: r.identity.Customer, Manifest: r.manifestVersion}})
 	m.finish(r)
 }
 
 func (r *request) report(now time.Time) Report {
 	p := Report{
-		Route: r.route.Name, Manifest: r.manifestVersion, Elapsed: now.Sub(r.arrived), Sends: r.sends, Hedges: r.hedges, Retries: r.retries,
+		Route: r.route.Name, Customer: r.identity.Customer, Manifest: r.manifestVersion, Elapsed: now.Sub(r.arrived), Sends: r.sends, Hedges: r.hedges, Retries: r.retries,
 	}
 	for index := range r.subs {
 		sub := &r.subs[index]
--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -163,9 +163,12 @@
 func (r *Receiver) recordAnswer(m *forwarder.Message, a *forwarder.Answer, status int, elapsed time.Duration) {
 	outcome, reason := classifyOutcome(a.Outcome)
 	r.Metrics.observe(outcome, elapsed)
-	fields := make([]zap.Field, 0, 12)
+	fields := make([]zap.Field, 0, 13)
 	fields = append(fields, zap.String("request", m.RequestID), zap.String("route", a.Report.Route), zap.Uint64("manifest", a.Report.Manifest),
 		zap.Stringer("outcome", outcome), zap.Int("status", status), zap.Duration("took", elapsed), zap.Int("sends", a.Report.Sends))
+	if a.Report.Customer != "" {
+		fields = append(fields, zap.String("customer", a.Report.Customer))
+	}
 	if reason != forwarder.None {
 		fields = append(fields, zap.Stringer("reason", reason))
 	}
