Keep the rates of customers over the fleet by grants that follow demand

Change: each VM hands its share of every rate to one VM, which grants single requests from the sum; rationer decides, granter carries the messages. relayer's RPC code moved to invoker, which both use.

--- a/core/coordination/forwarder/action.go
+++ b/core/coordination/forwarder/action.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"comfreyroute/core/coordination/quarantiner"
+	"comfreyroute/core/coordination/rationer"
 )
 
 // Action is an operation that the caller of Machine.Step performs.
@@ -52,6 +53,16 @@
 // before.
 type PublishEvidence struct{ Evidence []quarantiner.Evidence }
 
+// AskGrants asks a VM, which may be this one, for grants of the customers' rates. A GrantsOffered event follows within rationer.AskTimeout.
+type AskGrants struct {
+	To    rationer.Member
+	Ask   rationer.Ask
+	Probe bool // may be in flight beside another one
+}
+
+// GranterChanged reports which VM gives out the grants for this one from now on, empty for none.
+type GranterChanged struct{ Granter, Before string }
+
 // QuarantineChanged reports that the requests with a signature are run in another way from now on.
 type QuarantineChanged struct {
 	Signature uint64
@@ -116,6 +127,10 @@
 
 func (QuarantineChanged) isAction() {}
 
+func (AskGrants) isAction() {}
+
+func (GranterChanged) isAction() {}
+
 // Outcome is the result of a request, which its caller receives.
 type Outcome interface{ isOutcome() }
 
--- a/core/coordination/forwarder/config.go
+++ b/core/coordination/forwarder/config.go
@@ -1,6 +1,10 @@
 package forwarder
 
-import "time"
+import (
+	"time"
+
+	"comfreyroute/core/coordination/rationer"
+)
 
 // Config holds the settings that do not come from a manifest. The zero value allows no extra sends (hedges and retries).
 type Config struct {
@@ -10,7 +14,8 @@
 	ExtraSendRatio float64 // extra sends to a service per request, over all VMs
 	ExtraSendSlack int     // extra sends allowed on top of the ratio in each budget window, over all VMs
 	BudgetWindow   time.Duration
-	ReplyBytes     int64 // memory for the bodies of all replies at once; 0 if it is not limited
+	RateTerms      rationer.Terms // by how much customers may exceed their rates
+	ReplyBytes     int64          // memory for the bodies of all replies at once; 0 if it is not limited
 	Seed           uint64
 }
 
--- a/core/coordination/forwarder/event.go
+++ b/core/coordination/forwarder/event.go
@@ -5,6 +5,7 @@
 
 	"comfreyroute/core/coordination/navigator"
 	"comfreyroute/core/coordination/quarantiner"
+	"comfreyroute/core/coordination/rationer"
 	"comfreyroute/core/coordination/reporter"
 )
 
@@ -49,6 +50,15 @@
 	Complete     bool
 }
 
+// GrantersListed carries the VMs that can give out grants of the customers' rates, this one included.
+type GrantersListed struct{ Members []rationer.Member }
+
+// GrantsOffered ends an AskGrants action. Offer is nil if there was no answer.
+type GrantsOffered struct {
+	Offer *rationer.Offer
+	Probe bool // as in the action
+}
+
 // RequestArrived carries a request of a caller. Deadline is when the caller stops waiting; zero means the route's timeout.
 type RequestArrived struct {
 	Request  RequestID
@@ -83,6 +93,8 @@
 func (ProbeEnded) isEvent()      {}
 
 func (EvidenceReceived) isEvent() {}
+func (GrantersListed) isEvent()   {}
+func (GrantsOffered) isEvent()    {}
 
 // Result says how an attempt ended.
 type Result interface{ isResult() }
@@ -139,7 +151,8 @@
 // usable reply, Budget that the retry budget was used up, RateLimited that the rates which the upstreams declare allow no further request
 // in time, OutOfReach that this VM reaches too few upstreams, OtherManifest that the VMs route the request differently,
 // Stopping that this VM stops before an upstream can have answered, and Quarantined that the request crashes the upstreams that run it.
-// NoKey, SeveralKeys and UnknownKey mean that the request does not prove to which customer it belongs.
+// NoKey, SeveralKeys and UnknownKey mean that the request does not prove to which customer it belongs, OverRate that the customer has used up
+// its rate, and NoGrant that no granter of the rate has answered.
 const (
 	None          Reason = iota // none
 	NoManifest                  // no_manifest
@@ -161,7 +174,9 @@
 	NoKey                       // no_key
 	SeveralKeys                 // several_keys
 	UnknownKey                  // unknown_key
+	OverRate                    // over_rate
+	NoGrant                     // no_grant
 )
 
 // LastReason is the largest Reason.
-const LastReason = UnknownKey
+const LastReason = NoGrant
--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -36,6 +36,9 @@
 	orphans       quarantiner.Orphans
 	aloneRuns     map[uint64]*attempt // last run of each suspect, by signature
 
+	GrantCounts GrantCounts // read only
+	rations     rationing
+
 	collector   reporter.Collector
 	random      *rand.Rand
 	manifest    *Manifest
@@ -82,6 +85,10 @@
 		m.handleProbeEnd(now, e)
 	case EvidenceReceived:
 		m.receiveEvidence(now, e)
+	case GrantersListed:
+		m.rations.holder.SetMembers(e.Members)
+	case GrantsOffered:
+		m.handleOffer(now, e)
 	case TimerFired:
 		m.recordLag(now)
 		m.wakeAt = time.Time{}
@@ -90,6 +97,7 @@
 	for len(m.timers) > 0 && !m.timers[0].due.After(now) {
 		m.runDueSteps(now, m.timers[0])
 	}
+	m.askForGrants(now)
 	if evidence, ok := m.quarantine.TakePublication(now); ok {
 		m.emit(PublishEvidence{Evidence: evidence})
 	}
@@ -104,6 +112,7 @@
 	}
 	m.random = rand.New(rand.NewPCG(m.Config.Seed, m.Config.Seed))
 	m.quarantine.VM, m.quarantine.Random = m.Config.VM, m.random
+	m.rations.holder.Self, m.rations.holder.Terms = m.Config.VM, m.Config.RateTerms
 	m.requests = map[RequestID]*request{}
 	m.attempts = map[AttemptID]*attempt{}
 }
@@ -135,6 +144,9 @@
 	if at := m.quarantine.NextPublication(); !at.IsZero() && (next.IsZero() || at.Before(next)) {
 		next = at
 	}
+	if at := m.nextAsk(now); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+		next = at
+	}
 	if next.IsZero() {
 		return
 	}
--- a/core/coordination/forwarder/reach.go
+++ b/core/coordination/forwarder/reach.go
@@ -87,7 +87,7 @@
 func (m *Machine) moveAllToPeers(now time.Time) {
 	for _, r := range m.requestsByID() {
 		switch {
-		case r.finished || r.detour != nil:
+		case r.finished || r.detour != nil || !r.grantBy.IsZero():
 		case r.detoured != nil: // its VM may ask another one at once
 			m.answerLost(now, r)
 		case m.moveToPeer(now, r):
--- a/core/coordination/forwarder/request.go
+++ b/core/coordination/forwarder/request.go
@@ -54,6 +54,7 @@
 	customer        *authenticator.Customer // nil if callers need no key
 	key             authenticator.Digest    // of the customer
 	identity        Identity
+	grantBy         time.Time // latest time to wait for a grant of the customer's rate; zero if it does not wait
 }
 
 // subRequest is the part of a request for one shard or service, with all of its attempts.
@@ -128,6 +129,13 @@
 	if r.detoured != nil && !m.hostDetoured(now, r) {
 		return
 	}
+	if m.ration(now, r) {
+		m.begin(now, r)
+	}
+}
+
+// begin sends a request that has been admitted.
+func (m *Machine) begin(now time.Time, r *request) {
 	if !m.detourOnArrival(now, r) {
 		m.dispatchSubRequests(now, r)
 	}
@@ -222,6 +230,7 @@
 	if r.hosted {
 		m.detoured--
 	}
+	m.dropGrantWait(r)
 	m.timers.Remove(r)
 	delete(m.requests, r.id)
 }
--- a/core/coordination/forwarder/schedule.go
+++ b/core/coordination/forwarder/schedule.go
@@ -8,6 +8,13 @@
 // schedule sets the timer of a request to its next step.
 func (m *Machine) schedule(now time.Time, r *request) {
 	r.due = r.answerBy
+	if !r.grantBy.IsZero() {
+		if r.grantBy.Before(r.due) {
+			r.due = r.grantBy
+		}
+		m.timers.Set(r)
+		return
+	}
 	if r.gather != nil && r.partialAt.After(now) && r.partialAt.Before(r.due) {
 		r.due = r.partialAt
 	}
@@ -46,6 +53,10 @@
 
 // runDueSteps carries out the steps of a request that are due: expiry, a partial answer, hedges, and the end of waiting.
 func (m *Machine) runDueSteps(now time.Time, r *request) {
+	if !r.grantBy.IsZero() {
+		m.endGrantWait(now, r)
+		return
+	}
 	if !now.Before(r.answerBy) {
 		m.answerExpired(now, r)
 		return
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -10,6 +10,7 @@
 	"comfreyroute/core/coordination/limiter"
 	"comfreyroute/core/coordination/navigator"
 	"comfreyroute/core/coordination/quarantiner"
+	"comfreyroute/core/coordination/rationer"
 	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/core/coordination/selector"
 	"comfreyroute/core/state/tabler"
@@ -87,6 +88,7 @@
 // setFleetSize divides the connection limits and declared rates of the upstreams among a new number of VMs.
 func (m *Machine) setFleetSize(now time.Time, vms int) {
 	m.fleetSize = vms
+	m.rations.holder.SetFleet(m.sharingVMs())
 	for _, s := range m.servicesByName() {
 		s.set.SetFleetMax(m.fleetMax())
 		s.set.SetVMs(now, m.sharingVMs())
@@ -101,6 +103,9 @@
 		return
 	}
 	m.manifest = manifest
+	var limits map[string]rationer.Limit
+	limits, m.rations.active = manifest.RateLimits()
+	m.rations.holder.SetLimits(limits)
 	for _, c := range manifest.Services {
 		s := m.serviceFor(c.Name)
 		if s.maxConnections != c.MaxConnections {
--- /dev/null
+++ b/core/coordination/rationer/fleet_test.go
@@ -0,0 +1,286 @@
+package rationer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const step = 10 * time.Millisecond
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleet is a model of VMs that ask each other for grants. Messages take up to AskTimeout and can be lost; VMs stop, start again, freeze and
+// are cut from the others.
+type fleet struct {
+	random   *rand.Rand
+	terms    Terms
+	limits   map[string]Limit
+	now      time.Time
+	vms      []*vm
+	messages []message
+	admitted map[string][]time.Time
+	asked    int // requests that came
+	refused  int // of these
+}
+
+type vm struct {
+	name      string
+	holder    Holder
+	granter   Granter
+	waiting   map[string][]time.Time // arrivals
+	awayUntil time.Time              // stopped or frozen
+	cutUntil  time.Time
+	starts    int
+}
+
+// message is an ask on its way, or its answer on its way back. A failed one has no offer.
+type message struct {
+	at       time.Time
+	from, to *vm
+	starts   int // of the asking VM
+	ask      Ask
+	offer    *Offer
+	failed   bool
+	probe    bool
+}
+
+func newFleet(seed uint64, n int, terms Terms, limits map[string]Limit) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), terms: terms, limits: limits, now: epoch, admitted: map[string][]time.Time{}}
+	for i := range n {
+		f.vms = append(f.vms, &vm{name: fmt.Sprintf("vm%03d", i)})
+	}
+	for _, v := range f.vms {
+		f.start(v)
+	}
+	return f
+}
+
+// start lets a VM start with nothing in memory.
+func (f *fleet) start(v *vm) {
+	v.starts++
+	v.holder, v.granter, v.waiting = Holder{Self: v.name, Terms: f.terms}, Granter{Terms: f.terms}, map[string][]time.Time{}
+	var all []Member
+	for _, o := range f.vms {
+		all = append(all, Member{Name: o.name})
+	}
+	v.holder.SetMembers(all)
+	v.holder.SetLimits(f.limits)
+	v.granter.SetFleet(f.now, len(all))
+	v.granter.SetLimits(f.now, f.limits)
+}
+
+func (f *fleet) away(v *vm) bool { return f.now.Before(v.awayUntil) }
+
+func (f *fleet) cut(a, b *vm) bool {
+	return a != b && (f.now.Before(a.cutUntil) || f.now.Before(b.cutUntil))
+}
+
+// arrive lets a request come to a VM.
+func (f *fleet) arrive(v *vm, customer string) {
+	if f.away(v) {
+		return
+	}
+	f.asked++
+	switch v.holder.Admit(f.now, customer) {
+	case Granted:
+		f.admitted[customer] = append(f.admitted[customer], f.now)
+	case Waiting:
+		v.waiting[customer] = append(v.waiting[customer], f.now)
+	default:
+		f.refused++
+	}
+}
+
+// tick lets the time of one step pass.
+func (f *fleet) tick(patience time.Duration) {
+	f.now = f.now.Add(step)
+	due := slices.DeleteFunc(slices.Clone(f.messages), func(m message) bool { return m.at.After(f.now) })
+	f.messages = slices.DeleteFunc(f.messages, func(m message) bool { return !m.at.After(f.now) })
+	for _, m := range due {
+		f.deliver(m)
+	}
+	for _, v := range f.vms {
+		if f.away(v) {
+			continue
+		}
+		for customer, arrivals := range v.waiting {
+			for len(arrivals) > 0 && f.now.Sub(arrivals[0]) > patience {
+				arrivals = arrivals[1:]
+				f.end(customer, v.holder.GiveUp(f.now, customer))
+			}
+			v.waiting[customer] = arrivals
+		}
+		var wants []Want
+		for customer, arrivals := range v.waiting {
+			if len(arrivals) > 0 {
+				wants = append(wants, Want{customer, len(arrivals)})
+			}
+		}
+		if q, to, ok := v.holder.Ask(f.now, wants); ok {
+			f.send(v, to.Name, q, false)
+		}
+		if q, to, ok := v.holder.Probe(f.now); ok {
+			f.send(v, to.Name, q, true)
+		}
+	}
+}
+
+func (f *fleet) end(customer string, a Admission) {
+	if a == Granted {
+		f.admitted[customer] = append(f.admitted[customer], f.now)
+	} else {
+		f.refused++
+	}
+}
+
+func (f *fleet) send(from *vm, name string, q Ask, probe bool) {
+	to := f.vms[slices.IndexFunc(f.vms, func(v *vm) bool { return v.name == name })]
+	f.messages = append(f.messages, message{at: f.now.Add(f.delay()), from: from, to: to, starts: from.starts, ask: q, probe: probe})
+}
+
+func (f *fleet) delay() time.Duration { return time.Duration(f.random.IntN(20)) * time.Millisecond }
+
+func (f *fleet) deliver(m message) {
+	switch {
+	case m.offer == nil && !m.failed && (f.away(m.to) || f.cut(m.from, m.to)):
+		m.at, m.failed = f.now.Add(AskTimeout), true
+		f.messages = append(f.messages, m)
+	case m.offer == nil && !m.failed:
+		o := m.to.granter.Answer(f.now, m.ask)
+		m.at, m.offer = f.now.Add(f.delay()), &o
+		f.messages = append(f.messages, m)
+	case m.from.starts != m.starts: // nobody waits for it any more
+	case f.away(m.from):
+		m.at = m.from.awayUntil
+		f.messages = append(f.messages, m)
+	case m.offer != nil && !f.cut(m.from, m.to):
+		f.use(m)
+	case m.probe:
+		m.from.holder.Probed(f.now, false)
+	default:
+		m.from.holder.Failed(f.now)
+	}
+}
+
+// use applies an offer at the VM that asked for it.
+func (f *fleet) use(m message) {
+	if m.probe {
+		m.from.holder.Probed(f.now, true)
+		return
+	}
+	m.from.holder.Offered(f.now)
+	for _, g := range m.offer.Grants {
+		waiting := m.from.waiting[g.Customer]
+		n := min(g.Asked, len(waiting))
+		for i := range n {
+			if i < g.Requests {
+				f.end(g.Customer, Granted)
+			} else {
+				f.end(g.Customer, Alone)
+			}
+		}
+		m.from.waiting[g.Customer] = waiting[n:]
+	}
+}
+
+// worstExcess returns by how much the requests of a customer exceed the bound in the worst window.
+func (f *fleet) worstExcess(customer string) float64 {
+	l, times := f.limits[customer], f.admitted[customer]
+	bound := (l.Rate*f.terms.window().Seconds()+l.Burst)*(1+f.terms.Overage) + f.terms.Slack
+	worst, first := -bound, 0
+	for last, at := range times {
+		for at.Sub(times[first]) > f.terms.window() {
+			first++
+		}
+		worst = max(worst, float64(last-first+1)-bound)
+	}
+	return worst
+}
+
+// TestRateOverFleet guards against a fleet that serves more requests of a customer than its rate allows in any window, whatever VMs stop,
+// freeze, are cut from each other or start again together, and however much the customer sends.
+func TestRateOverFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0.2, 60).Draw(t, "rate")
+		limits := map[string]Limit{"acme": {Rate: rate, Burst: rapid.Float64Range(0, 2*rate).Draw(t, "burst")}}
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 40).Draw(t, "vms"), Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, limits)
+		load := rapid.Float64Range(0.2, 8).Draw(t, "load") * rate
+		for f.now.Before(epoch.Add(time.Duration(rapid.IntRange(5, 25).Draw(t, "seconds")) * time.Second)) {
+			for range poisson(f.random, load*step.Seconds()) {
+				f.arrive(f.vms[f.random.IntN(len(f.vms))], "acme")
+			}
+			if f.random.IntN(150) == 0 {
+				f.disturb()
+			}
+			f.tick(150 * time.Millisecond)
+		}
+		if excess := f.worstExcess("acme"); excess > 0 {
+			t.Fatalf("a window has %.1f requests more than allowed, at %v a second with %v sent by %d VMs", excess, limits["acme"], load, len(f.vms))
+		}
+	})
+}
+
+// disturb does something to a random part of the VMs.
+func (f *fleet) disturb() {
+	share, lasts, kind := f.random.Float64(), time.Duration(f.random.IntN(6000))*time.Millisecond, f.random.IntN(4)
+	for _, v := range f.vms {
+		if f.random.Float64() > share {
+			continue
+		}
+		switch kind {
+		case 0:
+			v.cutUntil = f.now.Add(lasts)
+		case 1: // frozen
+			v.awayUntil = f.now.Add(lasts / 2)
+		case 2: // killed; clients of its listener find it again after a moment
+			f.start(v)
+			v.awayUntil = f.now.Add(lasts / 3)
+		case 3:
+			f.start(v)
+		}
+	}
+}
+
+func poisson(r *rand.Rand, mean float64) int {
+	n := 0
+	for t := r.ExpFloat64(); t < mean; t += r.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// TestCalmShare guards against refusing requests below the rate of a customer on a calm day: 83 customers of unequal size, whose callers send to
+// 82 VMs at random.
+func TestCalmShare(t *testing.T) {
+	const vms, customers, headroom = 82, 83, 1.6
+	limits, load, total := map[string]Limit{}, make([]float64, customers), 0.0
+	for i := range load {
+		load[i] = 1 / float64(i+1)
+		total += load[i]
+	}
+	for i := range load {
+		load[i] *= 120 / total
+		rate := max(1, headroom*load[i])
+		limits[fmt.Sprint("c", i)] = Limit{Rate: rate, Burst: rate}
+	}
+	f := newFleet(3, vms, Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, limits)
+	for f.now.Before(epoch.Add(30 * time.Second)) {
+		if f.now.After(epoch.Add(2 * time.Second)) {
+			for i := range load {
+				for range poisson(f.random, load[i]*step.Seconds()) {
+					f.arrive(f.vms[f.random.IntN(vms)], fmt.Sprint("c", i))
+				}
+			}
+		}
+		f.tick(150 * time.Millisecond)
+	}
+	t.Logf("%d of %d refused", f.refused, f.asked)
+	if f.refused*100 > f.asked {
+		t.Errorf("%d of %d requests below the rates are refused, want one in a hundred at most", f.refused, f.asked)
+	}
+}
--- /dev/null
+++ b/core/coordination/rationer/granter.go
@@ -0,0 +1,206 @@
+package rationer
+
+import (
+	"time"
+)
+
+const (
+	// contactLifetime is how long a granter counts the share of a VM after its last ask. It spans three of the asks that a VM sends at
+	// least.
+	contactLifetime = 1500 * time.Millisecond
+	// minAfter and maxAfter bound the time after which callers beyond a limit may come again.
+	minAfter = 100 * time.Millisecond
+	maxAfter = 5 * time.Second
+)
+
+// Granter gives out the shares that other VMs hand to this one. The zero value knows no customer. It is not safe for concurrent use.
+type Granter struct {
+	Terms Terms
+
+	fleet    int // VMs among which rates are divided
+	limits   map[string]Limit
+	contacts map[string]*contact
+	accounts map[string]*account
+
+	settledAt  time.Time
+	nextChange time.Time // earliest time at which a contact changes; may be too early
+	counted    int       // contacts whose share is counted
+	seconds    float64   // sum over time of the counted share of the fleet
+	joined     float64   // sum of the shares that came with Ask.Joins
+}
+
+// contact is a VM that hands its share to this granter.
+type contact struct {
+	from, until time.Time // when its share is counted
+	counted     bool
+}
+
+// account is the bucket of one customer.
+type account struct {
+	level   float64 // grants that may be given now
+	seconds float64 // Granter.seconds up to which level is computed
+	joined  float64 // Granter.joined up to which level is computed
+	backlog float64 // requests that were denied lately, less what the rate has allowed since
+	drained time.Time
+}
+
+// SetFleet sets the number of VMs among which rates are divided.
+func (g *Granter) SetFleet(now time.Time, vms int) {
+	g.settle(now)
+	g.fleet = max(1, vms)
+	g.clampAll()
+}
+
+// SetLimits replaces the customers.
+func (g *Granter) SetLimits(now time.Time, limits map[string]Limit) {
+	g.settle(now)
+	for name, a := range g.accounts { // with the limit that was in force until now
+		g.refill(a, g.limits[name])
+		if _, ok := limits[name]; !ok {
+			delete(g.accounts, name)
+		}
+	}
+	g.limits = limits
+	g.clampAll()
+}
+
+// Contacts returns the number of VMs that hand their shares to this granter.
+func (g *Granter) Contacts(now time.Time) int {
+	g.settle(now)
+	return len(g.contacts)
+}
+
+// Level returns how many grants a customer could get now.
+func (g *Granter) Level(now time.Time, customer string) float64 {
+	g.settle(now)
+	a := g.accounts[customer]
+	if a == nil {
+		return 0
+	}
+	g.refill(a, g.limits[customer])
+	return a.level
+}
+
+// Answer counts the share of the asking VM and gives out grants.
+func (g *Granter) Answer(now time.Time, q Ask) Offer {
+	g.settle(now)
+	g.hear(now, q)
+	o := Offer{Grants: make([]Grant, 0, len(q.Wants))}
+	for _, w := range q.Wants {
+		o.Grants = append(o.Grants, g.grant(now, w))
+	}
+	return o
+}
+
+// hear records that a VM hands its share to this granter.
+func (g *Granter) hear(now time.Time, q Ask) {
+	if g.contacts == nil {
+		g.contacts, g.accounts = map[string]*contact{}, map[string]*account{}
+	}
+	c := g.contacts[q.VM]
+	if c == nil {
+		c = &contact{from: now.Add(max(0, q.ShareIn))}
+		g.contacts[q.VM] = c
+		if q.Joins {
+			g.joined += 1 / float64(max(1, g.fleet))
+		}
+	}
+	c.until = now.Add(contactLifetime)
+	g.scheduleChange(now, c)
+	g.settle(now)
+}
+
+// grant gives out what the bucket of a customer holds.
+func (g *Granter) grant(now time.Time, w Want) Grant {
+	out := Grant{Customer: w.Customer, Asked: w.Requests}
+	l, known := g.limits[w.Customer]
+	switch {
+	case !known:
+		out.Unknown = true
+		return out
+	case l.Rate <= 0:
+		out.Requests = w.Requests
+		return out
+	}
+	a := g.accounts[w.Customer]
+	if a == nil {
+		a = &account{drained: now} // what VMs have handed in so far is stored for it
+		g.accounts[w.Customer] = a
+	}
+	g.refill(a, l)
+	out.Requests = min(w.Requests, int(a.level))
+	a.level -= float64(out.Requests)
+	a.backlog = max(0, a.backlog-l.Rate*now.Sub(a.drained).Seconds()) + float64(w.Requests-out.Requests)
+	a.drained = now
+	if out.Requests < w.Requests {
+		out.After = min(maxAfter, max(minAfter, time.Duration(a.backlog/l.Rate*float64(time.Second))))
+	}
+	return out
+}
+
+// refill adds what the counted shares have earned since the last time.
+func (g *Granter) refill(a *account, l Limit) {
+	a.level += l.Rate*(g.seconds-a.seconds) + joinShare*g.Terms.margin(l)*(g.joined-a.joined)
+	a.seconds, a.joined = g.seconds, g.joined
+	a.level = min(a.level, g.Terms.depth(l)*float64(len(g.contacts))/float64(max(1, g.fleet)))
+}
+
+// clampAll limits what is stored after shares have gone.
+func (g *Granter) clampAll() {
+	for name, a := range g.accounts {
+		g.refill(a, g.limits[name])
+	}
+}
+
+// settle applies the changes of contacts up to now, in their order.
+func (g *Granter) settle(now time.Time) {
+	for !g.nextChange.IsZero() && !g.nextChange.After(now) {
+		at := g.nextChange
+		g.advance(at)
+		g.nextChange = time.Time{}
+		gone := false
+		for name, c := range g.contacts {
+			if !c.until.After(at) {
+				if c.counted {
+					g.counted--
+				}
+				delete(g.contacts, name)
+				gone = true
+				continue
+			}
+			if !c.counted && !c.from.After(at) {
+				c.counted = true
+				g.counted++
+			}
+			g.scheduleChange(at, c)
+		}
+		if gone {
+			g.clampAll()
+		}
+	}
+	g.advance(now)
+}
+
+// scheduleChange makes settle look at a contact when it changes next.
+func (g *Granter) scheduleChange(now time.Time, c *contact) {
+	at := c.until
+	if !c.counted && c.from.Before(at) {
+		at = c.from
+	}
+	if at.Before(now) {
+		at = now
+	}
+	if g.nextChange.IsZero() || at.Before(g.nextChange) {
+		g.nextChange = at
+	}
+}
+
+// advance adds the time up to now to the sum of the counted shares.
+func (g *Granter) advance(now time.Time) {
+	if !g.settledAt.IsZero() && now.After(g.settledAt) {
+		g.seconds += now.Sub(g.settledAt).Seconds() * float64(g.counted) / float64(max(1, g.fleet))
+	}
+	if now.After(g.settledAt) {
+		g.settledAt = now
+	}
+}
--- /dev/null
+++ b/core/coordination/rationer/holder.go
@@ -0,0 +1,284 @@
+package rationer
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// askInterval is the longest time between two asks, so that the granter goes on counting the share.
+	askInterval = 500 * time.Millisecond
+	// retryDelay is the time until the next ask after one that failed.
+	retryDelay = 50 * time.Millisecond
+	// maxFailures is how many asks in a row fail before a VM turns to the next granter. A single one may be a connection that broke.
+	maxFailures = 2
+	// avoidTime is how long a granter that failed is not asked.
+	avoidTime = 3 * time.Second
+)
+
+// AskTimeout bounds an ask. A VM that has lost its power does not answer at all.
+const AskTimeout = 300 * time.Millisecond
+
+// Admission is the decision about one request.
+type Admission int
+
+//go:generate stringer -type=Admission -linecomment -output=strings.go
+
+// The admissions. Waiting means that a granter is to be asked, and Alone that none can be asked and this VM's own share is used up.
+const (
+	Granted Admission = iota // granted
+	Waiting                  // waiting
+	Alone                    // alone
+)
+
+// Holder decides at one VM whom to ask for grants, and what to do without a granter. Its exported fields must be set before the first
+// call. It is not safe for concurrent use.
+type Holder struct {
+	Self  string // name of this VM
+	Terms Terms
+
+	fleet    int
+	ranked   []Member // best granter first
+	position int      // of this VM among the names of all
+	limits   map[string]Limit
+
+	granter     string // that answered last; empty for none
+	failures    int    // in a row, at granter
+	failedAt    map[string]time.Time
+	confirmedAt time.Time // of the last answer
+	freeAt      time.Time // from when on no granter counts the share of this VM
+	joinedAt    time.Time // of the last ask with Joins
+	asked       string    // of the ask in flight; empty for none
+	probed      string    // of the probe in flight; empty for none
+	nextAsk     time.Time // at the latest
+	pausedUntil time.Time // after a failed ask
+	own         map[string]*ownShare
+}
+
+// ownShare is the part of one customer's rate that this VM uses while it reaches no granter.
+type ownShare struct {
+	level float64
+	at    time.Time
+}
+
+// SetFleet sets the number of VMs among which rates are divided.
+func (h *Holder) SetFleet(vms int) { h.fleet = max(1, vms, len(h.ranked)) }
+
+// SetMembers sets the VMs that can be granters.
+func (h *Holder) SetMembers(all []Member) {
+	h.fleet = max(1, h.fleet, len(all))
+	h.ranked = slices.Clone(all)
+	slices.SortFunc(h.ranked, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(hash(a.Name), hash(b.Name)), strings.Compare(a.Name, b.Name))
+	})
+	names := make([]string, 0, len(all))
+	for _, m := range all {
+		names = append(names, m.Name)
+	}
+	slices.Sort(names)
+	h.position, _ = slices.BinarySearch(names, h.Self)
+	if h.rank(h.granter) < 0 {
+		h.granter = ""
+	}
+}
+
+// SetLimits replaces the customers.
+func (h *Holder) SetLimits(limits map[string]Limit) {
+	h.limits = limits
+	for name := range h.own {
+		if _, ok := limits[name]; !ok {
+			delete(h.own, name)
+		}
+	}
+}
+
+// Granter returns the name of the VM that answered last, empty if none is reached.
+func (h *Holder) Granter() string { return h.granter }
+
+// Admit decides about a request.
+func (h *Holder) Admit(now time.Time, customer string) Admission {
+	if l, ok := h.limits[customer]; ok && l.Rate <= 0 {
+		return Granted
+	}
+	if h.granter == "" && h.allAvoided(now) {
+		return h.useOwn(now, customer)
+	}
+	return Waiting
+}
+
+// GiveUp decides about a request that has waited for too long.
+func (h *Holder) GiveUp(now time.Time, customer string) Admission {
+	if h.Reached(now) {
+		return Alone // the share of this VM is at the granter
+	}
+	return h.useOwn(now, customer)
+}
+
+// Reached reports whether a granter has answered lately.
+func (h *Holder) Reached(now time.Time) bool {
+	return h.granter != "" && now.Sub(h.confirmedAt) < contactLifetime
+}
+
+func (h *Holder) allAvoided(now time.Time) bool {
+	return !slices.ContainsFunc(h.ranked, func(m Member) bool { return !h.avoided(now, m.Name) })
+}
+
+func (h *Holder) avoided(now time.Time, name string) bool {
+	at, ok := h.failedAt[name]
+	return ok && now.Sub(at) < avoidTime
+}
+
+// rank returns the position of a VM among the possible granters, -1 for none.
+func (h *Holder) rank(name string) int {
+	return slices.IndexFunc(h.ranked, func(m Member) bool { return m.Name == name })
+}
+
+// NextAskAt returns when the next ask is due, zero for not before the end of the one in flight. Waiting says whether requests wait for grants.
+func (h *Holder) NextAskAt(now time.Time, waiting bool) time.Time {
+	switch {
+	case h.asked != "" || len(h.ranked) == 0:
+		return time.Time{}
+	case waiting:
+		return later(h.pausedUntil, now)
+	default:
+		return later(h.nextAsk, now)
+	}
+}
+
+// Ask returns the next ask, and the VM to send it to, if it is due. Offered or Failed must follow.
+func (h *Holder) Ask(now time.Time, wants []Want) (Ask, Member, bool) {
+	if at := h.NextAskAt(now, len(wants) > 0); at.IsZero() || at.After(now) {
+		return Ask{}, Member{}, false
+	}
+	i := h.rank(h.granter)
+	if i < 0 {
+		i = slices.IndexFunc(h.ranked, func(m Member) bool { return !h.avoided(now, m.Name) })
+	}
+	if i < 0 {
+		h.nextAsk, h.pausedUntil = now.Add(retryDelay), now.Add(retryDelay)
+		return Ask{}, Member{}, false
+	}
+	to := h.ranked[i]
+	h.asked = to.Name
+	q := h.newAsk(now, to.Name, 0)
+	q.Wants = wants
+	return q, to, true
+}
+
+// Probe returns an ask for a better granter than the current one, if there is one to try. Probed must follow. A probe carries no wants, so that no
+// request waits for a VM that may be dead.
+func (h *Holder) Probe(now time.Time) (Ask, Member, bool) {
+	if h.probed != "" || h.granter == "" {
+		return Ask{}, Member{}, false
+	}
+	for _, m := range h.ranked[:max(0, h.rank(h.granter))] {
+		if !h.avoided(now, m.Name) {
+			h.probed = m.Name
+			return h.newAsk(now, m.Name, AskTimeout), m, true // the current granter is asked on until the probe has an answer
+		}
+	}
+	return Ask{}, Member{}, false
+}
+
+// newAsk returns an ask without wants. The share of this VM becomes free a while later than it would if no further ask was sent meanwhile.
+func (h *Holder) newAsk(now time.Time, to string, meanwhile time.Duration) Ask {
+	q := Ask{VM: h.Self, ShareIn: max(0, h.freeAt.Sub(now)+meanwhile)}
+	if to != h.granter && (h.joinedAt.IsZero() || now.Sub(h.joinedAt) >= 2*h.Terms.window()) {
+		q.Joins, h.joinedAt = true, now
+	}
+	return q
+}
+
+// Offered records that the ask in flight was answered.
+func (h *Holder) Offered(now time.Time) {
+	h.granter, h.failures, h.confirmedAt = h.asked, 0, now
+	delete(h.failedAt, h.granter)
+	h.asked, h.freeAt, h.nextAsk, h.pausedUntil = "", now.Add(contactLifetime), now.Add(askInterval), time.Time{}
+}
+
+// Failed records that the ask in flight was not answered.
+func (h *Holder) Failed(now time.Time) {
+	name := h.asked
+	h.asked = ""
+	if name == h.granter {
+		h.failures++
+	}
+	if name != h.granter || h.failures >= maxFailures {
+		h.avoid(now, name)
+	}
+	// The granter may count the share of this VM from an ask whose answer was lost.
+	h.freeAt, h.nextAsk, h.pausedUntil = now.Add(contactLifetime), now.Add(retryDelay), now.Add(retryDelay)
+}
+
+// Probed records whether the probe in flight was answered. Its VM is the granter then.
+func (h *Holder) Probed(now time.Time, ok bool) {
+	name := h.probed
+	h.probed, h.freeAt = "", now.Add(contactLifetime)
+	if !ok {
+		h.avoid(now, name)
+		return
+	}
+	h.granter, h.failures, h.confirmedAt, h.nextAsk = name, 0, now, now.Add(askInterval)
+}
+
+// avoid keeps a VM from being asked for a while.
+func (h *Holder) avoid(now time.Time, name string) {
+	if h.failedAt == nil {
+		h.failedAt = map[string]time.Time{}
+	}
+	h.failedAt[name] = now
+	if name == h.granter {
+		h.granter, h.failures = "", 0
+	}
+}
+
+// useOwn takes one request from the share of this VM. A share of less than one request is rounded up at as many VMs as the terms
+// allow, which differ from customer to customer.
+func (h *Holder) useOwn(now time.Time, customer string) Admission {
+	l, ok := h.limits[customer]
+	if !ok {
+		return Alone
+	}
+	if h.own == nil {
+		h.own = map[string]*ownShare{}
+	}
+	depth := (l.Burst + depthShare*h.Terms.margin(l)) / float64(max(1, h.fleet))
+	rounded := int((uint64(h.position)+hash(customer))%uint64(max(1, h.fleet))) < int(loneShare*h.Terms.margin(l))
+	if rounded {
+		depth = max(1, depth)
+	}
+	s := h.own[customer]
+	if s == nil {
+		s = &ownShare{at: now}
+		if rounded {
+			s.level = 1
+		}
+		h.own[customer] = s
+	}
+	if from := later(s.at, h.freeAt); now.After(from) {
+		s.level += l.Rate / float64(max(1, h.fleet)) * now.Sub(from).Seconds()
+	}
+	s.at = now
+	s.level = min(s.level, depth)
+	if s.level < 1 {
+		return Alone
+	}
+	s.level--
+	return Granted
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func hash(name string) uint64 {
+	f := fnv.New64a()
+	_, _ = f.Write([]byte(name)) // a hash.Hash never returns an error
+	return f.Sum64()
+}
--- /dev/null
+++ b/core/coordination/rationer/message.go
@@ -0,0 +1,41 @@
+package rationer
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Member is a VM that can be a granter.
+type Member struct {
+	Name     string
+	Address  netip.AddrPort // where it answers asks
+	LinkMbps float64        // bandwidth of its network link; 0 if unknown
+}
+
+// Ask hands the share of a VM to a granter, and asks it for grants.
+type Ask struct {
+	VM      string        `json:"vm"`
+	ShareIn time.Duration `json:"in,omitempty"`    // in ns, after which the share is no longer counted elsewhere
+	Joins   bool          `json:"joins,omitempty"` // the VM brings along what a joining VM may, see joinShare
+	Wants   []Want        `json:"wants,omitempty"`
+}
+
+// Want is the number of requests of a customer that wait for a grant at a VM.
+type Want struct {
+	Customer string `json:"customer"`
+	Requests int    `json:"requests"`
+}
+
+// Offer is the answer to an Ask, with one Grant for each Want.
+type Offer struct {
+	Grants []Grant `json:"grants,omitempty"`
+}
+
+// Grant allows some of the requests of a Want.
+type Grant struct {
+	Customer string        `json:"customer"`
+	Asked    int           `json:"asked"`
+	Requests int           `json:"requests"`
+	After    time.Duration `json:"after,omitempty"`   // in ns, when the others may come again
+	Unknown  bool          `json:"unknown,omitempty"` // the granter does not know the customer
+}
--- a/gateway/internal/driver/driver.go
+++ b/gateway/internal/driver/driver.go
@@ -28,6 +28,9 @@
 	OnQuarantine func(forwarder.QuarantineChanged) // must not block; nil ignores the changes
 	OnEvidence   func(forwarder.PublishEvidence)   // must not block; nil publishes nothing
 
+	OnAsk            func(forwarder.AskGrants)      // must not block; nil leaves asks without an answer
+	OnGranterChanged func(forwarder.GranterChanged) // must not block; nil ignores the changes
+
 	mu      sync.Mutex
 	lastID  forwarder.RequestID
 	pending map[forwarder.RequestID]chan<- forwarder.Answer
@@ -125,6 +128,15 @@
 		if d.OnEvidence != nil {
 			d.OnEvidence(a)
 		}
+	case forwarder.AskGrants:
+		if d.OnAsk == nil {
+			return forwarder.GrantsOffered{Probe: a.Probe}
+		}
+		d.OnAsk(a)
+	case forwarder.GranterChanged:
+		if d.OnGranterChanged != nil {
+			d.OnGranterChanged(a)
+		}
 	default:
 		return d.Transport.Do(a)
 	}
--- a/gateway/internal/relayer/message.go
+++ b/gateway/internal/relayer/message.go
@@ -1,12 +1,9 @@
 package relayer
 
 import (
-	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"storj.io/drpc"
 
 	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/platform/translator"
@@ -59,35 +56,5 @@
 	return items, nil
 }
 
-// methodSince is the name of the only RPC between VMs.
+// methodSince is the name of the RPC.
 const methodSince = "/relayer.Relay/Since"
-
-// jsonEncoding encodes messages as JSON: the values of the store are JSON already, and messages are rare.
-type jsonEncoding struct{}
-
-func (jsonEncoding) Marshal(m drpc.Message) ([]byte, error)      { return json.Marshal(m) }
-func (jsonEncoding) Unmarshal(data []byte, m drpc.Message) error { return json.Unmarshal(data, m) }
-
-// relayDescription describes relayService to drpc.
-type relayDescription struct{}
-
-func (relayDescription) NumMethods() int { return 1 }
-
-func (relayDescription) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
-	if n != 0 {
-		return "", nil, nil, nil, false
-	}
-	receive := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
-		return server.(*relayService).Since(ctx, in.(*ChangesRequest))
-	}
-	return methodSince, jsonEncoding{}, receive, (*relayService).Since, true
-}
-
-// relayService implements the RPC for other VMs.
-type relayService struct{ history *History }
-
-// Since returns the changes after a revision.
-func (s *relayService) Since(ctx context.Context, q *ChangesRequest) (*ChangesResponse, error) {
-	a := s.history.ChangesSince(ctx, *q)
-	return &a, nil
-}
--- a/gateway/internal/relayer/relayer.go
+++ b/gateway/internal/relayer/relayer.go
@@ -7,16 +7,13 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
-	"storj.io/drpc/drpcwire"
+
+	"comfreyroute/gateway/internal/invoker"
 )
 
 const (
-	// dialTimeout bounds the connect to a peer: a VM that lost power does not refuse connections.
-	dialTimeout = 300 * time.Millisecond
 	// maxMessageBytes bounds a response, which holds a history of entries and a manifest of some hundred routes.
 	maxMessageBytes = 8 << 20
 	// maxRequestBytes bounds a request, which holds a report of some 150 bytes for each upstream. It is smaller, because a VM serves
@@ -26,50 +23,36 @@
 	inactivityTimeout = time.Minute
 )
 
-// Serve serves a history to other VMs until the context is done. It passes errors of connections to log.
-func Serve(ctx context.Context, l net.Listener, h *History, log func(error)) error {
+// Serve serves a history to other VMs until the context is done, and the other RPCs of this VM. It passes errors of connections to log.
+func Serve(ctx context.Context, l net.Listener, h *History, log func(error), others ...func(*drpcmux.Mux) error) error {
 	mux := drpcmux.New()
-	if err := mux.Register(&relayService{history: h}, relayDescription{}); err != nil {
-		return eris.Wrap(err, "register the relay service")
+	serve := func(ctx context.Context, q *ChangesRequest) (*ChangesResponse, error) {
+		a := h.ChangesSince(ctx, *q)
+		return &a, nil
+	}
+	if err := (invoker.Method[ChangesRequest, ChangesResponse]{Name: methodSince, Serve: serve}).Register(mux); err != nil {
+		return err
+	}
+	for _, register := range others {
+		if err := register(mux); err != nil {
+			return err
+		}
 	}
-	options := managerOptions(maxRequestBytes)
+	options := invoker.Options(maxRequestBytes)
 	options.InactivityTimeout = inactivityTimeout
 	return drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: options, Log: log}).Serve(ctx, l)
 }
 
-func managerOptions(maxBytes int) drpcmanager.Options {
-	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxBytes}}
-}
-
 // Client requests changes from other VMs over one connection at a time. The zero value is ready to use. It is not safe for
 // concurrent use.
-type Client struct {
-	address netip.AddrPort
-	conn    *drpcconn.Conn
-}
+type Client struct{ conn invoker.Conn }
 
 // ChangesSince requests changes from the VM at an address. After an error, the next request opens a new connection.
 func (c *Client) ChangesSince(ctx context.Context, address netip.AddrPort, q ChangesRequest) (*ChangesResponse, error) {
-	if c.conn != nil && c.address != address {
-		c.close()
-	}
-	if c.conn == nil {
-		d := net.Dialer{Timeout: dialTimeout}
-		nc, err := d.DialContext(ctx, "tcp", address.String())
-		if err != nil {
-			return nil, eris.Wrapf(err, "connect to VM %s", address)
-		}
-		c.conn, c.address = drpcconn.NewWithOptions(nc, drpcconn.Options{Manager: managerOptions(maxMessageBytes)}), address
-	}
+	c.conn.MaxBytes = maxMessageBytes
 	var a ChangesResponse
-	if err := c.conn.Invoke(ctx, methodSince, jsonEncoding{}, &q, &a); err != nil {
-		c.close()
-		return nil, eris.Wrapf(err, "request changes from VM %s", address)
+	if err := c.conn.Invoke(ctx, address, methodSince, &q, &a); err != nil {
+		return nil, eris.Wrap(err, "request changes")
 	}
 	return &a, nil
 }
-
-func (c *Client) close() {
-	_ = c.conn.Close() // the connection may have failed already
-	c.conn = nil
-}
--- a/gateway/internal/relayer/relayer_test.go
+++ b/gateway/internal/relayer/relayer_test.go
@@ -168,7 +168,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var a ChangesResponse
-		if (jsonEncoding{}).Unmarshal(data, &a) != nil {
+		if json.Unmarshal(data, &a) != nil {
 			return
 		}
 		items, err := a.Items()
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -23,6 +23,7 @@
 	"comfreyroute/core/coordination/forwarder"
 	"comfreyroute/core/coordination/navigator"
 	"comfreyroute/core/coordination/quarantiner"
+	"comfreyroute/core/coordination/rationer"
 	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/core/transport/bounder"
 	"comfreyroute/core/transport/requester"
@@ -30,6 +31,7 @@
 	"comfreyroute/gateway/internal/acceptor"
 	"comfreyroute/gateway/internal/detourer"
 	"comfreyroute/gateway/internal/driver"
+	"comfreyroute/gateway/internal/granter"
 	"comfreyroute/gateway/internal/logger"
 	"comfreyroute/gateway/internal/publisher"
 	"comfreyroute/gateway/internal/receiver"
@@ -80,6 +82,8 @@
 	detourServer http.Server
 	history      relayer.History
 	publisher    publisher.Publisher
+	granter      granter.Granter
+	asks         *granter.Client
 	entryRemoved chan struct{} // receives a value when the entry of this VM is gone from the store
 	watcherDone  chan struct{}
 }
@@ -161,8 +165,12 @@
 	g.driver.OnEvidence = func(e forwarder.PublishEvidence) { g.publisher.Publish(e.Evidence) }
 	g.driver.Machine.Config = forwarder.Config{
 		VM: s.VM, FailureDomain: s.FailureDomain, ExtraSendRatio: s.RetryBudgetRatio, ExtraSendSlack: s.RetryBudgetSlack,
-		BudgetWindow: s.BudgetWindow, ReplyBytes: g.memory.Limit, Seed: uint64(time.Now().UnixNano()),
+		BudgetWindow: s.BudgetWindow, RateTerms: s.RateTerms, ReplyBytes: g.memory.Limit, Seed: uint64(time.Now().UnixNano()),
 	}
+	g.granter.Log = g.log
+	g.granter.Configure(s.RateTerms)
+	g.asks = granter.NewClient(g.self().Address, &g.granter, g.driver.HandleEvent)
+	g.driver.OnAsk, g.driver.OnGranterChanged = g.asks.Ask, g.logGranterChange
 	g.receiver.Memory = &g.memory
 	g.receiver.Dispatcher, g.receiver.Log, g.receiver.Metrics = &g.driver, g.log, receiver.NewMetrics(g.metrics)
 	g.registerMetrics()
@@ -213,7 +221,7 @@
 	go func() {
 		if err := relayer.Serve(ctx, l, &g.history, func(err error) {
 			g.log.InfoLimited("relayer: connection of a peer failed", zap.String("error", err.Error()))
-		}); err != nil && ctx.Err() == nil {
+		}, g.granter.Method().Register); err != nil && ctx.Err() == nil {
 			g.log.Warn("relayer: stopped serving peers", zap.String("error", err.Error()))
 		}
 	}()
@@ -270,8 +278,14 @@
 	s := g.Settings
 	w := &watcher.Watcher{
 		Store: &g.store, Peers: &relayer.Client{}, Elector: elector.Elector{Self: g.self(), MinDomainSize: g.FollowThreshold}, History: &g.history,
-		OnFleetSize: func(n int) { g.driver.HandleEvent(forwarder.FleetResized{VMs: n}) },
-		OnMembers:   func(all []elector.Member) { g.driver.HandleEvent(forwarder.PeersListed{Peers: peersOf(all, s.VM)}) },
+		OnFleetSize: func(n int) {
+			g.granter.SetFleet(n)
+			g.driver.HandleEvent(forwarder.FleetResized{VMs: n})
+		},
+		OnMembers: func(all []elector.Member) {
+			g.driver.HandleEvent(forwarder.PeersListed{Peers: peersOf(all, s.VM)})
+			g.driver.HandleEvent(forwarder.GrantersListed{Members: grantersOf(all)})
+		},
 		OnEvidence: func(all []quarantiner.Publication, complete bool) {
 			g.driver.HandleEvent(forwarder.EvidenceReceived{Publications: all, Complete: complete})
 		},
@@ -284,6 +298,7 @@
 		},
 		DrainTime: s.DrainTime, EntryLifetime: s.EntryLifetime, ReregisterTime: s.ReregisterTime, StableWindow: s.StableWindow, ApplyTime: s.ApplyTime, Log: g.log,
 		OnManifest: func(m *forwarder.Manifest) {
+			g.granter.SetManifest(m)
 			g.driver.HandleEvent(forwarder.ManifestAdopted{Manifest: m})
 			g.receiver.SetManifest(m)
 		},
@@ -296,6 +311,7 @@
 		defer close(g.watcherDone)
 		var publishing sync.WaitGroup
 		publishing.Go(func() { g.publisher.Run(ctx) })
+		publishing.Go(func() { g.asks.Run(ctx) })
 		w.Run(ctx)
 		publishing.Wait()
 	}()
@@ -399,6 +415,24 @@
 	return peers
 }
 
+// grantersOf returns the VMs that can give out grants.
+func grantersOf(all []elector.Member) []rationer.Member {
+	granters := make([]rationer.Member, 0, len(all))
+	for _, m := range all {
+		granters = append(granters, rationer.Member{Name: m.Name, Address: m.Address, LinkMbps: m.LinkMbps})
+	}
+	return granters
+}
+
+// logGranterChange logs that another VM gives out the grants of the customers' rates.
+func (g *Gateway) logGranterChange(c forwarder.GranterChanged) {
+	if c.Granter == "" {
+		g.log.Warn("granter: no VM gives out grants, using the share of this one", zap.String("before", c.Before))
+		return
+	}
+	g.log.Info("granter: granter changed", zap.String("granter", c.Granter), zap.String("before", c.Before))
+}
+
 // takeReports returns and clears the reports about upstreams that were collected from attempts.
 func (g *Gateway) takeReports() []reporter.Report {
 	var all []reporter.Report
@@ -443,6 +477,16 @@
 	count("upstreams_lost", machine(func(m *forwarder.Machine) uint64 { return m.UpstreamsLost() }))
 	count("quarantine_refused_total", machine(func(m *forwarder.Machine) uint64 { return m.QuarantineRefused }))
 	count("quarantined_signatures", machine(func(m *forwarder.Machine) uint64 { return m.QuarantinedSignatures() }))
+	grants := func(end string, f func(*forwarder.GrantCounts) uint64) {
+		count(`granted_requests_total{end="`+end+`"}`, machine(func(m *forwarder.Machine) uint64 { return f(&m.GrantCounts) }))
+	}
+	grants("granted", func(c *forwarder.GrantCounts) uint64 { return c.Granted })
+	grants("alone", func(c *forwarder.GrantCounts) uint64 { return c.Alone })
+	grants("over_rate", func(c *forwarder.GrantCounts) uint64 { return c.OverRate })
+	grants("ungranted", func(c *forwarder.GrantCounts) uint64 { return c.Ungranted })
+	count("grant_asks_total", machine(func(m *forwarder.Machine) uint64 { return m.GrantCounts.Asks }))
+	count("grant_asks_failed_total", machine(func(m *forwarder.Machine) uint64 { return m.GrantCounts.Failed }))
+	count("granter_contacts", g.granter.Contacts)
 	count("store_calls_total", g.store.Calls.Load)
 	count("log_lines_dropped_total", g.log.DroppedLines.Load)
 	for _, level := range []string{"info", "warn", "error", spooler.Unwritable} {
--- a/gateway/internal/runner/shutdown.go
+++ b/gateway/internal/runner/shutdown.go
@@ -43,6 +43,7 @@
 	start := time.Now()
 	g.receiver.StartShutdown()
 	g.host.StartShutdown()
+	g.granter.StartShutdown()
 	g.log.Info("runner: shutting down", zap.Int("requests", g.pendingRequests()))
 	timeout := time.Duration(float64(g.Settings.GraceTime) * shutdownRatio)
 	if timeout <= 0 {
