Hand shares and stored grants over when the granter changes

Change: a granter that stops, and one that a VM leaves for a better one, gives back the share with its part of what is stored. A probe only tests whether a VM answers.

--- a/core/coordination/forwarder/ration.go
+++ b/core/coordination/forwarder/ration.go
@@ -109,7 +109,7 @@
 		m.GrantCounts.Failed++
 		m.rations.holder.Failed(now)
 	default:
-		m.rations.holder.Offered(now)
+		m.rations.holder.Offered(now, e.Offer)
 	}
 	if e.Probe || e.Offer == nil {
 		return
--- a/core/coordination/rationer/fleet_test.go
+++ b/core/coordination/rationer/fleet_test.go
@@ -173,7 +173,7 @@
 		m.from.holder.Probed(f.now, true)
 		return
 	}
-	m.from.holder.Offered(f.now)
+	m.from.holder.Offered(f.now, m.offer)
 	for _, g := range m.offer.Grants {
 		waiting := m.from.waiting[g.Customer]
 		n := min(g.Asked, len(waiting))
@@ -227,12 +227,14 @@
 
 // disturb does something to a random part of the VMs.
 func (f *fleet) disturb() {
-	share, lasts, kind := f.random.Float64(), time.Duration(f.random.IntN(6000))*time.Millisecond, f.random.IntN(4)
+	share, lasts, kind := f.random.Float64(), time.Duration(f.random.IntN(6000))*time.Millisecond, f.random.IntN(5)
 	for _, v := range f.vms {
 		if f.random.Float64() > share {
 			continue
 		}
 		switch kind {
+		case 4: // stops as planned
+			v.granter.Stop()
 		case 0:
 			v.cutUntil = f.now.Add(lasts)
 		case 1: // frozen
@@ -254,9 +256,9 @@
 	return n
 }
 
-// TestCalmShare guards against refusing requests below the rate of a customer on a calm day: 83 customers of unequal size, whose callers send to
-// 82 VMs at random.
-func TestCalmShare(t *testing.T) {
+// TestShareBelowRate guards against refusing requests below the rate of a customer: 83 customers of unequal size, whose callers send to 82 VMs at
+// random, in calm and while the granter is stopped as planned and starts again.
+func TestShareBelowRate(t *testing.T) {
 	const vms, customers, headroom = 82, 83, 1.6
 	limits, load, total := map[string]Limit{}, make([]float64, customers), 0.0
 	for i := range load {
@@ -268,19 +270,33 @@
 		rate := max(1, headroom*load[i])
 		limits[fmt.Sprint("c", i)] = Limit{Rate: rate, Burst: rate}
 	}
-	f := newFleet(3, vms, Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, limits)
-	for f.now.Before(epoch.Add(30 * time.Second)) {
-		if f.now.After(epoch.Add(2 * time.Second)) {
+	for _, c := range []struct {
+		name string
+		stop bool
+	}{{"calm", false}, {"granter stops and returns", true}} {
+		f := newFleet(3, vms, Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, limits)
+		for f.now.Before(epoch.Add(30 * time.Second)) {
+			at := f.now.Sub(epoch)
 			for i := range load {
 				for range poisson(f.random, load[i]*step.Seconds()) {
-					f.arrive(f.vms[f.random.IntN(vms)], fmt.Sprint("c", i))
+					if at > 2*time.Second {
+						f.arrive(f.vms[f.random.IntN(vms)], fmt.Sprint("c", i))
+					}
 				}
 			}
+			i := slices.IndexFunc(f.vms, func(v *vm) bool { return v.name == f.vms[0].holder.ranked[0].Name })
+			switch {
+			case c.stop && at == 10*time.Second:
+				f.vms[i].granter.Stop()
+			case c.stop && at == 13*time.Second:
+				f.start(f.vms[i])
+				f.vms[i].awayUntil = f.now.Add(2 * time.Second)
+			}
+			f.tick(150 * time.Millisecond)
+		}
+		t.Logf("%s: %d of %d refused", c.name, f.refused, f.asked)
+		if f.refused*100 > f.asked {
+			t.Errorf("%s: %d of %d requests below the rates are refused, want one in a hundred at most", c.name, f.refused, f.asked)
 		}
-		f.tick(150 * time.Millisecond)
-	}
-	t.Logf("%d of %d refused", f.refused, f.asked)
-	if f.refused*100 > f.asked {
-		t.Errorf("%d of %d requests below the rates are refused, want one in a hundred at most", f.refused, f.asked)
 	}
 }
--- a/core/coordination/rationer/granter.go
+++ b/core/coordination/rationer/granter.go
@@ -11,12 +11,15 @@
 	// minAfter and maxAfter bound the time after which callers beyond a limit may come again.
 	minAfter = 100 * time.Millisecond
 	maxAfter = 5 * time.Second
+	// minStored is the smallest part of a grant that is given back with a share.
+	minStored = 0.01
 )
 
 // Granter gives out the shares that other VMs hand to this one. The zero value knows no customer. It is not safe for concurrent use.
 type Granter struct {
 	Terms Terms
 
+	stopping bool
 	fleet    int // VMs among which rates are divided
 	limits   map[string]Limit
 	contacts map[string]*contact
@@ -81,17 +84,53 @@
 	return a.level
 }
 
+// Stop makes this granter give back the shares, each with the next ask of its VM.
+func (g *Granter) Stop() { g.stopping = true }
+
 // Answer counts the share of the asking VM and gives out grants.
 func (g *Granter) Answer(now time.Time, q Ask) Offer {
+	if q.Tests && !g.stopping {
+		return Offer{}
+	}
 	g.settle(now)
-	g.hear(now, q)
-	o := Offer{Grants: make([]Grant, 0, len(q.Wants))}
-	for _, w := range q.Wants {
-		o.Grants = append(o.Grants, g.grant(now, w))
+	if !q.Leaves && !g.stopping {
+		g.hear(now, q)
+	}
+	o := Offer{Grants: make([]Grant, 0, len(q.Wants)), Released: q.Leaves || g.stopping}
+	if !g.stopping {
+		for _, w := range q.Wants {
+			o.Grants = append(o.Grants, g.grant(now, w))
+		}
+	}
+	if o.Released {
+		o.Stored = g.release(q.VM)
 	}
 	return o
 }
 
+// release stops counting the share of a VM, and returns its part of what is stored.
+func (g *Granter) release(vm string) map[string]float64 {
+	c := g.contacts[vm]
+	if c == nil {
+		return nil
+	}
+	stored := map[string]float64{}
+	for name, a := range g.accounts {
+		g.refill(a, g.limits[name])
+		part := a.level / float64(len(g.contacts))
+		if part >= minStored {
+			stored[name] = part
+		}
+		a.level -= part
+	}
+	if c.counted {
+		g.counted--
+	}
+	delete(g.contacts, vm)
+	g.clampAll()
+	return stored
+}
+
 // hear records that a VM hands its share to this granter.
 func (g *Granter) hear(now time.Time, q Ask) {
 	if g.contacts == nil {
@@ -108,6 +147,23 @@
 	c.until = now.Add(contactLifetime)
 	g.scheduleChange(now, c)
 	g.settle(now)
+	for name, part := range q.Stored {
+		if l := g.limits[name]; l.Rate > 0 && part > 0 {
+			a := g.account(now, name)
+			g.refill(a, l)
+			a.level += min(part, g.Terms.depth(l)/float64(max(1, g.fleet)))
+		}
+	}
+}
+
+// account returns the account of a customer. What VMs have handed in before its first use is stored for it.
+func (g *Granter) account(now time.Time, customer string) *account {
+	a := g.accounts[customer]
+	if a == nil {
+		a = &account{drained: now}
+		g.accounts[customer] = a
+	}
+	return a
 }
 
 // grant gives out what the bucket of a customer holds.
@@ -122,11 +178,7 @@
 		out.Requests = w.Requests
 		return out
 	}
-	a := g.accounts[w.Customer]
-	if a == nil {
-		a = &account{drained: now} // what VMs have handed in so far is stored for it
-		g.accounts[w.Customer] = a
-	}
+	a := g.account(now, w.Customer)
 	g.refill(a, l)
 	out.Requests = min(w.Requests, int(a.level))
 	a.level -= float64(out.Requests)
--- a/core/coordination/rationer/holder.go
+++ b/core/coordination/rationer/holder.go
@@ -48,13 +48,15 @@
 	granter     string // that answered last; empty for none
 	failures    int    // in a row, at granter
 	failedAt    map[string]time.Time
-	confirmedAt time.Time // of the last answer
-	freeAt      time.Time // from when on no granter counts the share of this VM
-	joinedAt    time.Time // of the last ask with Joins
-	asked       string    // of the ask in flight; empty for none
-	probed      string    // of the probe in flight; empty for none
-	nextAsk     time.Time // at the latest
-	pausedUntil time.Time // after a failed ask
+	confirmedAt time.Time          // of the last answer
+	freeAt      time.Time          // from when on no granter counts the share of this VM
+	joinedAt    time.Time          // of the last ask with Joins
+	asked       string             // of the ask in flight; empty for none
+	probed      string             // of the probe in flight; empty for none
+	better      string             // to which this VM moves; empty for none
+	stored      map[string]float64 // that came back with the share
+	nextAsk     time.Time          // at the latest
+	pausedUntil time.Time          // after a failed ask
 	own         map[string]*ownShare
 }
 
@@ -95,15 +97,15 @@
 	}
 }
 
-// Granter returns the name of the VM that answered last, empty if none is reached.
-func (h *Holder) Granter() string { return h.granter }
+// Granter returns the name of the VM that answered last, or to which this one is moving; empty if none is reached.
+func (h *Holder) Granter() string { return cmp.Or(h.granter, h.better) }
 
 // Admit decides about a request.
 func (h *Holder) Admit(now time.Time, customer string) Admission {
 	if l, ok := h.limits[customer]; ok && l.Rate <= 0 {
 		return Granted
 	}
-	if h.granter == "" && h.allAvoided(now) {
+	if h.Granter() == "" && h.allAvoided(now) {
 		return h.useOwn(now, customer)
 	}
 	return Waiting
@@ -153,7 +155,7 @@
 	if at := h.NextAskAt(now, len(wants) > 0); at.IsZero() || at.After(now) {
 		return Ask{}, Member{}, false
 	}
-	i := h.rank(h.granter)
+	i := h.rank(cmp.Or(h.granter, h.better))
 	if i < 0 {
 		i = slices.IndexFunc(h.ranked, func(m Member) bool { return !h.avoided(now, m.Name) })
 	}
@@ -163,40 +165,51 @@
 	}
 	to := h.ranked[i]
 	h.asked = to.Name
-	q := h.newAsk(now, to.Name, 0)
-	q.Wants = wants
+	q := Ask{VM: h.Self, ShareIn: max(0, h.freeAt.Sub(now)), Wants: wants}
+	switch {
+	case to.Name == h.granter:
+		q.Leaves = h.better != ""
+	case h.stored != nil:
+		q.Stored, h.stored = h.stored, nil
+	case h.joinedAt.IsZero() || now.Sub(h.joinedAt) >= 2*h.Terms.window():
+		q.Joins, h.joinedAt = true, now
+	}
 	return q, to, true
 }
 
-// Probe returns an ask for a better granter than the current one, if there is one to try. Probed must follow. A probe carries no wants, so that no
-// request waits for a VM that may be dead.
+// Probe returns an ask that tests whether a better granter than the current one answers, if there is one to try. Probed must follow. It carries
+// no wants, so that no request waits for a VM that may be dead.
 func (h *Holder) Probe(now time.Time) (Ask, Member, bool) {
-	if h.probed != "" || h.granter == "" {
+	if h.probed != "" || h.granter == "" || h.better != "" {
 		return Ask{}, Member{}, false
 	}
 	for _, m := range h.ranked[:max(0, h.rank(h.granter))] {
 		if !h.avoided(now, m.Name) {
 			h.probed = m.Name
-			return h.newAsk(now, m.Name, AskTimeout), m, true // the current granter is asked on until the probe has an answer
+			return Ask{VM: h.Self, Tests: true}, m, true
 		}
 	}
 	return Ask{}, Member{}, false
 }
 
-// newAsk returns an ask without wants. The share of this VM becomes free a while later than it would if no further ask was sent meanwhile.
-func (h *Holder) newAsk(now time.Time, to string, meanwhile time.Duration) Ask {
-	q := Ask{VM: h.Self, ShareIn: max(0, h.freeAt.Sub(now)+meanwhile)}
-	if to != h.granter && (h.joinedAt.IsZero() || now.Sub(h.joinedAt) >= 2*h.Terms.window()) {
-		q.Joins, h.joinedAt = true, now
+// Offered records that the ask in flight was answered. Without grants in the offer of a granter that stops, its requests wait on.
+func (h *Holder) Offered(now time.Time, o *Offer) {
+	name := h.asked
+	h.asked, h.nextAsk, h.pausedUntil = "", now.Add(askInterval), time.Time{}
+	if !o.Released {
+		h.granter, h.failures, h.confirmedAt, h.freeAt = name, 0, now, now.Add(contactLifetime)
+		if h.better == name {
+			h.better = ""
+		}
+		delete(h.failedAt, name)
+		return
 	}
-	return q
-}
-
-// Offered records that the ask in flight was answered.
-func (h *Holder) Offered(now time.Time) {
-	h.granter, h.failures, h.confirmedAt = h.asked, 0, now
-	delete(h.failedAt, h.granter)
-	h.asked, h.freeAt, h.nextAsk, h.pausedUntil = "", now.Add(contactLifetime), now.Add(askInterval), time.Time{}
+	h.freeAt, h.stored, h.nextAsk = now, o.Stored, now
+	if h.better == "" { // it stops
+		h.avoid(now, name)
+		return
+	}
+	h.granter, h.failures = "", 0
 }
 
 // Failed records that the ask in flight was not answered.
@@ -213,15 +226,16 @@
 	h.freeAt, h.nextAsk, h.pausedUntil = now.Add(contactLifetime), now.Add(retryDelay), now.Add(retryDelay)
 }
 
-// Probed records whether the probe in flight was answered. Its VM is the granter then.
+// Probed records whether the probe in flight was answered. With the next ask, this VM then takes its share back from the current granter.
 func (h *Holder) Probed(now time.Time, ok bool) {
 	name := h.probed
-	h.probed, h.freeAt = "", now.Add(contactLifetime)
-	if !ok {
+	h.probed = ""
+	switch {
+	case !ok:
 		h.avoid(now, name)
-		return
+	case h.granter != "":
+		h.better = name
 	}
-	h.granter, h.failures, h.confirmedAt, h.nextAsk = name, 0, now, now.Add(askInterval)
 }
 
 // avoid keeps a VM from being asked for a while.
@@ -230,6 +244,9 @@
 		h.failedAt = map[string]time.Time{}
 	}
 	h.failedAt[name] = now
+	if name == h.granter || name == h.better {
+		h.better = ""
+	}
 	if name == h.granter {
 		h.granter, h.failures = "", 0
 	}
--- a/core/coordination/rationer/message.go
+++ b/core/coordination/rationer/message.go
@@ -15,9 +15,13 @@
 // Ask hands the share of a VM to a granter, and asks it for grants.
 type Ask struct {
 	VM      string        `json:"vm"`
-	ShareIn time.Duration `json:"in,omitempty"`    // in ns, after which the share is no longer counted elsewhere
-	Joins   bool          `json:"joins,omitempty"` // the VM brings along what a joining VM may, see joinShare
-	Wants   []Want        `json:"wants,omitempty"`
+	ShareIn time.Duration `json:"in,omitempty"`     // in ns, after which the share is no longer counted elsewhere
+	Joins   bool          `json:"joins,omitempty"`  // the VM brings along what a joining VM may, see joinShare
+	Leaves  bool          `json:"leaves,omitempty"` // the VM takes its share back with this ask
+	Tests   bool          `json:"tests,omitempty"`  // the VM only wants to know whether this one answers
+
+	Stored map[string]float64 `json:"stored,omitempty"` // what the last granter has given back, by customer
+	Wants  []Want             `json:"wants,omitempty"`
 }
 
 // Want is the number of requests of a customer that wait for a grant at a VM.
@@ -29,6 +33,11 @@
 // Offer is the answer to an Ask, with one Grant for each Want.
 type Offer struct {
 	Grants []Grant `json:"grants,omitempty"`
+
+	// Released means that the granter no longer counts the share of the VM, because the VM leaves or the granter stops. Stored is the part of
+	// the stored grants that belongs to this share, by customer.
+	Released bool               `json:"released,omitempty"`
+	Stored   map[string]float64 `json:"stored,omitempty"`
 }
 
 // Grant allows some of the requests of a Want.
--- a/gateway/internal/granter/granter.go
+++ b/gateway/internal/granter/granter.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"comfreyroute/core/coordination/forwarder"
@@ -30,7 +29,6 @@
 
 	mu       sync.Mutex
 	rates    rationer.Granter
-	stopping bool
 	reported map[string]time.Time
 }
 
@@ -52,11 +50,11 @@
 	g.rates.SetLimits(time.Now(), limits)
 }
 
-// StartShutdown makes the VMs turn to another granter.
+// StartShutdown makes the VMs take their shares to another granter.
 func (g *Granter) StartShutdown() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.stopping = true
+	g.rates.Stop()
 }
 
 // Contacts returns the number of VMs whose shares are counted here.
@@ -66,14 +64,11 @@
 	return uint64(g.rates.Contacts(time.Now()))
 }
 
-// Answer answers an ask. It returns an error while this VM stops.
+// Answer answers an ask. It never returns an error.
 func (g *Granter) Answer(_ context.Context, q *rationer.Ask) (*rationer.Offer, error) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.stopping {
-		return nil, eris.New("this VM stops")
-	}
 	o := g.rates.Answer(now, *q)
 	for _, grant := range o.Grants {
 		if grant.Requests < grant.Asked && !grant.Unknown {
@@ -160,10 +155,7 @@
 	ctx, cancel := context.WithTimeout(ctx, rationer.AskTimeout)
 	defer cancel()
 	if a.To.Address == c.Self {
-		o, err := c.Local.Answer(ctx, &a.Ask)
-		if err != nil {
-			return nil // it stops; GranterChanged is logged
-		}
+		o, _ := c.Local.Answer(ctx, &a.Ask) // never an error
 		return o
 	}
 	var o rationer.Offer
