Answer asks of other VMs until a planned stop has left the balancer

Change: the entry in the store goes at once, the listener closes when the balancer has moved callers away.

--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -86,6 +86,8 @@
 	asks         *granter.Client
 	entryRemoved chan struct{} // receives a value when the entry of this VM is gone from the store
 	watcherDone  chan struct{}
+
+	stopServingPeers context.CancelFunc // ends what startPeering serves
 }
 
 // Run serves callers until SIGTERM or SIGINT. It returns an error when it cannot listen on an address.
@@ -108,7 +110,10 @@
 	g.startWatcher(ctx)
 	peeringCtx, stopPeering := context.WithCancel(ctx)
 	defer stopPeering()
-	unregistered, err := g.startPeering(peeringCtx)
+	servingCtx, stopServingPeers := context.WithCancel(ctx)
+	defer stopServingPeers()
+	g.stopServingPeers = stopServingPeers
+	unregistered, err := g.startPeering(peeringCtx, servingCtx)
 	if err != nil {
 		return err
 	}
@@ -205,9 +210,9 @@
 	return serve(&g.adminServer, netip.AddrPortFrom(s.CallerAddress.Addr(), s.InternalPorts[0]))
 }
 
-// startPeering serves changes of the store and requests to the other VMs and registers this VM, so that they find it. The returned channel is
+// startPeering serves the other VMs until servingCtx is done, and registers this VM, so that they find it. The returned channel is
 // closed when the registrar has revoked the lease and stopped, or immediately when this VM has no address for peers.
-func (g *Gateway) startPeering(ctx context.Context) (<-chan struct{}, error) {
+func (g *Gateway) startPeering(ctx, servingCtx context.Context) (<-chan struct{}, error) {
 	done := make(chan struct{})
 	self := g.self()
 	if !self.Address.IsValid() {
@@ -219,9 +224,9 @@
 		return nil, err
 	}
 	go func() {
-		if err := relayer.Serve(ctx, l, &g.history, func(err error) {
+		if err := relayer.Serve(servingCtx, l, &g.history, func(err error) {
 			g.log.InfoLimited("relayer: connection of a peer failed", zap.String("error", err.Error()))
-		}, g.granter.Method().Register); err != nil && ctx.Err() == nil {
+		}, g.granter.Method().Register); err != nil && servingCtx.Err() == nil {
 			g.log.Warn("relayer: stopped serving peers", zap.String("error", err.Error()))
 		}
 	}()
--- a/gateway/internal/runner/shutdown.go
+++ b/gateway/internal/runner/shutdown.go
@@ -53,6 +53,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	awaitLoadBalancer(min(loadBalancerDelay, timeout/2), signals)
+	g.stopServingPeers() // the other VMs have taken their shares of the customers' rates back with an ask each
 	if !g.callers.Drain() {
 		g.log.Warn("runner: callers kept connecting, closing the listener")
 	}
