Give the grants of a scarce rate to requests that can still be answered in time

Change: a Want counts late requests apart, and the granter keeps half of what may be stored for the others.

--- a/core/coordination/forwarder/ration.go
+++ b/core/coordination/forwarder/ration.go
@@ -7,8 +7,12 @@
 	"comfreyroute/core/coordination/rationer"
 )
 
-// maxGrantWait bounds the wait for a grant. A granter answers within a few milliseconds, or is not reached.
-const maxGrantWait = 150 * time.Millisecond
+const (
+	// maxGrantWait bounds the wait for a grant. A granter answers within a few milliseconds, or is not reached.
+	maxGrantWait = 150 * time.Millisecond
+	// usualQuantile is the quantile of a route's latencies that counts as usual.
+	usualQuantile = 0.5
+)
 
 // GrantCounts counts the requests of customers with a rate by what became of them, and the asks for grants.
 type GrantCounts struct {
@@ -52,13 +56,14 @@
 		m.refuseUngranted(r)
 		return false
 	}
+	r.late = r.comesLate(now)
 	r.grantBy = now.Add(min(maxGrantWait, r.waitUntil.Sub(now)))
 	if m.rations.waiting == nil {
 		m.rations.waiting = map[string][]*request{}
 	}
 	queue := m.rations.waiting[r.customer.Name]
 	at, _ := slices.BinarySearchFunc(queue, r, func(other, r *request) int {
-		if other.precedes(r) {
+		if other.late != r.late && r.late || other.late == r.late && other.precedes(r) {
 			return -1
 		}
 		return 1
@@ -68,6 +73,20 @@
 	return false
 }
 
+// comesLate reports whether a request can hardly be answered within the latency target, because its caller has spent a part of its time already, such
+// as on a try that was refused. The timeout of the route is the time that callers have at first.
+func (r *request) comesLate(now time.Time) bool {
+	if r.route.Timeout <= 0 || r.route.LatencyTarget <= 0 {
+		return false
+	}
+	usual := time.Duration(0)
+	if r.routeState.latencies.Count() >= minHedgeSamples {
+		usual = r.routeState.latencies.Quantile(usualQuantile)
+	}
+	used := r.route.Timeout - r.answerBy.Sub(now)
+	return used+usual > r.route.LatencyTarget
+}
+
 // endGrantWait ends the wait of a request for which no granter has answered in time.
 func (m *Machine) endGrantWait(now time.Time, r *request) {
 	m.dropGrantWait(r)
@@ -115,19 +134,30 @@
 		return
 	}
 	for _, g := range e.Offer.Grants {
-		queue := m.rations.waiting[g.Customer]
-		// Requests that came since the ask wait for the next one, unless they are more urgent than those that asked.
-		for i, r := range slices.Clone(queue[:min(g.Asked, len(queue))]) {
-			m.dropGrantWait(r)
-			switch {
-			case i < g.Requests:
-				m.GrantCounts.Granted++
-				m.begin(now, r)
-			case g.Unknown:
-				m.refuseUngranted(r)
-			default:
-				m.refuseOverRate(r, g.After)
-			}
+		m.applyGrant(now, g)
+	}
+}
+
+// applyGrant ends the wait of the requests that the ask counted. Those that came since wait for the next one.
+func (m *Machine) applyGrant(now time.Time, g rationer.Grant) {
+	for _, r := range slices.Clone(m.rations.waiting[g.Customer]) {
+		if !r.askedGrant {
+			continue
+		}
+		left := &g.Requests
+		if r.late {
+			left = &g.Late
+		}
+		m.dropGrantWait(r)
+		switch {
+		case *left > 0:
+			*left--
+			m.GrantCounts.Granted++
+			m.begin(now, r)
+		case g.Unknown:
+			m.refuseUngranted(r)
+		default:
+			m.refuseOverRate(r, g.After)
 		}
 	}
 }
@@ -148,7 +178,16 @@
 	if at := m.nextAsk(now); !at.IsZero() && !at.After(now) {
 		var wants []rationer.Want
 		for customer, queue := range m.rations.waiting {
-			wants = append(wants, rationer.Want{Customer: customer, Requests: len(queue)})
+			w := rationer.Want{Customer: customer}
+			for _, r := range queue {
+				r.askedGrant = true
+				if r.late {
+					w.Late++
+				} else {
+					w.Requests++
+				}
+			}
+			wants = append(wants, w)
 		}
 		if q, to, ok := m.rations.holder.Ask(now, wants); ok {
 			m.GrantCounts.Asks++
@@ -158,7 +197,7 @@
 	if q, to, ok := m.rations.holder.Probe(now); ok {
 		m.emit(AskGrants{To: to, Ask: q, Probe: true})
 	}
-	if name := m.rations.holder.Granter(); name != m.rations.granter {
+	if name := m.rations.holder.Granter(); name != m.rations.granter && (name != "" || m.rations.holder.Lost(now)) {
 		m.emit(GranterChanged{Granter: name, Before: m.rations.granter})
 		m.rations.granter = name
 	}
--- a/core/coordination/forwarder/request.go
+++ b/core/coordination/forwarder/request.go
@@ -54,6 +54,8 @@
 	customer        *authenticator.Customer // nil if callers need no key
 	key             authenticator.Digest    // of the customer
 	identity        Identity
+	late            bool      // its caller came back too late to be answered within the latency target
+	askedGrant      bool      // the ask in flight, or a failed one, counts it
 	grantBy         time.Time // latest time to wait for a grant of the customer's rate; zero if it does not wait
 }
 
--- a/core/coordination/rationer/fleet_test.go
+++ b/core/coordination/rationer/fleet_test.go
@@ -118,7 +118,7 @@
 		var wants []Want
 		for customer, arrivals := range v.waiting {
 			if len(arrivals) > 0 {
-				wants = append(wants, Want{customer, len(arrivals)})
+				wants = append(wants, Want{Customer: customer, Requests: len(arrivals)})
 			}
 		}
 		if q, to, ok := v.holder.Ask(f.now, wants); ok {
@@ -176,7 +176,12 @@
 	m.from.holder.Offered(f.now, m.offer)
 	for _, g := range m.offer.Grants {
 		waiting := m.from.waiting[g.Customer]
-		n := min(g.Asked, len(waiting))
+		n := 0
+		for _, w := range m.ask.Wants {
+			if w.Customer == g.Customer {
+				n = min(w.Requests, len(waiting))
+			}
+		}
 		for i := range n {
 			if i < g.Requests {
 				f.end(g.Customer, Granted)
--- a/core/coordination/rationer/granter.go
+++ b/core/coordination/rationer/granter.go
@@ -11,6 +11,9 @@
 	// minAfter and maxAfter bound the time after which callers beyond a limit may come again.
 	minAfter = 100 * time.Millisecond
 	maxAfter = 5 * time.Second
+	// lateReserve is the part of the stored grants that is kept for requests which can still be answered within their latency target. A customer far
+	// beyond its rate would otherwise spend it on callers that come back.
+	lateReserve = 0.5
 	// minStored is the smallest part of a grant that is given back with a share.
 	minStored = 0.01
 )
@@ -168,23 +171,26 @@
 
 // grant gives out what the bucket of a customer holds.
 func (g *Granter) grant(now time.Time, w Want) Grant {
-	out := Grant{Customer: w.Customer, Asked: w.Requests}
+	out := Grant{Customer: w.Customer}
 	l, known := g.limits[w.Customer]
 	switch {
 	case !known:
 		out.Unknown = true
 		return out
 	case l.Rate <= 0:
-		out.Requests = w.Requests
+		out.Requests, out.Late = w.Requests, w.Late
 		return out
 	}
 	a := g.account(now, w.Customer)
 	g.refill(a, l)
 	out.Requests = min(w.Requests, int(a.level))
 	a.level -= float64(out.Requests)
-	a.backlog = max(0, a.backlog-l.Rate*now.Sub(a.drained).Seconds()) + float64(w.Requests-out.Requests)
+	out.Late = max(0, min(w.Late, int(a.level-lateReserve*g.depth(l))))
+	a.level -= float64(out.Late)
+	denied := w.Requests + w.Late - out.Requests - out.Late
+	a.backlog = max(0, a.backlog-l.Rate*now.Sub(a.drained).Seconds()) + float64(denied)
 	a.drained = now
-	if out.Requests < w.Requests {
+	if denied > 0 {
 		out.After = min(maxAfter, max(minAfter, time.Duration(a.backlog/l.Rate*float64(time.Second))))
 	}
 	return out
@@ -194,7 +200,12 @@
 func (g *Granter) refill(a *account, l Limit) {
 	a.level += l.Rate*(g.seconds-a.seconds) + joinShare*g.Terms.margin(l)*(g.joined-a.joined)
 	a.seconds, a.joined = g.seconds, g.joined
-	a.level = min(a.level, g.Terms.depth(l)*float64(len(g.contacts))/float64(max(1, g.fleet)))
+	a.level = min(a.level, g.depth(l))
+}
+
+// depth returns the grants that may be stored for the shares that are handed to this granter.
+func (g *Granter) depth(l Limit) float64 {
+	return g.Terms.depth(l) * float64(len(g.contacts)) / float64(max(1, g.fleet))
 }
 
 // clampAll limits what is stored after shares have gone.
--- a/core/coordination/rationer/holder.go
+++ b/core/coordination/rationer/holder.go
@@ -119,6 +119,9 @@
 	return h.useOwn(now, customer)
 }
 
+// Lost reports whether no granter has answered for so long that none counts the share of this VM.
+func (h *Holder) Lost(now time.Time) bool { return h.Granter() == "" && !now.Before(h.freeAt) }
+
 // Reached reports whether a granter has answered lately.
 func (h *Holder) Reached(now time.Time) bool {
 	return h.granter != "" && now.Sub(h.confirmedAt) < contactLifetime
--- a/core/coordination/rationer/message.go
+++ b/core/coordination/rationer/message.go
@@ -24,10 +24,11 @@
 	Wants  []Want             `json:"wants,omitempty"`
 }
 
-// Want is the number of requests of a customer that wait for a grant at a VM.
+// Want is the number of requests of a customer that wait for a grant at a VM. Late ones can no longer be answered within their latency target.
 type Want struct {
 	Customer string `json:"customer"`
-	Requests int    `json:"requests"`
+	Requests int    `json:"requests,omitempty"` // in time
+	Late     int    `json:"late,omitempty"`
 }
 
 // Offer is the answer to an Ask, with one Grant for each Want.
@@ -43,8 +44,8 @@
 // Grant allows some of the requests of a Want.
 type Grant struct {
 	Customer string        `json:"customer"`
-	Asked    int           `json:"asked"`
-	Requests int           `json:"requests"`
+	Requests int           `json:"requests,omitempty"`
+	Late     int           `json:"late,omitempty"`
 	After    time.Duration `json:"after,omitempty"`   // in ns, when the others may come again
 	Unknown  bool          `json:"unknown,omitempty"` // the granter does not know the customer
 }
--- a/gateway/internal/granter/granter.go
+++ b/gateway/internal/granter/granter.go
@@ -71,7 +71,7 @@
 	defer g.mu.Unlock()
 	o := g.rates.Answer(now, *q)
 	for _, grant := range o.Grants {
-		if grant.Requests < grant.Asked && !grant.Unknown {
+		if grant.After > 0 {
 			g.report(now, grant)
 		}
 	}
@@ -87,8 +87,8 @@
 		g.reported = map[string]time.Time{}
 	}
 	g.reported[grant.Customer] = now
-	g.Log.InfoLimited("granter: customer has used up its rate", zap.String("customer", grant.Customer), zap.Int("asked", grant.Asked),
-		zap.Int("granted", grant.Requests), zap.Duration("retry_after", grant.After), zap.Int("vms", g.rates.Contacts(now)))
+	g.Log.InfoLimited("granter: customer has used up its rate", zap.String("customer", grant.Customer),
+		zap.Duration("retry_after", grant.After), zap.Int("vms", g.rates.Contacts(now)))
 }
 
 // maxReported bounds the customers whose last log line is remembered.
