Send nothing to the upstreams of an evacuated failure domain

Cause: the operator evacuates a failure domain by a key of the store, which the gateway did not read. Change: the key comes with the watch, the listing, or the reader that a VM follows; its upstreams are not eligible until the store says that the evacuation has ended, and then return with the ramp of a new start. Evacuated upstreams are no evidence of a VM without upstreams. Ruled out: the watcher leaving the upstreams out (their state would be lost), keeping an evacuation that a restored store lacks (nobody could end it). TestEvacuation fails without the ramp (100 sends in the first second and in a later one).

--- /dev/null
+++ b/core/coordination/forwarder/evacuation_test.go
@@ -0,0 +1,96 @@
+package forwarder
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// play sends requests of all kinds for a while and returns how many sends went to each upstream. If failing is set, some attempts fail and some get no
+// reply.
+func (h *harness) play(d time.Duration, failing bool) map[string]int {
+	before := len(h.sent)
+	for end := h.now.Add(d); h.now.Before(end); h.advance(10 * time.Millisecond) {
+		for _, path := range []string{"/all/x", "/one/x", "/once/x", "/split/x"} {
+			h.request(path, 500*time.Millisecond)
+		}
+		for _, s := range slices.Clone(h.pending) {
+			switch kind := s.Attempt % 20; {
+			case failing && kind == 0 && h.now.Before(s.Deadline): // is hedged, or expires
+				continue
+			case failing && kind == 0:
+				h.endAttempt(s, Failed{Failure: TimedOut, Written: true})
+			case failing && kind == 1:
+				h.endAttempt(s, Failed{Failure: Unreachable})
+			case failing && kind == 2:
+				h.endAttempt(s, Failed{Failure: Reset, Written: true})
+			default:
+				h.endAttempt(s, Replied{Reply: successReply(s)})
+			}
+			h.pending = slices.DeleteFunc(h.pending, func(o Send) bool { return o.Attempt == s.Attempt })
+		}
+	}
+	sends := map[string]int{}
+	for _, s := range h.sent[before:] {
+		sends[s.Upstream]++
+	}
+	return sends
+}
+
+// TestEvacuation guards against requests of any kind to the upstreams of an evacuated failure domain, against attempts that are cut, and against a
+// failure domain that gets all of its load at once when it is in use again.
+func TestEvacuation(t *testing.T) {
+	h := newReadyHarness(t, 4)
+	h.play(time.Second, true)
+	for range 40 { // more than the upstreams take
+		h.request("/one/x", 0)
+	}
+	before, cancelled := len(h.probes), h.cancelled
+	h.step(EvacuationsListed{FailureDomains: []string{"d0"}})
+	if h.cancelled > cancelled {
+		t.Errorf("%d attempts are cut", h.cancelled-cancelled)
+	}
+	sends := h.play(5*time.Second, true)
+	h.step(UpstreamsListed{Upstreams: upstreams(append(shardNames(4), "point", "left", "right", "later")...)})
+	for name, n := range h.play(5*time.Second, true) {
+		sends[name] += n
+	}
+	for _, u := range h.probes[before:] {
+		sends[u.Upstream]++
+	}
+	for _, u := range upstreams(append(shardNames(4), "point", "left", "right", "later")...) {
+		if n := sends[u.Name]; (n > 0) != (u.FailureDomain != "d0" && u.Service != "later") {
+			t.Errorf("%d sends to %s", n, u.Name)
+		}
+	}
+	h.play(time.Minute, false) // forgets the failures
+	h.step(EvacuationsListed{})
+	first := h.play(time.Second, false)["shard0-0"]
+	h.play(15*time.Second, false)
+	if usual := h.play(time.Second, false)["shard0-0"]; first == 0 || first > usual/2 {
+		t.Errorf("%d sends in the first second after the return, %d in a later one", first, usual)
+	}
+}
+
+// TestEvacuationOfAll guards against requests that wait for their deadline although the operator has left nothing to serve them, and for a VM that
+// turns to peers for them.
+func TestEvacuationOfAll(t *testing.T) {
+	h := newReadyHarness(t, 4)
+	h.step(EvacuationsListed{FailureDomains: []string{"d0", "d1", "d2", "d3"}})
+	want := map[RequestID]Outcome{}
+	for _, path := range []string{"/all/x", "/one/x", "/once/x"} {
+		want[h.request(path, 0)] = Refused{Reason: NoUpstream}
+	}
+	got := map[RequestID]Outcome{}
+	for id, a := range h.answers {
+		if r, ok := a.Outcome.(Refused); ok && r.RetryAfter > 0 {
+			r.RetryAfter = 0
+			got[id] = r
+		}
+	}
+	if diff := cmp.Diff(want, got); diff != "" || len(h.sent) > 0 {
+		t.Errorf("%d sends, outcomes (-want +got):\n%s", len(h.sent), diff)
+	}
+}
--- a/core/coordination/forwarder/event.go
+++ b/core/coordination/forwarder/event.go
@@ -23,6 +23,9 @@
 // UpstreamsListed carries all upstreams that are currently registered.
 type UpstreamsListed struct{ Upstreams []Upstream }
 
+// EvacuationsListed carries all failure domains whose upstreams get no new requests, because the operator evacuates them.
+type EvacuationsListed struct{ FailureDomains []string }
+
 // FleetResized reports how many VMs share the connections of the upstreams; 0 means unknown.
 type FleetResized struct{ VMs int }
 
@@ -84,6 +87,8 @@
 
 func (EvidenceReceived) isEvent() {}
 
+func (EvacuationsListed) isEvent() {}
+
 // Result says how an attempt ended.
 type Result interface{ isResult() }
 
--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -42,6 +42,7 @@
 	fleetSize   int // number of VMs, 0 if unknown
 	services    map[string]*service
 	routeStates map[string]*routeState
+	evacuated   []string // failure domains
 	requests    map[RequestID]*request
 	attempts    map[AttemptID]*attempt
 	lastAttempt AttemptID
@@ -62,6 +63,8 @@
 		m.adoptManifest(now, e.Manifest)
 	case UpstreamsListed:
 		m.setUpstreams(now, e.Upstreams)
+	case EvacuationsListed:
+		m.setEvacuations(now, e.FailureDomains)
 	case FleetResized:
 		m.setFleetSize(now, e.VMs)
 	case UpstreamsRated:
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -120,7 +120,6 @@
 	for name := range byService {
 		m.serviceFor(name)
 	}
-	m.reach.Configure(len(byService), len(all))
 	for _, s := range m.servicesByName() {
 		upstreams := byService[s.name]
 		slices.SortFunc(upstreams, func(a, b Upstream) int { return strings.Compare(a.Name, b.Name) })
@@ -130,10 +129,10 @@
 		m.retireReplaced(s.upstreams, upstreams)
 		m.resolveReplaced(now, s.name, upstreams)
 		m.resolveOrphans(now, s, upstreams)
-		s.reach.Configure(1, len(upstreams))
 		s.upstreams = upstreams
 		m.configureService(now, s)
 	}
+	m.configureReach()
 }
 
 // unreachable reports whether this VM reaches none of the upstreams: all have failed, or several are silent or refuse and none has replied since.
@@ -173,10 +172,11 @@
 
 // configureService passes the upstreams to the selection and dispatches waiting sub-requests.
 func (m *Machine) configureService(now time.Time, s *service) {
+	s.reach.Configure(1, m.countUsable(s))
 	rows := make([]tabler.UpstreamRow, 0, len(s.upstreams))
 	for _, u := range s.upstreams {
 		weight := tabler.DefaultWeight
-		if u.Draining {
+		if u.Draining || m.isEvacuated(&u) {
 			weight = 0
 		}
 		rows = append(rows, tabler.UpstreamRow{
--- a/core/coordination/selector/set.go
+++ b/core/coordination/selector/set.go
@@ -305,6 +305,12 @@
 	s.checkNotice(u)
 }
 
+// RecordReturn records that the upstream at a position gets requests again after a time without any, so that it may be as slow as one that starts.
+func (s *Set) RecordReturn(now time.Time, i int) {
+	u := &s.upstreams[i]
+	u.rampStart, u.latency = now, latencyAverage{}
+}
+
 // SetLeaving records whether an upstream gets no new work, as reported by a source other than itself. A report about an
 // incarnation that is already replaced is ignored.
 func (s *Set) SetLeaving(now time.Time, i int, incarnation uint64, leaving bool) {
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -282,11 +282,12 @@
 			default: // a pending value makes the registrar register again
 			}
 		},
-		DrainTime: s.DrainTime, EntryLifetime: s.EntryLifetime, ReregisterTime: s.ReregisterTime, StableWindow: s.StableWindow, ApplyTime: s.ApplyTime, Log: g.log,
+		DrainTime: s.DrainTime, EntryLifetime: s.EntryLifetime, ReregisterTime: s.ReregisterTime, StableWindow: s.StableWindow, ApplyTime: s.ApplyTime, EvacuationTime: s.EvacuationTime, Log: g.log,
 		OnManifest: func(m *forwarder.Manifest) {
 			g.driver.HandleEvent(forwarder.ManifestAdopted{Manifest: m})
 			g.receiver.SetManifest(m)
 		},
+		OnEvacuations: func(all []string) { g.driver.HandleEvent(forwarder.EvacuationsListed{FailureDomains: all}) },
 		OnUpstreams: func(u []forwarder.Upstream) {
 			g.driver.HandleEvent(forwarder.UpstreamsListed{Upstreams: u})
 			g.receiver.SetUpstreamsKnown()
@@ -441,6 +442,7 @@
 	count("hosted_requests_total", machine(func(m *forwarder.Machine) uint64 { return m.Detours.Hosted }))
 	count("hosted_requests_refused_total", machine(func(m *forwarder.Machine) uint64 { return m.Detours.Refused }))
 	count("upstreams_lost", machine(func(m *forwarder.Machine) uint64 { return m.UpstreamsLost() }))
+	count("evacuated_upstreams", machine(func(m *forwarder.Machine) uint64 { return m.EvacuatedUpstreams() }))
 	count("quarantine_refused_total", machine(func(m *forwarder.Machine) uint64 { return m.QuarantineRefused }))
 	count("quarantined_signatures", machine(func(m *forwarder.Machine) uint64 { return m.QuarantinedSignatures() }))
 	count("store_calls_total", g.store.Calls.Load)
--- a/gateway/internal/watcher/restore_test.go
+++ b/gateway/internal/watcher/restore_test.go
@@ -119,6 +119,8 @@
 	upstreams string // the last listed ones
 	listings  []string
 	removed   int // calls of OnRemoved
+	evacuated []string
+	first     []string // evacuated failure domains at the first listing of upstreams
 }
 
 // histories answers requests to VMs from their histories.
@@ -143,8 +145,12 @@
 		v.watcher = &Watcher{
 			Store: s, Peers: peers, Elector: elector.Elector{Self: self, MinDomainSize: 2}, History: history,
 			DrainTime: 3 * time.Second, EntryLifetime: 3600 * time.Millisecond, ReregisterTime: 2 * time.Second, StableWindow: 4 * time.Second, ApplyTime: 3 * time.Second,
-			OnManifest: func(m *forwarder.Manifest) { v.manifest = m.Version },
+			OnManifest:    func(m *forwarder.Manifest) { v.manifest = m.Version },
+			OnEvacuations: func(all []string) { v.evacuated = all },
 			OnUpstreams: func(all []forwarder.Upstream) {
+				if len(v.listings) == 0 {
+					v.first = v.evacuated
+				}
 				v.upstreams = describeUpstreams(all)
 				v.listings = append(v.listings, v.upstreams)
 			},
--- a/gateway/internal/watcher/source.go
+++ b/gateway/internal/watcher/source.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// maxAgeRatio sets the maximum age of a peer's data, as a fraction of the shorter one of ApplyTime and DrainTime. Within this
+	// maxAgeRatio sets the maximum age of a peer's data, as a fraction of the shortest bound. Within this
 	// age, or within the wait plus peerTimeoutMargin, a follower notices that its peer has lost the store, and turns to the store.
 	maxAgeRatio = 0.35
 	// waitRatio sets the wait of a request to a peer, and of the watch of a VM with followers, as a fraction of the maximum age. The
@@ -32,7 +32,16 @@
 
 // maxAge returns a fraction of the age from which a peer's data is too old.
 func (w *Watcher) maxAge(fraction float64) time.Duration {
-	return time.Duration(float64(min(w.DrainTime, w.ApplyTime)) * maxAgeRatio * fraction)
+	return time.Duration(float64(w.shortestBound()) * maxAgeRatio * fraction)
+}
+
+// shortestBound returns the shortest time within which a change must be in force.
+func (w *Watcher) shortestBound() time.Duration {
+	bound := min(w.DrainTime, w.ApplyTime)
+	if w.EvacuationTime > 0 {
+		bound = min(bound, w.EvacuationTime)
+	}
+	return bound
 }
 
 // watchStore waits for changes of the store and applies them. It returns the pause before the next call.
@@ -66,7 +75,7 @@
 		if w.History.HasFollowers(now) {
 			return w.maxAge(pauseRatio), nil
 		}
-		return time.Duration(float64(min(w.DrainTime, w.ApplyTime)) * burstPauseRatio), nil
+		return time.Duration(float64(w.shortestBound()) * burstPauseRatio), nil
 	}
 	return 0, nil
 }
--- a/gateway/internal/watcher/watcher.go
+++ b/gateway/internal/watcher/watcher.go
@@ -32,7 +32,7 @@
 	minWatchWait = time.Second
 	// firstWait is the wait of the first watch after a failed call. Its answer tells at once whether the store was restored meanwhile.
 	firstWait = time.Millisecond
-	// burstPauseRatio sets the pause after changes, as a fraction of the shorter one of ApplyTime and DrainTime. Changes come in
+	// burstPauseRatio sets the pause after changes, as a fraction of the shortest bound. Changes come in
 	// bursts, and each call is priced. The sum with retentionRatio is below 1, so that a removed upstream is dropped within its drain
 	// time.
 	burstPauseRatio = 0.25
@@ -67,8 +67,10 @@
 	ReregisterTime time.Duration    // time in which upstreams write expired entries again after an outage of the store
 	StableWindow   time.Duration    // time after a fault of the store from which the platform's bounds apply again
 	ApplyTime      time.Duration    // time within which a new manifest must be in force
+	EvacuationTime time.Duration    // time within which an evacuation must be in force; 0 if there is no bound
 	OnManifest     func(*forwarder.Manifest)
 	OnUpstreams    func([]forwarder.Upstream)
+	OnEvacuations  func(failureDomains []string)                      // called with all evacuated failure domains when they have changed; nil ignores them
 	OnFleetSize    func(size int)                                     // not called while no VM is registered
 	OnMembers      func([]elector.Member)                             // called with all registered VMs when one of them has changed; nil ignores them
 	OnEvidence     func(all []quarantiner.Publication, complete bool) // called with what VMs have published about crashes; nil ignores it
@@ -80,6 +82,7 @@
 	registered      bool // the entry of this VM is in the store
 	published       bool // OnUpstreams was called at least once
 	registry        registry
+	evacuations     evacuations
 	fleet           fleet
 	backoff         storeBackoff
 	source          elector.Source
@@ -99,6 +102,9 @@
 	if w.OnEvidence == nil {
 		w.OnEvidence = func([]quarantiner.Publication, bool) {}
 	}
+	if w.OnEvacuations == nil {
+		w.OnEvacuations = func([]string) {}
+	}
 	w.registry.entryLifetime, w.registry.reregisterTime = w.EntryLifetime, w.ReregisterTime
 	w.registry.retention = min(w.ReregisterTime, time.Duration(float64(w.DrainTime)*retentionRatio))
 	for ctx.Err() == nil {
@@ -174,6 +180,9 @@
 	if len(c.Evidence) > 0 {
 		w.OnEvidence(c.Evidence, false)
 	}
+	if w.evacuations.apply(c.Evacuations) {
+		w.publishEvacuations(c.Revision)
+	}
 	w.publishUpstreams(now)
 	w.adoptManifest(c.Manifest)
 	if w.fleet.apply(c.VMs) {
@@ -203,6 +212,9 @@
 		w.era = c.Era
 	}
 	w.OnEvidence(c.Evidence, true) // before the manifest, with which the first request is served
+	if w.evacuations.replace(c.Evacuations) {
+		w.publishEvacuations(c.Revision) // before the upstreams, the first of which get requests at once
+	}
 	w.publishUpstreams(now)
 	if c.Manifest == nil {
 		w.Log.Info("watcher: the store has no manifest yet", zap.Uint64("revision", c.Revision))
