Keep cold upstreams within the rate that their service names

Cause: a service may say how many requests a cold upstream bears from all VMs together; after an evacuation or a start it got its share of the load by a ramp alone, which knows no rate. Change: while an upstream is cold by its entry, or may be because it failed here before, each VM takes half of the rate divided by the VMs, as grants of limiter.Quota that lapse sooner. A hedge uses none. Ruled out: the storage of declared rates, whose bound holds over seconds and not over one. A VM out of touch that has missed the failure of an upstream is not limited (docs/design/evacuation.md).

--- a/core/coordination/forwarder/admission.go
+++ b/core/coordination/forwarder/admission.go
@@ -14,7 +14,7 @@
 		shard := screener.Shard{Queue: s.queuedBefore(r), Service: s.set.UsualLatency()}
 		shard.Upstreams, shard.Free, shard.Places = s.set.Room(now)
 		if shard.Upstreams > 0 && shard.Places == 0 {
-			shard.Grant, shard.Spacing = s.set.NextGrant(now, nil).Sub(now), s.set.GrantSpacing()
+			shard.Grant, shard.Spacing = s.set.NextGrant(now, nil).Sub(now), s.set.GrantSpacing(now)
 		}
 		m.shards = append(m.shards, shard)
 	}
--- a/core/coordination/forwarder/manifest.go
+++ b/core/coordination/forwarder/manifest.go
@@ -25,10 +25,12 @@
 	fingerprints map[*Route]uint64   // two VMs with the same fingerprint route requests in the same way
 }
 
-// Service limits the connections to each upstream of a service.
+// Service limits what each upstream of a service gets from all VMs.
 type Service struct {
 	Name           string
-	MaxConnections int // per upstream, over all VMs
+	MaxConnections int
+	WarmupRate     float64       // requests per second while the upstream is cold; 0 for no limit
+	ColdTime       time.Duration // for which an upstream is cold after its start
 }
 
 // Limits bound the size and duration of what a caller sends. Zero means that the manifest sets no limit.
--- a/core/coordination/forwarder/rate.go
+++ b/core/coordination/forwarder/rate.go
@@ -1,6 +1,10 @@
 package forwarder
 
-import "comfreyroute/core/coordination/selector"
+import (
+	"time"
+
+	"comfreyroute/core/coordination/selector"
+)
 
 // add counts a send: a first one, or a hedge beside another attempt, or a retry after a failed one.
 func (c *LimitedSends) add(sub *subRequest) {
@@ -46,12 +50,25 @@
 	m.emit(change)
 }
 
+// ColdUpstreams returns how many upstreams limit their rate because they are cold.
+func (m *Machine) ColdUpstreams(now time.Time) uint64 {
+	return m.countUpstreams(func(u *selector.Upstream) bool { return u.IsCold(now) })
+}
+
 // LimitedUpstreams returns how many upstreams declare a limit on their rate.
 func (m *Machine) LimitedUpstreams() uint64 {
+	return m.countUpstreams(func(u *selector.Upstream) bool {
+		_, limited := u.DeclaredRate()
+		return limited
+	})
+}
+
+// countUpstreams returns for how many upstreams a function is true.
+func (m *Machine) countUpstreams(counts func(*selector.Upstream) bool) uint64 {
 	n := uint64(0)
 	for _, s := range m.services {
 		for i := range s.set.Len() {
-			if _, limited := s.set.At(i).DeclaredRate(); limited {
+			if counts(s.set.At(i)) {
 				n++
 			}
 		}
--- a/core/coordination/forwarder/rate_test.go
+++ b/core/coordination/forwarder/rate_test.go
@@ -72,6 +72,13 @@
 	}
 }
 
+// list tells all VMs of the registered upstreams.
+func (f *rateFleet) list(all []Upstream) {
+	for _, h := range f.vms {
+		h.step(UpstreamsListed{Upstreams: all})
+	}
+}
+
 // run plays the fleet for a duration.
 func (f *rateFleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); {
@@ -117,18 +124,23 @@
 func (f *rateFleet) checkRate(upstream string, since time.Time) {
 	f.t.Helper()
 	allowed := rateWindow.Seconds()*f.limits[upstream]*rateExcess + rateSlack
+	if most := f.mostArrivals(upstream, since, rateWindow); float64(most) > allowed {
+		f.t.Errorf("%s got %d requests in %v, want at most %.0f", upstream, most, rateWindow, allowed)
+	}
+}
+
+// mostArrivals returns the largest number of arrivals at an upstream in any window since a time.
+func (f *rateFleet) mostArrivals(upstream string, since time.Time, window time.Duration) int {
 	all, first, most := f.arrivals[upstream], 0, 0
 	for last := range all {
-		for all[last].Sub(all[first]) > rateWindow || all[first].Before(since) && first < last {
+		for all[last].Sub(all[first]) > window || all[first].Before(since) && first < last {
 			first++
 		}
 		if !all[first].Before(since) {
 			most = max(most, last-first+1)
 		}
 	}
-	if float64(most) > allowed {
-		f.t.Errorf("%s got %d requests in %v, want at most %.0f", upstream, most, rateWindow, allowed)
-	}
+	return most
 }
 
 // clearOutcomes forgets the answers so far.
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -28,6 +28,9 @@
 	upstreams      []Upstream               // sorted by name
 	waiting        []waiter                 // in dispatch order
 	limitedSends   map[string]*LimitedSends // by upstream that declares a limit
+	warmupRate     float64                  // of each cold upstream, over all VMs; 0 for no limit
+	coldTime       time.Duration            // for which an upstream is cold after its start
+	coldUntil      map[string]time.Time     // by upstream that has said how long it is cold
 	reach          navigator.Reach          // whether this VM reaches any of the upstreams
 	elsewhere      navigator.Elsewhere      // what peers say of the upstreams
 	probeAt        time.Time                // of the next probe, while requests go through peers
@@ -103,8 +106,8 @@
 	m.manifest = manifest
 	for _, c := range manifest.Services {
 		s := m.serviceFor(c.Name)
-		if s.maxConnections != c.MaxConnections {
-			s.maxConnections = c.MaxConnections
+		if s.maxConnections != c.MaxConnections || s.warmupRate != c.WarmupRate || s.coldTime != c.ColdTime {
+			s.maxConnections, s.warmupRate, s.coldTime = c.MaxConnections, c.WarmupRate, c.ColdTime
 			m.configureService(now, s)
 		}
 	}
@@ -129,6 +132,7 @@
 		m.retireReplaced(s.upstreams, upstreams)
 		m.resolveReplaced(now, s.name, upstreams)
 		m.resolveOrphans(now, s, upstreams)
+		s.recordCold(now, upstreams)
 		s.upstreams = upstreams
 		m.configureService(now, s)
 	}
@@ -143,11 +147,17 @@
 
 // startTime returns when an upstream has started, zero if that is unknown.
 func (s *service) startTime(name string) time.Time {
+	u, _ := s.find(name)
+	return u.StartTime
+}
+
+// find returns a registered upstream.
+func (s *service) find(name string) (Upstream, bool) {
 	i, ok := slices.BinarySearchFunc(s.upstreams, name, func(u Upstream, name string) int { return strings.Compare(u.Name, name) })
 	if !ok {
-		return time.Time{}
+		return Upstream{}, false
 	}
-	return s.upstreams[i].StartTime
+	return s.upstreams[i], true
 }
 
 // servicesByName returns the services sorted by name, so that the same events always result in the same actions.
@@ -194,9 +204,29 @@
 			s.set.SetStartTime(now, i, u.StartTime)
 		}
 	}
+	s.set.SetWarmup(now, m.random, s.warmupRate, s.coldTime)
+	for name, until := range s.coldUntil {
+		if i, ok := s.set.Index(name); ok {
+			s.set.ExtendCold(i, until)
+		}
+	}
 	m.dispatchWaiting(now, s)
 }
 
+// recordCold records until when upstreams are cold that are new, have started again or have become cold again.
+func (s *service) recordCold(now time.Time, listed []Upstream) {
+	for _, u := range listed {
+		if known, ok := s.find(u.Name); u.ColdFor == 0 || ok && known.ColdFor == u.ColdFor && known.StartTime.Equal(u.StartTime) {
+			continue
+		}
+		if s.coldUntil == nil {
+			s.coldUntil = map[string]time.Time{}
+		}
+		s.coldUntil[u.Name] = now.Add(u.ColdFor)
+	}
+	maps.DeleteFunc(s.coldUntil, func(_ string, until time.Time) bool { return !until.After(now) })
+}
+
 // applyRatings passes the ratings of other VMs to the upstream selection.
 func (m *Machine) applyRatings(now time.Time, ratings []reporter.Rating) {
 	for _, r := range ratings {
--- a/core/coordination/forwarder/upstream.go
+++ b/core/coordination/forwarder/upstream.go
@@ -16,7 +16,8 @@
 	FailureDomain string
 	Slots         int
 	Draining      bool
-	StartTime     time.Time // start of this incarnation; zero if unknown
+	StartTime     time.Time     // start of this incarnation; zero if unknown
+	ColdFor       time.Duration // how much longer it was cold when it wrote its entry
 }
 
 // Message is a caller's request as it is forwarded. It is immutable.
--- a/core/coordination/limiter/quota.go
+++ b/core/coordination/limiter/quota.go
@@ -20,6 +20,8 @@
 // The VM gets a grant for one request at regular times. The times of the VMs are independent of each other, so that a share of less than
 // one request in the lifetime of a grant does not let all VMs send at once.
 type Quota struct {
+	Storage Storage // of unused grants; the zero value is that of declared rates
+
 	limited    bool
 	rate       float64       // in requests per second
 	declaredAt time.Time     // when the latest reply with a limit arrived
@@ -27,6 +29,12 @@
 	nextGrant  time.Time     // time of the earliest unused grant
 }
 
+// Storage says how long unused grants may be used.
+type Storage struct {
+	Lifetime time.Duration // at least
+	Grants   float64       // of the whole fleet, beyond those of Lifetime
+}
+
 // Observe records what a reply declares. Its request was sent at the given time: a reply without a limit ends the limit only if the request
 // was sent after the latest reply with one, because replies on several connections overtake each other. vms is the number of VMs that share
 // the rate, and phase, from 0 to 1, where the first grant lies in its interval. Observe reports whether the limit has changed.
@@ -41,7 +49,7 @@
 		}
 		return changed
 	case d.Kind == Unlimited && q.limited && sent.After(q.declaredAt):
-		*q = Quota{}
+		*q = Quota{Storage: q.Storage}
 		return true
 	default:
 		return false
@@ -89,7 +97,11 @@
 
 // lifetime returns how long a grant may be used.
 func (q *Quota) lifetime() time.Duration {
-	return minGrantLifetime + time.Duration(storedGrants/max(q.rate, minTrialRate)*float64(time.Second))
+	s := q.Storage
+	if s == (Storage{}) {
+		s = Storage{Lifetime: minGrantLifetime, Grants: storedGrants}
+	}
+	return s.Lifetime + time.Duration(s.Grants/max(q.rate, minTrialRate)*float64(time.Second))
 }
 
 // Use uses the next grant for a request that is sent now.
--- a/core/coordination/selector/pick.go
+++ b/core/coordination/selector/pick.go
@@ -40,7 +40,7 @@
 		if !u.Eligible() || !u.holds(q.Version) || slices.Contains(q.Exclude, i) {
 			continue
 		}
-		if _, limited := u.DeclaredRate(); limited && q.Unlimited {
+		if _, limited := u.DeclaredRate(); q.Unlimited && (limited || u.IsCold(now)) {
 			continue
 		}
 		if !u.hasRoom(now) {
--- a/core/coordination/selector/quota.go
+++ b/core/coordination/selector/quota.go
@@ -40,9 +40,13 @@
 
 // ReturnGrant records that a request to the upstream at a position did not reach it.
 func (s *Set) ReturnGrant(i int) {
-	if u := &s.upstreams[i]; u.quota != nil {
+	u := &s.upstreams[i]
+	if u.quota != nil {
 		u.quota.Return()
 	}
+	if u.warmup != nil {
+		u.warmup.quota.Return()
+	}
 }
 
 // SetVMs sets how many VMs share the rates that upstreams declare.
@@ -51,6 +55,11 @@
 	for _, q := range s.quotas {
 		q.Share(now, vms)
 	}
+	for i := range s.upstreams {
+		if w := s.upstreams[i].warmup; w != nil {
+			w.quota.Share(now, vms)
+		}
+	}
 }
 
 // NextGrant returns when an upstream that may get new work, and is not excluded, takes another request by the rate that it declares and the pause that it asked for. The
@@ -69,11 +78,17 @@
 	return next
 }
 
-// GrantSpacing returns the mean time between the requests that the declared rates of all upstreams allow this VM, 0 without declared rates.
-func (s *Set) GrantSpacing() time.Duration {
+// GrantSpacing returns the mean time between the requests that the rates of all upstreams, declared ones or those of cold ones, allow this VM, 0
+// without such rates.
+func (s *Set) GrantSpacing(now time.Time) time.Duration {
 	perSecond := 0.0
 	for i := range s.upstreams {
-		if u := &s.upstreams[i]; u.Eligible() && u.quota != nil {
+		u := &s.upstreams[i]
+		switch {
+		case !u.Eligible():
+		case u.IsCold(now):
+			perSecond += u.warmup.quota.GrantsPerSecond()
+		case u.quota != nil:
 			perSecond += u.quota.GrantsPerSecond()
 		}
 	}
@@ -83,12 +98,14 @@
 	return time.Duration(float64(time.Second) / perSecond)
 }
 
-// nextGrant returns when the upstream takes another request: after the pause that it asked for, if the rate that it declares allows one.
+// nextGrant returns when the upstream takes another request: after the pause that it asked for, if the rates that it declares and that it takes while it
+// is cold allow one.
 func (u *Upstream) nextGrant(now time.Time) time.Time {
+	at := later(u.nextWarmupGrant(now), u.pausedUntil)
 	if u.quota == nil {
-		return later(now, u.pausedUntil)
+		return at
 	}
-	return later(u.quota.NextGrant(now), u.pausedUntil)
+	return later(u.quota.NextGrant(now), at)
 }
 
 // hasRoom reports whether the upstream takes another request of this VM now.
--- a/core/coordination/selector/set.go
+++ b/core/coordination/selector/set.go
@@ -22,6 +22,7 @@
 	latency        latencyAverage    // of all replies of the service
 	quotas         map[string]*quota // by upstream
 	vms            int               // that share the rates in quotas
+	coldTime       time.Duration     // for which an upstream is cold after its start
 	notices        map[string]*notice
 }
 
@@ -193,6 +194,9 @@
 	if u.quota != nil {
 		u.quota.Use(now)
 	}
+	if u.IsCold(now) {
+		u.warmup.quota.Use(now)
+	}
 	u.addStart(now)
 	u.domain.recordStart(now, u.serial)
 }
@@ -208,14 +212,14 @@
 	unanswered := u.lastReply.Before(start)
 	switch r.Kind {
 	case OK:
-		u.recordReply(now)
+		u.recordReply(now, s.coldTime)
 		u.domain.recordReply()
 		u.recordSuccess(now)
 		u.latency.add(now, r.Latency)
 		s.latency.add(now, r.Latency)
 		u.limit.RecordSuccess(inFlight, u.Load.Queued)
 	case Shed:
-		u.recordReply(now)
+		u.recordReply(now, s.coldTime)
 		u.domain.recordReply()
 		u.recordError(now)
 		u.shedUntil = later(u.shedUntil, now.Add(minShedPause))
@@ -241,7 +245,7 @@
 	case Unattributed:
 		u.domain.removeStart(start, u.serial)
 	case Errored:
-		u.recordReply(now)
+		u.recordReply(now, s.coldTime)
 		u.domain.recordReply()
 		u.recordError(now)
 	}
--- a/core/coordination/selector/types.go
+++ b/core/coordination/selector/types.go
@@ -43,5 +43,5 @@
 	Exclude []int  // positions
 	Policy  Policy
 
-	Unlimited bool // leaves out the upstreams that declare a rate
+	Unlimited bool // leaves out the upstreams that declare a rate, or limit it while they are cold
 }
--- a/core/coordination/selector/upstream.go
+++ b/core/coordination/selector/upstream.go
@@ -37,7 +37,8 @@
 
 	serial             uint64 // unlike the position, it does not change
 	limit              limiter.InFlight
-	quota              *quota // nil until the upstream declares a rate
+	quota              *quota  // nil until the upstream declares a rate
+	warmup             *warmup // nil unless a cold upstream limits its rate
 	domain             *failureDomain
 	leavingIncarnation uint64 // to which Leaving applies; 0 if unknown
 	loadReportedAt     time.Time
@@ -83,10 +84,11 @@
 }
 
 // recordReply records a reply to a sub-request, which ends a failure. After a long failure the upstream counts as starting: the
-// ramp limits its share, and with the old errors counted as well it would get no work.
-func (u *Upstream) recordReply(now time.Time) {
+// ramp limits its share, and with the old errors counted as well it would get no work. It may be cold for coldTime.
+func (u *Upstream) recordReply(now time.Time, coldTime time.Duration) {
 	if u.failed && now.Sub(u.failedSince) >= minFailureBeforeRamp {
 		u.rampStart, u.errorAverage = now, 0
+		u.extendCold(now.Add(coldTime))
 	}
 	u.lastReply = now
 	u.failed, u.refused, u.missed, u.trialDelay = false, false, 0, 0
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -443,6 +443,7 @@
 	count("hosted_requests_refused_total", machine(func(m *forwarder.Machine) uint64 { return m.Detours.Refused }))
 	count("upstreams_lost", machine(func(m *forwarder.Machine) uint64 { return m.UpstreamsLost() }))
 	count("evacuated_upstreams", machine(func(m *forwarder.Machine) uint64 { return m.EvacuatedUpstreams() }))
+	count("cold_upstreams", machine(func(m *forwarder.Machine) uint64 { return m.ColdUpstreams(time.Now()) }))
 	count("quarantine_refused_total", machine(func(m *forwarder.Machine) uint64 { return m.QuarantineRefused }))
 	count("quarantined_signatures", machine(func(m *forwarder.Machine) uint64 { return m.QuarantinedSignatures() }))
 	count("store_calls_total", g.store.Calls.Load)
