Take no reply of an upstream in the entry daemon whose status is not 200

Cause: the connector did not look at the HTTP status. A reply with the status 000, 600 or 500 was an answer if its body looked like one; the protocol gives every reply the status 200 (upstreams/internal/server). Change: another status is an invalid reply, which ends the attempt and its connection, and may have run. Measured: TestReplyWithAnotherStatus failed before (status 000 gave the answer ok), passes now.

--- a/core/transport/connector/connector_test.go
+++ b/core/transport/connector/connector_test.go
@@ -1,6 +1,7 @@
 package connector
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -86,6 +87,28 @@
 	}
 }
 
+// TestReplyWithAnotherStatus guards against a reply in which a status other than 200 shows that the upstream is in trouble, and which is taken for an
+// answer because its body looks like one.
+func TestReplyWithAnotherStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "1000", "600", "999", "500", "204"} {
+		f := &fakeUpstream{}
+		runWithPool(t, f, 1, func(t *testing.T, b *fixture) {
+			f.mu.Lock()
+			f.handleSub = func(nc net.Conn, _ *http.Request) bool {
+				const body = `{"request_id":"vm-7-1","upstream":"u","status":"ok"}`
+				_, err := fmt.Fprintf(nc, "HTTP/1.1 %s OK\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+				return err == nil
+			}
+			f.mu.Unlock()
+			b.Do(newSend(1, time.Second))
+			time.Sleep(2 * time.Second)
+			if diff := cmp.Diff([]any{newFailure(1, router.FailureInvalid, true)}, b.attemptEnds()); diff != "" {
+				t.Errorf("status %s: ends (-want +got):\n%s", status, diff)
+			}
+		})
+	}
+}
+
 // writeEndless writes a start and then a text until the connection is closed.
 func writeEndless(nc net.Conn, start, text string) bool {
 	b := []byte(start + strings.Repeat(text, 1000))
--- a/core/transport/connector/message.go
+++ b/core/transport/connector/message.go
@@ -20,7 +20,7 @@
 // errMismatched is the error for a reply that belongs to another request.
 var errMismatched = eris.New("reply has the id of another request")
 
-// errInvalid is the error for a malformed or oversized reply.
+// errInvalid is the error for a malformed or oversized reply. The protocol gives every reply the HTTP status 200.
 var errInvalid = eris.New("reply is malformed or too large")
 
 // framingFactor bounds the bytes of a body in chunks on the wire: the chunk sizes may take as many bytes as the data.
@@ -116,7 +116,7 @@
 		return nil, false, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.ContentLength > encoder.MaxReplyBytes {
+	if response.StatusCode != http.StatusOK || response.ContentLength > encoder.MaxReplyBytes {
 		return nil, false, errInvalid
 	}
 	c.br.Expect(bounder.Body, framingFactor*encoder.MaxReplyBytes+maxHeadBytes)
