Pass no status above 599 on to callers

Cause: a reply with the status 600 to 999 was passed on, alone or through a peer; 000, 099 and 1000 were rejected already. The same bounds hold for what a peer answers.

--- a/gateway/internal/detourer/detourer_test.go
+++ b/gateway/internal/detourer/detourer_test.go
@@ -131,6 +131,24 @@
 	}
 }
 
+// TestImpossibleStatus guards against an answer of a peer with a status that no HTTP answer can have, of an upstream's reply or of its own.
+func TestImpossibleStatus(t *testing.T) {
+	reply := forwarder.Relayed{Reply: &forwarder.Reply{Status: 418, Signature: "st"}}
+	s := &Host{Dispatcher: &fakeDispatcher{answer: &forwarder.Answer{Outcome: reply}}, Memory: &bounder.Memory{}, Log: logger.New(zapcore.AddSync(t.Output()), "vm2")}
+	text := exchange(t, s, testSend())
+	for _, status := range []string{"000", "099", "600", "999", "1000", "-418", ""} {
+		for _, old := range []string{"Status: 418", "HTTP/1.1 200"} {
+			if strings.Count(text, old) != 1 {
+				t.Fatalf("no %q in %q", old, text)
+			}
+			name, _, _ := strings.Cut(old, " ")
+			if got, err := readAnswer(strings.Replace(text, old, name+" "+status, 1), testSend()); err == nil {
+				t.Errorf("status %q in place of %q is accepted: %+v", status, old, got.Outcome)
+			}
+		}
+	}
+}
+
 // TestHostRefuses guards against requests that a host cannot serve and that are not refused as not run: those of other builds, malformed ones,
 // and those that come while it stops.
 func TestHostRefuses(t *testing.T) {
--- a/gateway/internal/detourer/protocol.go
+++ b/gateway/internal/detourer/protocol.go
@@ -89,8 +89,8 @@
 	switch kind := h.Get(headerOutcome); kind {
 	case outcomeRelayed:
 		status, err := strconv.Atoi(h.Get(headerStatus))
-		if err != nil || status < 200 || status > 999 {
-			return nil, eris.Errorf("a peer's answer has the status %q, want 200 to 999", h.Get(headerStatus))
+		if err != nil || !translator.IsFinalStatus(status) {
+			return nil, eris.Errorf("a peer's answer has the status %q, want that of a final HTTP answer", h.Get(headerStatus))
 		}
 		inner := innerHeaders(h)
 		return forwarder.Relayed{Reply: &forwarder.Reply{Status: status, Header: inner, Body: body, Signature: translator.Signature(inner)}}, nil
