--- a/core/coordination/forwarder/event.go
+++ b/core/coordination/forwarder/event.go
@@ -24,6 +24,9 @@
 // UpstreamsListed carries all upstreams that are currently registered.
 type UpstreamsListed struct{ Upstreams []Upstream }
 
+// EvacuationsListed carries all failure domains whose upstreams get no new requests, because the operator evacuates them.
+type EvacuationsListed struct{ FailureDomains []string }
+
 // FleetResized reports how many VMs share the connections of the upstreams; 0 means unknown.
 type FleetResized struct{ VMs int }
 
@@ -96,6 +99,8 @@
 func (GrantersListed) isEvent()   {}
 func (GrantsOffered) isEvent()    {}
 
+func (EvacuationsListed) isEvent() {}
+
 // Result says how an attempt ended.
 type Result interface{ isResult() }
 
