--- a/core/coordination/rationer/fleet_test.go
+++ b/core/coordination/rationer/fleet_test.go
@@ -215,7 +215,8 @@
 		limits := map[string]Limit{"acme": {Rate: rate, Burst: rapid.Float64Range(0, 2*rate).Draw(t, "burst")}}
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 40).Draw(t, "vms"), Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, limits)
 		load := rapid.Float64Range(0.2, 8).Draw(t, "load") * rate
-		for f.now.Before(epoch.Add(time.Duration(rapid.IntRange(5, 25).Draw(t, "seconds")) * time.Second)) {
+		end := epoch.Add(time.Duration(rapid.IntRange(5, 25).Draw(t, "seconds")) * time.Second)
+		for f.now.Before(end) {
 			for range poisson(f.random, load*step.Seconds()) {
 				f.arrive(f.vms[f.random.IntN(len(f.vms))], "acme")
 			}
--- a/core/coordination/rationer/granter.go
+++ b/core/coordination/rationer/granter.go
@@ -137,7 +137,7 @@
 // hear records that a VM hands its share to this granter.
 func (g *Granter) hear(now time.Time, q Ask) {
 	if g.contacts == nil {
-		g.contacts, g.accounts = map[string]*contact{}, map[string]*account{}
+		g.contacts = map[string]*contact{}
 	}
 	c := g.contacts[q.VM]
 	if c == nil {
@@ -164,6 +164,9 @@
 	a := g.accounts[customer]
 	if a == nil {
 		a = &account{drained: now}
+		if g.accounts == nil {
+			g.accounts = map[string]*account{}
+		}
 		g.accounts[customer] = a
 	}
 	return a
