Check a manifest before it is sent (comfreyctl check)

Cause: whatever the store accepts is in force within seconds; a shadowed route or a customer without a key shows only when callers fail. Change: checker.Check finds faults without I/O, the adapter names them as the file does, comfreyctl check prints them as text or JSON with what differs from a file or the version in the store. A file that is no JSON object is checked as a table, as before. Ruled out: checks in the decoder, which must accept what other builds write (docs/design/manifestcheck.md).

--- a/operator/internal/commander/table.go
+++ b/operator/internal/commander/table.go
@@ -19,13 +19,19 @@
 
 func (e *environment) tableCommands() []subcommands.Command {
 	var prune bool
+	var manifest manifestCheck
 	addPruneFlag := func(f *flag.FlagSet) {
 		f.BoolVar(&prune, "prune", false, "also remove services that are not in the file")
 	}
 	return []subcommands.Command{
 		&command{name: "show", usage: "show [SERVICE]", synopsis: "print the table, or one service of it, as CSV", execute: e.show},
 		&command{name: "export", usage: "export FILE", synopsis: "write the table to a CSV file for a spreadsheet or version control", execute: e.export},
-		&command{name: "check", usage: "check FILE", synopsis: "validate a CSV file and list all errors, without reading or writing the table", execute: e.check},
+		&command{
+			name: "check", usage: "check [-against FILE | -store IP:PORT] [-json] FILE",
+			synopsis: "validate a CSV file, or a manifest of the platform, and list all errors, without writing anything",
+			flags:    func(f *flag.FlagSet) { manifest.setFlags(e, f) },
+			execute:  func(ctx context.Context, a []string) subcommands.ExitStatus { return e.checkFile(ctx, a, &manifest) },
+		},
 		&command{
 			name: "diff", usage: "diff [-prune] FILE", synopsis: "print the cells that differ between a CSV file and the table",
 			flags: addPruneFlag, execute: func(ctx context.Context, a []string) subcommands.ExitStatus { return e.applyFile(ctx, a, prune, true) },
