List upstreams again only for a cold one that is cold for longer than before

Cause: since cold-ms is decoded, each heartbeat of a cold upstream was a change of its entry, and a listing for the forwarder. Change: a shorter time than before is no change; the forwarder counts down from the first. TestColdEntries.

--- a/gateway/internal/watcher/registry.go
+++ b/gateway/internal/watcher/registry.go
@@ -133,13 +133,20 @@
 		r.entries[e.Name] = &registration{entry: e}
 		r.recordChange("+", &e)
 	default:
-		if reg.entry.Upstream != e.Upstream || reg.entry.Usable != e.Usable || !reg.expiresAt.IsZero() || !reg.heldUntil.IsZero() {
+		if differs(reg.entry.Upstream, e.Upstream) || reg.entry.Usable != e.Usable || !reg.expiresAt.IsZero() || !reg.heldUntil.IsZero() {
 			r.recordChange("~", &e)
 		}
 		*reg = registration{entry: e}
 	}
 }
 
+// differs reports whether an entry of an upstream says anything new. That it is cold for less time than before, as a cold one writes with each heartbeat,
+// is not new.
+func differs(before, after forwarder.Upstream) bool {
+	after.ColdFor = max(after.ColdFor, before.ColdFor)
+	return before != after
+}
+
 // expire drops the entries that were missing for the retention time, and puts the held ones into use whose time is over. It returns when it
 // has to be called next, zero for never.
 func (r *registry) expire(now time.Time) time.Time {
--- a/gateway/internal/watcher/watcher_test.go
+++ b/gateway/internal/watcher/watcher_test.go
@@ -76,6 +76,21 @@
 	}
 }
 
+// TestColdEntries guards against a listing for each heartbeat of a cold upstream, and against one that becomes cold again unnoticed.
+func TestColdEntries(t *testing.T) {
+	var r registry
+	cold := func(revision uint64, d time.Duration) string {
+		e := entry("a", revision, 1)
+		e.Upstream.ColdFor = d
+		r.apply(time.Unix(100, 0), e)
+		return r.takeChanges()
+	}
+	got := []string{cold(1, 3*time.Second), cold(2, 2*time.Second), cold(3, 0), cold(4, 0), cold(5, time.Second)}
+	if diff := cmp.Diff([]string{"+s/a", "", "", "", "~s/a"}, got); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+}
+
 // fakeStore runs the given watches in turn and cancels the context after the last one. It records the calls.
 type fakeStore struct {
 	calls      []string
