--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,10 +10,10 @@
 	packages=$(cd "$module" && go list ./...) || exit 1
 	for package in $packages; do
 		directory=${package#comfreyroute/}
-		skipped=$(printf '%s\n' "$entries" | awk -v d="$directory" '$1 == d { print $2 }' | paste -sd'|' -)
+		skipped=$(printf '%s\n' "$entries" | awk -v d="$directory" '$1 == d { gsub("/", "$/^", $2); print "^" $2 "$" }' | paste -sd'|' -)
 		if [ -n "$skipped" ]; then
 			printf 'known red, passed over: %s %s\n' "$directory" "$skipped"
-			go test -count=1 -timeout 300s -skip "^($skipped)\$" "$package" || status=1
+			go test -count=1 -timeout 300s -skip "$skipped" "$package" || status=1
 		else
 			unlisted="${unlisted:-} $package"
 		fi
