Bound what callers take: connections, heads, bodies and unread answers

Change: doorkeeper decides, without I/O or clock, which connections a VM gives up: at its limit of connections the longest idle or incomplete one of the address with most, and for memory the one that has held most for longest; never a request in flight. The acceptor counts heads as what they take from the first byte (128 bytes a field and twice the text), limits connections to half of the sockets and a quarter of the memory, and writes with a deadline. Bodies count from the first byte and must make progress (408). Answers count from their delivery. The ports for probes, metrics and peers have bounds of their own. The soft limit of the garbage collector falls from 0.7 to 0.6 of the memory. Without limits in the settings none of the limits on connections or memory applies.

The header of a request is no longer copied, and its size counts no space after the colon: 15 KB of fields without one got 431. TestSizeLimits writes its field without a space accordingly; the limit is checked to the byte as before.

--- a/gateway/internal/acceptor/acceptor.go
+++ b/gateway/internal/acceptor/acceptor.go
@@ -20,10 +20,13 @@
 	maxDrainTime = time.Second
 )
 
-// Listener is a TCP listener that can be drained. Its Accept must be called in a loop, as http.Server does.
+// Listener is a TCP listener that can be drained and whose connections are bounded. Its Accept must be called in a loop, as http.Server does.
 type Listener struct {
 	*net.TCPListener
+	Bounds Bounds // must be set before the first Accept
+
 	done chan struct{} // closed when the drained listener is closed
+	door door
 
 	mu       sync.Mutex // held while the deadline is set, so that the one by which Drain interrupts Accept does not end the drain
 	draining bool
@@ -43,10 +46,12 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		draining := l.extendDrain()
-		nc, err := l.TCPListener.Accept()
+		nc, err := l.AcceptTCP()
 		switch {
 		case err == nil:
-			return nc, nil
+			if c := l.admit(nc); c != nil {
+				return c, nil
+			}
 		case draining:
 			_ = l.Close() // Drain may have closed it already
 			close(l.done)
--- a/gateway/internal/detourer/host.go
+++ b/gateway/internal/detourer/host.go
@@ -11,8 +11,11 @@
 	"go.uber.org/zap"
 
 	"comfreyroute/core/coordination/authenticator"
+	"comfreyroute/core/coordination/doorkeeper"
 	"comfreyroute/core/coordination/forwarder"
 	"comfreyroute/core/transport/bounder"
+	"comfreyroute/gateway/internal/acceptor"
+	"comfreyroute/gateway/internal/driver"
 	"comfreyroute/gateway/internal/logger"
 	"comfreyroute/platform/translator"
 )
@@ -52,7 +55,7 @@
 		writeAnswer(w, request.Header.Get(headerID), &forwarder.Answer{Outcome: forwarder.Refused{Reason: forwarder.OtherManifest, RetryAfter: refusedRetryAfter}})
 		return
 	}
-	body, held, err := s.Memory.ReadBody(request.Body, request.ContentLength, maxBodyBytes)
+	body, held, err := s.Memory.ReadCounted(request.Body, request.ContentLength, maxBodyBytes)
 	defer s.Memory.Release(held)
 	if err != nil || s.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -60,17 +63,19 @@
 		return
 	}
 	e.Message.Body = body
+	conn := acceptor.ConnOf(request)
+	conn.Move(doorkeeper.Served)
 	id, answers := s.Dispatcher.SubmitRequest(e)
 	select {
 	case a := <-answers:
-		cost := bounder.Cost(bodyLength(a.Outcome))
-		s.Memory.Take(cost)
-		defer s.Memory.Release(cost) // also when the answer cannot be written
+		defer s.Memory.Release(driver.BodyBytes(a.Outcome)) // also when the answer cannot be written
+		conn.Move(doorkeeper.Reading)
 		writeAnswer(w, e.Message.RequestID, &a)
 		s.Log.InfoLimited("detourer: request of another VM answered", zap.String("request", e.Message.RequestID), zap.String("from", request.RemoteAddr),
 			zap.String("outcome", outcomeName(a.Outcome)), zap.Duration("took", time.Since(received)), zap.Int("sends", a.Report.Sends))
 	case <-request.Context().Done():
 		s.Dispatcher.CancelRequest(id)
+		driver.Discard(answers, s.Memory)
 		panic(http.ErrAbortHandler) // an empty 200 response would look like an answer
 	}
 }
@@ -160,15 +165,3 @@
 		return outcomeUnknown
 	}
 }
-
-// bodyLength returns the length of the body in an outcome.
-func bodyLength(o forwarder.Outcome) int {
-	switch o := o.(type) {
-	case forwarder.Relayed:
-		return len(o.Reply.Body)
-	case forwarder.Gathered:
-		return len(o.Body)
-	default:
-		return 0
-	}
-}
--- a/gateway/internal/driver/driver.go
+++ b/gateway/internal/driver/driver.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"comfreyroute/core/coordination/forwarder"
+	"comfreyroute/core/transport/bounder"
 )
 
 // Transport executes the actions on upstreams. Do never blocks. If it returns an event, the event ends a Send that could not start.
@@ -20,6 +21,7 @@
 type Driver struct {
 	Machine   forwarder.Machine
 	Transport Transport
+	Memory    *bounder.Memory // counts the bodies of answers from their delivery on; nil for none
 
 	OnRateChanged  func(forwarder.RateChanged)    // must not block; nil ignores the changes
 	OnReachChanged func(forwarder.ReachChanged)   // must not block; nil ignores the changes
@@ -35,8 +37,29 @@
 	events  []forwarder.Event
 }
 
+// BodyBytes returns the bytes that the body of an answer counts for.
+func BodyBytes(o forwarder.Outcome) int64 {
+	switch o := o.(type) {
+	case forwarder.Relayed:
+		return int64(cap(o.Reply.Body))
+	case forwarder.Gathered:
+		return int64(cap(o.Body))
+	default:
+		return 0
+	}
+}
+
+// Discard releases the answer to a request that was cancelled, in case it was delivered before.
+func Discard(answers <-chan forwarder.Answer, counted *bounder.Memory) {
+	select {
+	case a := <-answers:
+		counted.Release(BodyBytes(a.Outcome))
+	default:
+	}
+}
+
 // SubmitRequest passes a request to the machine and returns its ID. The channel receives exactly one answer, unless the request
-// is cancelled.
+// is cancelled. Who receives it releases its BodyBytes.
 func (d *Driver) SubmitRequest(e forwarder.RequestArrived) (forwarder.RequestID, <-chan forwarder.Answer) {
 	answer := make(chan forwarder.Answer, 1)
 	d.mu.Lock()
@@ -97,6 +120,7 @@
 	case forwarder.Answer:
 		if answer, ok := d.pending[a.Request]; ok {
 			delete(d.pending, a.Request)
+			d.Memory.Take(BodyBytes(a.Outcome))
 			answer <- a // buffered for one answer, so it never blocks
 		}
 	case forwarder.Wake:
--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -7,14 +7,18 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"comfreyroute/core/coordination/doorkeeper"
 	"comfreyroute/core/coordination/forwarder"
 	"comfreyroute/core/transport/bounder"
+	"comfreyroute/gateway/internal/acceptor"
+	"comfreyroute/gateway/internal/driver"
 	"comfreyroute/gateway/internal/logger"
 	"comfreyroute/platform/translator"
 )
@@ -48,7 +52,10 @@
 func (r *Receiver) SetUpstreamsKnown() { r.upstreamsKnown.Store(true) }
 
 // ObserveConnection applies the timeouts of the manifest to a caller's connection. It is the ConnState hook of http.Server.
-func (r *Receiver) ObserveConnection(c net.Conn, s http.ConnState) { r.conns.observe(c, s, r.limits()) }
+func (r *Receiver) ObserveConnection(c net.Conn, s http.ConnState) {
+	acceptor.Observe(c, s)
+	r.conns.observe(c, s, r.limits())
+}
 
 // limits returns the limits of the current manifest, or none.
 func (r *Receiver) limits() forwarder.Limits {
@@ -58,6 +65,11 @@
 	return forwarder.Limits{}
 }
 
+// StallTime returns how long a caller may make no progress while it sends a body or reads an answer. It is that of an idle connection.
+func (r *Receiver) StallTime() time.Duration {
+	return orDefault(r.limits().IdleTimeout, defaultIdleTimeout)
+}
+
 // StartShutdown makes the readiness probe fail and every answer close its connection, so that callers move to other VMs.
 func (r *Receiver) StartShutdown() { r.stopping.Store(true) }
 
@@ -79,7 +91,8 @@
 	if r.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	body, held, status := r.readBody(request)
+	conn := acceptor.ConnOf(request)
+	body, held, status := r.readBody(conn, request)
 	defer r.Memory.Release(held)
 	if status != 0 {
 		r.Metrics.rejectedBodies.Inc()
@@ -89,6 +102,7 @@
 		translator.WriteRejection(w, status)
 		return
 	}
+	conn.Move(doorkeeper.Served)
 	e := translator.DecodeRequest(request, body, received)
 	id, answers := r.Dispatcher.SubmitRequest(e)
 	select {
@@ -96,13 +110,16 @@
 		if r.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		cost := answerCost(a.Outcome)
-		r.Memory.Take(cost)
+		cost := driver.BodyBytes(a.Outcome)
 		defer r.Memory.Release(cost) // also when the answer cannot be written
+		conn.Hold(cost)
+		conn.Move(doorkeeper.Reading)
+		r.Memory.EnforceLimit()
 		status := translator.WriteAnswer(w, e.Message, a.Outcome)
 		r.recordAnswer(e.Message, &a, status, time.Since(received))
 	case <-request.Context().Done():
 		r.Dispatcher.CancelRequest(id)
+		driver.Discard(answers, r.Memory)
 		r.Metrics.callersGone.Inc()
 		r.Log.InfoLimited("receiver: caller disconnected", zap.String("request", e.Message.RequestID), zap.Duration("after", time.Since(received)))
 		// If the handler returned, net/http would send an empty 200 response, which the caller could take for the answer.
@@ -112,7 +129,7 @@
 
 // readBody returns the body of a request with the bytes that it counts for, or the HTTP status to reject the request with. The status is
 // 0 for a valid request.
-func (r *Receiver) readBody(request *http.Request) (body []byte, held int64, status int) {
+func (r *Receiver) readBody(conn *acceptor.Conn, request *http.Request) (body []byte, held int64, status int) {
 	limits := r.limits()
 	if limits.MaxHeaderBytes > 0 && headerSize(request) > limits.MaxHeaderBytes {
 		return nil, 0, http.StatusRequestHeaderFieldsTooLarge
@@ -124,32 +141,28 @@
 	if limits.MaxBodyBytes > 0 {
 		limit = limits.MaxBodyBytes
 	}
-	body, held, err := r.Memory.ReadBody(request.Body, request.ContentLength, limit)
+	body, held, err := r.Memory.ReadCounted(conn.Body(request), request.ContentLength, limit)
 	if err == nil {
 		return body, held, 0
 	}
 	exceeded, ok := errors.AsType[*bounder.ExceededError](err)
 	switch {
 	case ok && exceeded.Bound == bounder.Held:
+		conn.Turn(doorkeeper.Short)
 		return nil, 0, http.StatusServiceUnavailable
 	case ok:
 		return nil, 0, http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		conn.Turn(doorkeeper.Stalled)
+		return nil, 0, http.StatusRequestTimeout
 	default:
 		return nil, 0, http.StatusBadRequest
 	}
 }
 
-// answerCost returns the bytes that an answer counts for while it is written.
-func answerCost(o forwarder.Outcome) int64 {
-	if relayed, ok := o.(forwarder.Relayed); ok {
-		return bounder.Cost(len(relayed.Reply.Body))
-	}
-	return 0
-}
-
-// headerSize returns the size of the header fields on the wire, in bytes.
+// headerSize returns the least size that the header fields had on the wire, in bytes.
 func headerSize(request *http.Request) int64 {
-	const separators = 4 // colon, space, CR and LF
+	const separators = 3 // colon, CR and LF; the space is optional
 	n := 0
 	for name, values := range request.Header {
 		for _, v := range values {
--- a/gateway/internal/receiver/receiver_test.go
+++ b/gateway/internal/receiver/receiver_test.go
@@ -46,7 +46,7 @@
 	cases := []struct {
 		name      string
 		body      int // bytes
-		header    int // bytes on the wire of the only field, whose name is "A"
+		header    int // bytes on the wire of the only field, whose name is "A", without a space before the value
 		status    int
 		submitted int
 	}{
@@ -59,7 +59,7 @@
 		r.SetManifest(forwarder.NewManifest(1, nil, nil, forwarder.Limits{MaxHeaderBytes: 50, MaxBodyBytes: 100}))
 		w := httptest.NewRecorder()
 		request := httptest.NewRequest(http.MethodPost, "/x", strings.NewReader(strings.Repeat("x", c.body)))
-		request.Header.Set("A", strings.Repeat("x", c.header-len("A: \r\n")))
+		request.Header.Set("A", strings.Repeat("x", c.header-len("A:\r\n")))
 		r.ServeHTTP(w, request)
 		if w.Code != c.status || len(q.bodies) != c.submitted {
 			t.Errorf("%s: status %d, %d requests submitted", c.name, w.Code, len(q.bodies))
--- /dev/null
+++ b/gateway/internal/runner/bounds.go
@@ -0,0 +1,87 @@
+package runner
+
+import (
+	"net/http"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"comfreyroute/core/coordination/doorkeeper"
+	"comfreyroute/gateway/internal/acceptor"
+	"comfreyroute/platform/translator"
+)
+
+const (
+	// callerShare is the part of the sockets that callers may have, as its inverse. The rest is for upstreams, peers, the store and probes.
+	callerShare = 2
+	// peerShare is the part of the sockets that requests of other VMs may have, as its inverse.
+	peerShare = 8
+	// connMemoryRatio is the fraction of the allowed memory for the connections of callers, connBytes what one takes with its buffers.
+	connMemoryRatio = 0.25
+	connBytes       = 32 << 10
+	// maxProbeConns bounds the connections to the readiness port and to the port of metrics and profiles.
+	maxProbeConns       = 32
+	maxProbeHeaderBytes = 1 << 10 // net/http allows 4 KB more
+	maxProbeTime        = 3 * time.Second
+)
+
+// maxCallers returns the most connections of callers, 0 for no limit.
+func maxCallers(s *translator.Settings) int {
+	limit := 0
+	if s.MaxSockets > 0 {
+		limit = max(1, s.MaxSockets/callerShare)
+	}
+	if s.MemoryBytes > 0 {
+		fitting := max(1, int(float64(s.MemoryBytes)*connMemoryRatio)/connBytes)
+		if limit == 0 || fitting < limit {
+			limit = fitting
+		}
+	}
+	return limit
+}
+
+// bounds returns the bounds of a listener that takes at most a number of connections. Without limits in the settings the number has none.
+func (g *Gateway) bounds(port string, maxConns int) acceptor.Bounds {
+	if g.Settings.MaxSockets == 0 && g.Settings.MemoryBytes == 0 {
+		maxConns = 0
+	}
+	return acceptor.Bounds{MaxConns: maxConns, Memory: &g.memory, Refusal: translator.Overloaded(), OnDepart: g.departureRecorder(port)}
+}
+
+// boundListeners sets the bounds of the ports for callers and probes.
+func (g *Gateway) boundListeners() {
+	g.callers.Bounds = g.bounds("callers", maxCallers(g.Settings))
+	g.callers.Bounds.StallTime = g.receiver.StallTime
+	g.probes.Bounds = g.bounds("readiness", maxProbeConns)
+	g.metrics.NewGauge("comfreyroute_gateway_caller_connections", func() float64 { return float64(g.callers.Conns()) })
+}
+
+// serveInternal serves requests of operators or other VMs with at most a number of connections.
+func (g *Gateway) serveInternal(h *http.Server, address netip.AddrPort, maxConns int) error {
+	l, err := acceptor.Listen(address)
+	if err != nil {
+		return err
+	}
+	l.Bounds = g.bounds("internal", maxConns)
+	serveOn(h, l)
+	return nil
+}
+
+// makeRoom gives up connections of callers that hold memory.
+func (g *Gateway) makeRoom(size int64) bool {
+	return g.callers.MakeRoom(size) || g.probes.MakeRoom(size)
+}
+
+// departureRecorder counts and logs the callers that are turned away at a port.
+func (g *Gateway) departureRecorder(port string) func(acceptor.Departure) {
+	counters := make([]interface{ Inc() }, doorkeeper.LastCause+1)
+	for cause := range counters {
+		counters[cause] = g.metrics.GetOrCreateCounter(`comfreyroute_gateway_callers_turned_away_total{port="` + port + `",cause="` + doorkeeper.Cause(cause).String() + `"}`)
+	}
+	return func(d acceptor.Departure) {
+		counters[d.Cause].Inc()
+		g.log.InfoLimited("acceptor: caller turned away", zap.String("port", port), zap.Stringer("from", d.Address), zap.Stringer("cause", d.Cause),
+			zap.Stringer("state", d.State), zap.Int64("held", d.Held), zap.Duration("after", d.Age))
+	}
+}
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -50,7 +50,7 @@
 	// settingsPollInterval is how often the settings file is checked for changes, which may come without a signal.
 	settingsPollInterval = 2 * time.Second
 	// softMemoryRatio is the fraction of the allowed memory that is set as the soft limit of the garbage collector.
-	softMemoryRatio = 0.7
+	softMemoryRatio = 0.6
 	// bodyMemoryRatio is the fraction of the allowed memory for the bodies of all requests and replies at once. The buffers of a growing
 	// body and what the garbage collector has not freed yet may take as much again.
 	bodyMemoryRatio = 0.2
@@ -74,6 +74,7 @@
 	log          *logger.Logger
 	metrics      *metrics.Set
 	callers      *acceptor.Listener
+	probes       *acceptor.Listener
 	callerServer http.Server
 	readyServer  http.Server
 	adminServer  http.Server
@@ -145,6 +146,7 @@
 	g.metrics = metrics.NewSet()
 	g.store.SetAddress(s.StoreAddress)
 	g.memory.Limit = int64(float64(s.MemoryBytes) * bodyMemoryRatio)
+	g.memory.MakeRoom = g.makeRoom
 	g.client.Memory, g.client.Protocol = &g.memory, translator.UpstreamProtocol{Memory: &g.memory}
 	report := func(send *forwarder.Send, r forwarder.Result) {
 		g.logAttempt(send, r)
@@ -154,6 +156,7 @@
 	g.client.ReportProbe = func(e forwarder.ProbeEnded) { g.driver.HandleEvent(e) }
 	g.peers.Memory, g.peers.Protocol = &g.memory, detourer.Protocol{Memory: &g.memory}
 	g.host.Dispatcher, g.host.Memory, g.host.Log = &g.driver, &g.memory, g.log
+	g.driver.Memory = &g.memory
 	g.driver.Transport = &transport{upstreams: &g.client, peers: &g.peers}
 	g.driver.OnRateChanged, g.driver.OnReachChanged, g.driver.OnNotice = g.logRateChange, g.logReachChange, g.logNotice
 	g.publisher.Store, g.publisher.VM, g.publisher.Log = &g.store, s.VM, g.log
@@ -174,27 +177,35 @@
 	errorLog := zap.NewStdLog(g.log.Logger)
 	g.callerServer = http.Server{
 		Handler: &g.receiver, ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
-		ConnState: g.receiver.ObserveConnection,
+		ConnState: g.receiver.ObserveConnection, ConnContext: acceptor.WithConn,
 	}
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("/ready", g.receiver.ServeReady)
-	g.readyServer = http.Server{Handler: readiness, ReadHeaderTimeout: maxHeaderTimeout, ErrorLog: errorLog}
+	g.readyServer = http.Server{
+		Handler: readiness, ReadTimeout: maxProbeTime, WriteTimeout: maxProbeTime, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxProbeHeaderBytes,
+		ErrorLog: errorLog, ConnState: acceptor.Observe,
+	}
 	admin := http.NewServeMux()
 	admin.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { g.metrics.WritePrometheus(w) })
 	admin.HandleFunc("/profile", pprof.Profile)
-	g.adminServer = http.Server{Handler: admin, ReadHeaderTimeout: maxHeaderTimeout, ErrorLog: errorLog}
+	g.adminServer = http.Server{
+		Handler: admin, ReadHeaderTimeout: maxProbeTime, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxProbeHeaderBytes, ErrorLog: errorLog,
+		ConnState: acceptor.Observe,
+	}
 	var err error
 	if g.callers, err = acceptor.Listen(s.CallerAddress); err != nil {
 		return err
 	}
-	serveOn(&g.callerServer, g.callers)
-	if err := serve(&g.readyServer, s.ReadinessAddress); err != nil {
+	if g.probes, err = acceptor.Listen(s.ReadinessAddress); err != nil {
 		return err
 	}
+	g.boundListeners()
+	serveOn(&g.callerServer, g.callers)
+	serveOn(&g.readyServer, g.probes)
 	if len(s.InternalPorts) == 0 {
 		return nil
 	}
-	return serve(&g.adminServer, netip.AddrPortFrom(s.CallerAddress.Addr(), s.InternalPorts[0]))
+	return g.serveInternal(&g.adminServer, netip.AddrPortFrom(s.CallerAddress.Addr(), s.InternalPorts[0]), maxProbeConns)
 }
 
 // startPeering serves changes of the store and requests to the other VMs and registers this VM, so that they find it. The returned channel is
@@ -220,8 +231,9 @@
 	if self.DetourAddress.IsValid() {
 		g.detourServer = http.Server{
 			Handler: &g.host, ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxDetourHeaderBytes, ErrorLog: zap.NewStdLog(g.log.Logger),
+			ConnState: acceptor.Observe, ConnContext: acceptor.WithConn,
 		}
-		if err := serve(&g.detourServer, self.DetourAddress); err != nil {
+		if err := g.serveInternal(&g.detourServer, self.DetourAddress, g.Settings.MaxSockets/peerShare); err != nil {
 			return nil, err
 		}
 	}
@@ -246,16 +258,6 @@
 	return m
 }
 
-// serve listens on address and serves requests in a goroutine.
-func serve(h *http.Server, address netip.AddrPort) error {
-	l, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return err
-	}
-	serveOn(h, l)
-	return nil
-}
-
 // serveOn serves requests on a listener in a goroutine.
 func serveOn(h *http.Server, l net.Listener) {
 	go func() {
