Order waiting requests by rank, customer and deadline, and refuse those without a turn

Cause: the sub-requests that wait for an upstream were ordered by rank and age only. A customer that sends many requests took nearly all turns, a request that had lost its turn waited until its limit before it was refused, and the last token of the retry budget went to the first that asked.

Change: while the manifest names customers, the customers of a rank share its turns by start-time fair queueing, with one place for a request at all of its shards; requests to one upstream whose turn would come too late are refused at once, on arrival or when others go first; a scarce token goes to a request that fails without it. The fair queue of admitter is now in sharer and used by both. Without customers the order is as before. TestCallersBound of admitter uses the moved names; TestRandomHistories also draws customers.

--- a/core/coordination/admitter/estimate.go
+++ b/core/coordination/admitter/estimate.go
@@ -74,12 +74,12 @@
 	}
 	weight, own := 1.0, 0
 	if c != nil {
-		weight, own = c.weight, len(c.entries)
+		weight, own = c.Weight, len(c.Items)
 	}
 	ahead := float64(own + 1)
-	for _, o := range q.callers.list {
+	for _, o := range q.callers.Users {
 		if o != c {
-			ahead += min(float64(len(o.entries)), float64(own+1)*o.weight/weight)
+			ahead += min(float64(len(o.Items)), float64(own+1)*o.Weight/weight)
 		}
 	}
 	return time.Duration(ahead / float64(n) * float64(q.estimate.mean(now)))
--- a/core/coordination/admitter/queue.go
+++ b/core/coordination/admitter/queue.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"comfreyroute/core/coordination/sharer"
 	"comfreyroute/core/state/tabler"
 )
 
@@ -20,19 +21,16 @@
 	inFlight       int
 	waiting        int
 	estimate       estimate
-	callers        callerQueues
-	virtualTime    float64 // start tag of the last entry that left the queue
-	lastOrder      uint64
+	callers        sharer.Queue[Entry]
 	earliestExpiry time.Time // no waiting entry expires earlier; zero if unknown
 	dropped        []waiter  // removed without running, not yet returned by TakeDropped
 }
 
 // waiter is an entry in the queue.
-type waiter struct {
-	Entry
-	start float64 // start tag in virtual time
-	order uint64
-}
+type waiter = sharer.Item[Entry]
+
+// callerQueue holds the entries of one caller.
+type callerQueue = sharer.User[Entry]
 
 // Configure applies the settings of a service row. fleetMax is the maximum number of VMs that share its limit.
 func (q *Queue) Configure(row *tabler.ServiceRow, fleetMax int) {
@@ -41,8 +39,8 @@
 	if row.InFlightLimit > 0 {
 		q.limit = max(1, row.InFlightLimit/max(1, fleetMax))
 	}
-	for _, c := range q.callers.list {
-		c.weight = q.weight(c.name)
+	for _, c := range q.callers.Users {
+		c.Weight = q.weight(c.Name)
 	}
 }
 
@@ -55,7 +53,7 @@
 	if !e.Deadline.IsZero() && !now.Before(e.Deadline) {
 		return reject(ReasonDeadline, 0)
 	}
-	c := q.callers.find(e.Caller)
+	c := q.callers.Find(e.Caller)
 	wait := q.estimatedWait(now, c)
 	if q.missesDeadline(e, now.Add(wait), now) {
 		return reject(ReasonDeadline, wait)
@@ -68,10 +66,9 @@
 		return reject(ReasonQueueFull, wait)
 	}
 	if c == nil {
-		c = q.callers.add(e.Caller, q.weight(e.Caller), q.virtualTime)
+		c = q.callers.Add(e.Caller, q.weight(e.Caller))
 	}
-	q.lastOrder++
-	c.push(waiter{Entry: e, order: q.lastOrder}, q.virtualTime)
+	q.callers.Push(c, 1, e)
 	q.waiting++
 	if !e.Deadline.IsZero() && (q.waiting == 1 || e.Deadline.Before(q.earliestExpiry)) {
 		q.earliestExpiry = e.Deadline
@@ -90,10 +87,8 @@
 func (q *Queue) StartNext(now time.Time) (Entry, bool) {
 	q.dropExpired(now)
 	for q.waiting > 0 && q.hasCapacity() {
-		c := q.callers.nextCaller()
-		w := c.pop()
+		w := q.callers.Pop(q.callers.Next())
 		q.waiting--
-		q.virtualTime = max(q.virtualTime, w.start)
 		if q.missesDeadline(w.Entry, now, now) {
 			q.dropped = append(q.dropped, w)
 			continue
@@ -114,10 +109,10 @@
 
 // Remove removes a waiting request, such as one whose caller is gone. It returns false if the request is not waiting.
 func (q *Queue) Remove(request uint64) bool {
-	same := func(w waiter) bool { return w.Request == request }
-	for _, c := range q.callers.list {
-		if i := slices.IndexFunc(c.entries, same); i >= 0 {
-			c.entries = slices.Delete(c.entries, i, i+1)
+	same := func(w waiter) bool { return w.Entry.Request == request }
+	for _, c := range q.callers.Users {
+		if i := slices.IndexFunc(c.Items, same); i >= 0 {
+			c.Items = slices.Delete(c.Items, i, i+1)
 			q.waiting--
 			return true
 		}
@@ -133,7 +128,7 @@
 // cannot meet their deadline and those that were displaced for a caller below its share.
 func (q *Queue) TakeDropped(now time.Time) []Entry {
 	q.dropExpired(now)
-	slices.SortFunc(q.dropped, func(a, b waiter) int { return int(int64(a.order) - int64(b.order)) })
+	slices.SortFunc(q.dropped, func(a, b waiter) int { return int(int64(a.Order) - int64(b.Order)) })
 	var out []Entry
 	for _, w := range q.dropped {
 		out = append(out, w.Entry)
@@ -154,25 +149,24 @@
 func (q *Queue) dropExpired(now time.Time) {
 	if q.waiting == 0 {
 		q.earliestExpiry = time.Time{}
-		q.virtualTime = 0
-		q.callers.reset()
+		q.callers.Reset()
 		return
 	}
 	if q.earliestExpiry.IsZero() || now.Before(q.earliestExpiry) {
 		return
 	}
 	q.earliestExpiry = time.Time{}
-	for _, c := range q.callers.list {
-		c.entries = slices.DeleteFunc(c.entries, func(w waiter) bool {
+	for _, c := range q.callers.Users {
+		c.Items = slices.DeleteFunc(c.Items, func(w waiter) bool {
 			switch {
-			case w.Deadline.IsZero():
+			case w.Entry.Deadline.IsZero():
 				return false
-			case !now.Before(w.Deadline):
+			case !now.Before(w.Entry.Deadline):
 				q.dropped = append(q.dropped, w)
 				q.waiting--
 				return true
-			case q.earliestExpiry.IsZero() || w.Deadline.Before(q.earliestExpiry):
-				q.earliestExpiry = w.Deadline
+			case q.earliestExpiry.IsZero() || w.Entry.Deadline.Before(q.earliestExpiry):
+				q.earliestExpiry = w.Entry.Deadline
 			}
 			return false
 		})
@@ -184,16 +178,13 @@
 func (q *Queue) displaceEntry(c *callerQueue) bool {
 	own := 1.0
 	if c != nil {
-		own = float64(len(c.entries)+1) / c.weight
+		own = float64(len(c.Items)+1) / c.Weight
 	}
-	most := q.callers.longest(c)
-	if most == nil || most.weightedLength() <= own {
+	most := q.callers.Longest(c)
+	if most == nil || most.WeightedLength() <= own {
 		return false
 	}
-	last := len(most.entries) - 1
-	q.dropped = append(q.dropped, most.entries[last])
-	most.entries = most.entries[:last]
-	most.finish -= 1 / most.weight
+	q.dropped = append(q.dropped, q.callers.DropNewest(most))
 	q.waiting--
 	return true
 }
--- a/core/coordination/admitter/queue_test.go
+++ b/core/coordination/admitter/queue_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"comfreyroute/core/coordination/sharer"
 	"comfreyroute/core/state/tabler"
 )
 
@@ -219,14 +220,14 @@
 
 // TestCallersBound guards against memory use that grows with the number of callers.
 func TestCallersBound(t *testing.T) {
-	q := newQueue(1, 3*maxCallers)
+	q := newQueue(1, 3*sharer.MaxUsers)
 	fillInFlight(q, 1)
-	for i := range 3 * maxCallers {
+	for i := range 3 * sharer.MaxUsers {
 		if v := q.Offer(epoch, Entry{Request: uint64(i), Caller: fmt.Sprint(i)}); v.Decision != Wait {
 			t.Fatalf("caller %d: %+v", i, v)
 		}
 	}
-	if n := len(q.callers.list); n > maxCallers+1 {
+	if n := len(q.callers.Users); n > sharer.MaxUsers+1 {
 		t.Errorf("%d callers are tracked", n)
 	}
 }
--- a/core/coordination/budgeter/window.go
+++ b/core/coordination/budgeter/window.go
@@ -50,8 +50,7 @@
 
 // TakeToken counts an extra send, if it is within the limits. It returns false if it is not.
 func (w *Window) TakeToken(now time.Time) bool {
-	w.advance(now)
-	if w.level < tokenUnit && (int64(len(w.extras))+1)*tokenUnit > w.slack+w.recentPrimaries()*w.gain {
+	if w.available(now) < tokenUnit {
 		return false
 	}
 	w.level -= tokenUnit
@@ -59,6 +58,15 @@
 	return true
 }
 
+// Tokens returns the number of whole tokens that can be taken now.
+func (w *Window) Tokens(now time.Time) int { return int(max(0, w.available(now)) / tokenUnit) }
+
+// available returns what the rule that grants more has left, in millionths of a token.
+func (w *Window) available(now time.Time) int64 {
+	w.advance(now)
+	return max(w.level, w.slack+w.recentPrimaries()*w.gain-int64(len(w.extras))*tokenUnit)
+}
+
 // ReturnToken takes back the extra send that the last TakeToken counted at the same time, because it is not made.
 func (w *Window) ReturnToken() {
 	w.level = min(w.slack, w.level+tokenUnit)
--- a/core/coordination/forwarder/admission.go
+++ b/core/coordination/forwarder/admission.go
@@ -6,17 +6,25 @@
 	"comfreyroute/core/coordination/screener"
 )
 
-// screen decides whether a gathered request can reach enough shards, and refuses it if not. It returns false for a refused request.
+// shardOf returns what this VM knows of a shard at which a number of sub-requests wait before the one that is decided about.
+func (m *Machine) shardOf(now time.Time, s *service, queue int) screener.Shard {
+	shard := screener.Shard{Queue: queue, Service: s.set.UsualLatency()}
+	shard.Upstreams, shard.Free, shard.Places = s.set.Room(now)
+	if shard.Upstreams > 0 && shard.Places == 0 {
+		shard.Grant, shard.Spacing = s.set.NextGrant(now, nil).Sub(now), s.set.GrantSpacing()
+	}
+	return shard
+}
+
+// screen decides whether a request can reach enough shards, and refuses it if not. It returns false for a refused request.
 func (m *Machine) screen(now time.Time, r *request) bool {
+	if r.ordered() {
+		return !m.refuseOverdue(now, r, Hopeless)
+	}
 	m.shards = m.shards[:0]
 	for index := range r.subs {
 		s := r.subs[index].service
-		shard := screener.Shard{Queue: s.queuedBefore(r), Service: s.set.UsualLatency()}
-		shard.Upstreams, shard.Free, shard.Places = s.set.Room(now)
-		if shard.Upstreams > 0 && shard.Places == 0 {
-			shard.Grant, shard.Spacing = s.set.NextGrant(now, nil).Sub(now), s.set.GrantSpacing()
-		}
-		m.shards = append(m.shards, shard)
+		m.shards = append(m.shards, m.shardOf(now, s, s.queuedBefore(r)))
 	}
 	rejected, ok := screener.Screen(m.shards, r.minShards, r.waitUntil.Sub(now)).(screener.Rejected)
 	if !ok {
--- a/core/coordination/forwarder/detour.go
+++ b/core/coordination/forwarder/detour.go
@@ -158,6 +158,7 @@
 			sub.state, sub.heldUntil = subIdle, time.Time{}
 		}
 	}
+	r.leaveTurns()
 }
 
 // resumeSubRequests goes on with the sub-requests of a request that no peer has taken.
--- a/core/coordination/forwarder/dispatch.go
+++ b/core/coordination/forwarder/dispatch.go
@@ -34,7 +34,7 @@
 	}
 	i, ok := m.pickUpstream(now, sub, false)
 	switch {
-	case ok && (!sub.needsToken || sub.service.budget.TakeToken(now)):
+	case ok && (!sub.needsToken || m.takeToken(now, r, sub, now)):
 		m.send(now, r, index, i)
 	case ok:
 		sub.reason = Budget
@@ -147,9 +147,10 @@
 		return
 	}
 	i, ok := m.pickUpstream(now, sub, true)
-	if !ok || !sub.service.budget.TakeToken(now) {
+	again := now.Add(r.routeState.hedgeDelay(now, r.route, r.answerBy.Sub(r.arrived)))
+	if !ok || !m.takeToken(now, r, sub, again) {
 		// An upstream or a token may become available while the first attempt is still in flight.
-		sub.hedgeAt = now.Add(r.routeState.hedgeDelay(now, r.route, r.answerBy.Sub(r.arrived)))
+		sub.hedgeAt = again
 		return
 	}
 	r.hedges++
--- a/core/coordination/forwarder/event.go
+++ b/core/coordination/forwarder/event.go
@@ -139,7 +139,8 @@
 // usable reply, Budget that the retry budget was used up, RateLimited that the rates which the upstreams declare allow no further request
 // in time, OutOfReach that this VM reaches too few upstreams, OtherManifest that the VMs route the request differently,
 // Stopping that this VM stops before an upstream can have answered, and Quarantined that the request crashes the upstreams that run it.
-// NoKey, SeveralKeys and UnknownKey mean that the request does not prove to which customer it belongs.
+// NoKey, SeveralKeys and UnknownKey mean that the request does not prove to which customer it belongs. Hopeless means that its turn would come too
+// late when it arrived, and Displaced that later requests go first.
 const (
 	None          Reason = iota // none
 	NoManifest                  // no_manifest
@@ -161,7 +162,9 @@
 	NoKey                       // no_key
 	SeveralKeys                 // several_keys
 	UnknownKey                  // unknown_key
+	Hopeless                    // hopeless
+	Displaced                   // displaced
 )
 
 // LastReason is the largest Reason.
-const LastReason = UnknownKey
+const LastReason = Displaced
--- a/core/coordination/forwarder/harness_test.go
+++ b/core/coordination/forwarder/harness_test.go
@@ -21,6 +21,7 @@
 	probes      []Probe
 	wake        time.Time
 	lastRequest RequestID
+	keys        []string                // of the callers
 	sentAt      map[AttemptID]time.Time // used by rateFleet
 }
 
@@ -68,6 +69,7 @@
 func (h *harness) request(path string, deadline time.Duration) RequestID {
 	h.lastRequest++
 	e := RequestArrived{Request: h.lastRequest, Message: &Message{RequestID: strconv.FormatUint(uint64(h.lastRequest), 10), Host: "h.example", Path: path, Target: path, Method: "GET"}}
+	e.Keys = h.keys
 	if deadline > 0 {
 		e.Deadline = h.now.Add(deadline)
 	}
--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -6,9 +6,11 @@
 
 	"comfreyroute/core/coordination/navigator"
 	"comfreyroute/core/coordination/quarantiner"
+	"comfreyroute/core/coordination/ranker"
 	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/core/coordination/scheduler"
 	"comfreyroute/core/coordination/screener"
+	"comfreyroute/core/coordination/sharer"
 )
 
 // Machine is the state machine that forwards the requests of one VM. The zero value is usable and has no manifest. It is not safe
@@ -22,6 +24,10 @@
 
 	QuarantineRefused uint64 // requests refused because they crash upstreams; read only
 
+	Order OrderCounts // read only
+
+	turns map[ranker.Rank]*sharer.Queue[struct{}] // of the requests of customers
+
 	reach           navigator.Reach
 	elsewhere       navigator.Elsewhere // what peers say of all upstreams
 	peers           navigator.Peers
@@ -50,6 +56,7 @@
 	wakeAt      time.Time // time of the last Wake action that has not fired yet
 	actions     []Action
 	shards      []screener.Shard // reused by screen
+	waiters     []ranker.Waiter  // reused by dispatchWaiting
 }
 
 // Step handles one event and returns the actions to perform, in order. The slice is valid until the next Step. The times of
--- a/core/coordination/forwarder/property_test.go
+++ b/core/coordination/forwarder/property_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"comfreyroute/core/coordination/authenticator"
 )
 
 // executions records what the upstreams of a random run have executed, to check the answers against.
@@ -22,6 +24,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		const n = 4
 		h := newReadyHarness(t, n)
+		customers := rapid.Bool().Draw(rt, "customers")
 		x := executions{runs: map[RequestID]map[string]int{}, paths: map[RequestID]string{}, callerGone: map[RequestID]bool{}}
 		version := uint64(1)
 		paths := []string{"/all/x", "/one/x", "/once/x", "/split/x"}
@@ -29,6 +32,7 @@
 			switch rapid.IntRange(0, 9).Draw(rt, "event") {
 			case 0, 1, 2:
 				path := rapid.SampledFrom(paths).Draw(rt, "path")
+				h.keys = []string{rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "key")}
 				id := h.lastRequest + 1
 				x.paths[id] = path
 				h.request(path, time.Duration(rapid.IntRange(0, 300).Draw(rt, "deadline"))*time.Millisecond)
@@ -53,7 +57,12 @@
 					h.step(UpstreamsListed{Upstreams: append(all[:drop:drop], all[drop:]...)})
 				} else {
 					version++
-					h.step(ManifestAdopted{Manifest: testManifest(version, n)})
+					m := testManifest(version, n)
+					if customers {
+						m.Customers = customersOf(map[string]authenticator.Customer{"a": {Name: "a"}, "b": {Name: "b", Priority: authenticator.Priority{Set: true}}})
+						m.Routes[0].Priority = 1
+					}
+					h.step(ManifestAdopted{Manifest: m})
 				}
 			}
 		}
--- a/core/coordination/forwarder/request.go
+++ b/core/coordination/forwarder/request.go
@@ -54,6 +54,7 @@
 	customer        *authenticator.Customer // nil if callers need no key
 	key             authenticator.Digest    // of the customer
 	identity        Identity
+	turn            turn
 }
 
 // subRequest is the part of a request for one shard or service, with all of its attempts.
@@ -176,12 +177,13 @@
 
 // dispatchSubRequests sends the sub-requests of a request to upstreams.
 func (m *Machine) dispatchSubRequests(now time.Time, r *request) {
+	m.joinTurns(r)
 	if r.detoured == nil || !r.detoured.Counted {
 		for index := range r.subs {
 			r.subs[index].service.budget.AddPrimaries(now, 1)
 		}
 	}
-	if r.gather != nil && !m.screen(now, r) {
+	if (r.gather != nil || r.ordered() && len(r.subs[0].service.waiting) > 0) && !m.screen(now, r) {
 		return
 	}
 	for index := range r.subs {
@@ -201,13 +203,19 @@
 	}
 	if len(r.subs) == 0 {
 		m.refuse(r, NoUpstream)
+		return
 	}
+	m.displace(now, r)
+	r.leaveTurns()
 }
 
 // finish removes a request that has its answer. Attempts in flight are not cancelled, because that closes their connections and
 // each upstream would need a new one.
 func (m *Machine) finish(r *request) {
 	r.finished = true
+	if r.ordered() {
+		r.dequeueAll()
+	}
 	for index := range r.subs {
 		for _, id := range r.subs[index].inFlight {
 			if a := m.attempts[id]; a != nil {
--- a/core/coordination/forwarder/schedule.go
+++ b/core/coordination/forwarder/schedule.go
@@ -67,6 +67,7 @@
 			sub.service.dequeue(r, index)
 			sub.reason = Busy
 			m.failSub(now, r, index)
+			r.leaveTurns()
 		case sub.state == subWaiting:
 			m.dispatchWaiting(now, sub.service)
 		}
@@ -76,14 +77,10 @@
 	}
 }
 
-// precedes reports whether a waiting request goes before a new one: the requests of this VM's callers before those of other VMs, then by
-// priority, then by age.
+// precedes reports whether a waiting request goes before another one: the requests of this VM's callers before those of other VMs, then by
+// priority, then by the turns of customers, then by age.
 func (r *request) precedes(o *request) bool {
-	if own := r.detoured == nil; own != (o.detoured == nil) {
-		return own
-	}
-	a, b := r.priorities(), o.priorities()
-	return slices.Compare(a[:], b[:]) <= 0
+	return r != o && r.place().Compare(o.place()) <= 0
 }
 
 // enqueue adds a sub-request to the waiting ones, in the order of precedes.
@@ -104,16 +101,19 @@
 // dispatchWaiting dispatches waiting sub-requests of a service while upstreams have free capacity.
 func (m *Machine) dispatchWaiting(now time.Time, s *service) {
 	for len(s.waiting) > 0 {
-		w := s.waiting[0]
+		var at int
+		at, m.waiters = s.next(now, m.waiters)
+		w := s.waiting[at]
 		sub := &w.request.subs[w.subIndex]
 		if w.request.finished || sub.state != subWaiting {
-			s.waiting = s.waiting[1:]
+			s.waiting = slices.Delete(s.waiting, at, at+1)
 			continue
 		}
 		if _, ok := m.pickUpstream(now, sub, false); !ok && sub.hasUntriedUpstream() {
 			return
 		}
-		s.waiting = s.waiting[1:]
+		s.waiting = slices.Delete(s.waiting, at, at+1)
 		m.dispatch(now, w.request, w.subIndex)
+		w.request.leaveTurns()
 	}
 }
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -10,6 +10,7 @@
 	"comfreyroute/core/coordination/limiter"
 	"comfreyroute/core/coordination/navigator"
 	"comfreyroute/core/coordination/quarantiner"
+	"comfreyroute/core/coordination/ranker"
 	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/core/coordination/selector"
 	"comfreyroute/core/state/tabler"
@@ -25,6 +26,7 @@
 	maxConnections int // per upstream, over all VMs
 	set            selector.Set
 	budget         budgeter.Window
+	claims         ranker.Claims            // on its tokens
 	upstreams      []Upstream               // sorted by name
 	waiting        []waiter                 // in dispatch order
 	limitedSends   map[string]*LimitedSends // by upstream that declares a limit
--- a/core/coordination/forwarder/strings.go
+++ b/core/coordination/forwarder/strings.go
@@ -53,11 +53,13 @@
 	_ = x[NoKey-17]
 	_ = x[SeveralKeys-18]
 	_ = x[UnknownKey-19]
+	_ = x[Hopeless-20]
+	_ = x[Displaced-21]
 }
 
-const _Reason_name = "noneno_manifestno_routeno_upstreambusyshedexpiredlateerroredlostbudgettoo_few_shardsrate_limitedout_of_reachother_manifeststoppingquarantinedno_keyseveral_keysunknown_key"
+const _Reason_name = "noneno_manifestno_routeno_upstreambusyshedexpiredlateerroredlostbudgettoo_few_shardsrate_limitedout_of_reachother_manifeststoppingquarantinedno_keyseveral_keysunknown_keyhopelessdisplaced"
 
-var _Reason_index = [...]uint8{0, 4, 15, 23, 34, 38, 42, 49, 53, 60, 64, 70, 84, 96, 108, 122, 130, 141, 147, 159, 170}
+var _Reason_index = [...]uint8{0, 4, 15, 23, 34, 38, 42, 49, 53, 60, 64, 70, 84, 96, 108, 122, 130, 141, 147, 159, 170, 178, 187}
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_Reason_index)-1) {
--- a/core/coordination/screener/screen.go
+++ b/core/coordination/screener/screen.go
@@ -14,9 +14,16 @@
 	Grant     time.Duration // without places: until the declared rate of an upstream allows another request
 	Spacing   time.Duration // without places: between the requests that the declared rates of all upstreams allow
 	Service   time.Duration // usual time of a request at an upstream; 0 if unknown
+	Steady    bool          // places become free one after the other; otherwise all may do so at once
 }
 
-// wait returns how long a new request certainly waits for room at the shard. It returns false if the shard cannot serve it at all.
+// Overdue reports whether a request waits for room at the shard for longer than patience: certainly, or usually if the shard is steady.
+func (s Shard) Overdue(patience time.Duration) bool {
+	wait, ok := s.wait()
+	return !ok || wait > patience
+}
+
+// wait returns how long a new request waits for room at the shard. It returns false if the shard cannot serve it at all.
 func (s Shard) wait() (time.Duration, bool) {
 	switch {
 	case s.Upstreams == 0:
@@ -26,6 +33,9 @@
 	case s.Free > s.Queue:
 		return 0, true
 	}
+	if s.Steady {
+		return time.Duration(float64(s.Queue-s.Free+1) / float64(s.Places) * float64(s.Service)), true
+	}
 	// All places may become free at once, now, and the requests in the queue take them first.
 	turns := (s.Queue - s.Free) / s.Places
 	return time.Duration(turns) * s.Service, true
@@ -51,11 +61,11 @@
 	var unreachable []int
 	var late []time.Duration
 	for i, s := range shards {
-		wait, ok := s.wait()
-		if ok && wait <= patience {
+		if !s.Overdue(patience) {
 			continue
 		}
 		unreachable = append(unreachable, i)
+		wait, ok := s.wait()
 		// When the rate of this VM allows a request says nothing about other VMs, and a caller that retries reaches one of those.
 		if ok && s.Places > 0 {
 			late = append(late, wait)
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -443,6 +443,12 @@
 	count("upstreams_lost", machine(func(m *forwarder.Machine) uint64 { return m.UpstreamsLost() }))
 	count("quarantine_refused_total", machine(func(m *forwarder.Machine) uint64 { return m.QuarantineRefused }))
 	count("quarantined_signatures", machine(func(m *forwarder.Machine) uint64 { return m.QuarantinedSignatures() }))
+	order := func(decision string, f func(*forwarder.OrderCounts) uint64) {
+		count(`order_total{decision="`+decision+`"}`, machine(func(m *forwarder.Machine) uint64 { return f(&m.Order) }))
+	}
+	order("hopeless", func(c *forwarder.OrderCounts) uint64 { return c.Hopeless })
+	order("displaced", func(c *forwarder.OrderCounts) uint64 { return c.Displaced })
+	order("withheld", func(c *forwarder.OrderCounts) uint64 { return c.Withheld })
 	count("store_calls_total", g.store.Calls.Load)
 	count("log_lines_dropped_total", g.log.DroppedLines.Load)
 	for _, level := range []string{"info", "warn", "error", spooler.Unwritable} {
