--- a/core/coordination/forwarder/event.go
+++ b/core/coordination/forwarder/event.go
@@ -158,6 +158,8 @@
 // Stopping that this VM stops before an upstream can have answered, and Quarantined that the request crashes the upstreams that run it.
 // NoKey, SeveralKeys and UnknownKey mean that the request does not prove to which customer it belongs, OverRate that the customer has used up
 // its rate, and NoGrant that no granter of the rate has answered.
+// Hopeless means that its turn would come too
+// late when it arrived, and Displaced that later requests go first.
 const (
 	None          Reason = iota // none
 	NoManifest                  // no_manifest
@@ -181,7 +183,9 @@
 	UnknownKey                  // unknown_key
 	OverRate                    // over_rate
 	NoGrant                     // no_grant
+	Hopeless                    // hopeless
+	Displaced                   // displaced
 )
 
 // LastReason is the largest Reason.
-const LastReason = NoGrant
+const LastReason = Displaced
--- a/core/coordination/forwarder/strings.go
+++ b/core/coordination/forwarder/strings.go
@@ -55,11 +55,13 @@
 	_ = x[UnknownKey-19]
 	_ = x[OverRate-20]
 	_ = x[NoGrant-21]
+	_ = x[Hopeless-22]
+	_ = x[Displaced-23]
 }
 
-const _Reason_name = "noneno_manifestno_routeno_upstreambusyshedexpiredlateerroredlostbudgettoo_few_shardsrate_limitedout_of_reachother_manifeststoppingquarantinedno_keyseveral_keysunknown_keyover_rateno_grant"
+const _Reason_name = "noneno_manifestno_routeno_upstreambusyshedexpiredlateerroredlostbudgettoo_few_shardsrate_limitedout_of_reachother_manifeststoppingquarantinedno_keyseveral_keysunknown_keyover_rateno_granthopelessdisplaced"
 
-var _Reason_index = [...]uint8{0, 4, 15, 23, 34, 38, 42, 49, 53, 60, 64, 70, 84, 96, 108, 122, 130, 141, 147, 159, 170, 179, 187}
+var _Reason_index = [...]uint8{0, 4, 15, 23, 34, 38, 42, 49, 53, 60, 64, 70, 84, 96, 108, 122, 130, 141, 147, 159, 170, 179, 187, 195, 204}
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_Reason_index)-1) {
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -497,6 +497,12 @@
 	count("grant_asks_total", machine(func(m *forwarder.Machine) uint64 { return m.GrantCounts.Asks }))
 	count("grant_asks_failed_total", machine(func(m *forwarder.Machine) uint64 { return m.GrantCounts.Failed }))
 	count("granter_contacts", g.granter.Contacts)
+	order := func(decision string, f func(*forwarder.OrderCounts) uint64) {
+		count(`order_total{decision="`+decision+`"}`, machine(func(m *forwarder.Machine) uint64 { return f(&m.Order) }))
+	}
+	order("hopeless", func(c *forwarder.OrderCounts) uint64 { return c.Hopeless })
+	order("displaced", func(c *forwarder.OrderCounts) uint64 { return c.Displaced })
+	order("withheld", func(c *forwarder.OrderCounts) uint64 { return c.Withheld })
 	count("store_calls_total", g.store.Calls.Load)
 	count("log_lines_dropped_total", g.log.DroppedLines.Load)
 	for _, level := range []string{"info", "warn", "error", spooler.Unwritable} {
