Leave the last token only to requests that wait for one

Cause: a hedge of a request with its minimum coverage left one token unconditionally.

Change: the token is left only while a request that needs it more has found none and asks again.

TestScarceToken and TestClaims test the new rule; the former fails with the turns switched off.

--- a/core/coordination/ranker/claim.go
+++ b/core/coordination/ranker/claim.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// spareTokens is how many tokens a request leaves that needs one less than others. The next sub-request that would fail its request finds one then.
+// spareTokens is how many tokens a request leaves while one that needs it more waits for a token.
 const spareTokens = 1
 
 // Claim is what a request loses without an extra send.
@@ -29,7 +29,7 @@
 
 // Allow reports whether a request may take one of the tokens that are left.
 func (c *Claims) Allow(now time.Time, claim Claim, tokens int) bool {
-	if claim.Covered || now.Before(c.until) && c.denied.precedes(claim) {
+	if now.Before(c.until) && c.denied.precedes(claim) {
 		return tokens > spareTokens
 	}
 	return tokens > 0
