Show which test notices the missing evacuation, cold rate and status checks

Cause: scripts/without.sh did not know the new mechanisms, its entry status named a renamed test and line, and unsigned a line that had changed earlier. Change: entries for each of them; unsigned finds its line again. TestLossWhileEvacuated, because emptied (evacuated upstreams as evidence of a loss) was noticed by no test.

--- a/core/coordination/forwarder/evacuation_test.go
+++ b/core/coordination/forwarder/evacuation_test.go
@@ -83,3 +83,18 @@
 		}
 	}
 }
+
+// TestLossWhileEvacuated guards against a VM that waits for evidence from evacuated upstreams before it takes the others for lost.
+func TestLossWhileEvacuated(t *testing.T) {
+	h := newHarness(t, Config{FailureDomain: "d0"})
+	h.step(ManifestAdopted{Manifest: testManifest(1, 0)})
+	h.step(UpstreamsListed{Upstreams: upstreams("point")})
+	h.step(EvacuationsListed{FailureDomains: []string{"d0"}})
+	for range 4 { // both upstreams that are left
+		h.request("/one/x", 0)
+	}
+	h.advance(500 * time.Millisecond)
+	if h.machine.UpstreamsLost() != 1 {
+		t.Errorf("no loss after %d sends without a reply", len(h.sent))
+	}
+}
--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -72,8 +72,20 @@
 flood|core/coordination/quarantiner/watchlist.go|s/if len(w.entries) >= w.Settings.maxSuspects() {/if false {/|core/coordination/quarantiner|TestFloodOfCrashingRequests
 oddlist|core/protocol/encoder/decode.go|s/if l, ok := v.(.VMList); ok {/if l, ok := v.(*VMList); ok \&\& l == nil {/|core/transport/kvclient|TestOddVMEntries
 oddvm|platform/translator/vm.go|s/json.Unmarshal(i.Value, &value) == nil .. value.isVM()/json.Unmarshal(i.Value, \&value) == nil \&\& value.Address.IsValid()/|platform/translator|TestVMEntries
-unsigned|core/coordination/forwarder/upstream.go|s/return r.claimsSuccess() .. r.Signature == ""/return false/|core/coordination/forwarder|TestUnsignedSuccess
-status|platform/translator/upstreamcodec.go|s/if response.StatusCode < http.StatusOK {/if false {/|platform/translator|TestStatusBelow100
+unsigned|core/coordination/forwarder/upstream.go|s/return r.claimsSuccess() .. !r.proven()/return false/|core/coordination/forwarder|TestUnsignedSuccess
+status|platform/translator/upstreamcodec.go|s/if !IsFinalStatus(response.StatusCode) {/if false {/|platform/translator|TestImpossibleStatus
+caller|platform/translator/upstreamcodec.go|s/ .. status <= maxStatus//|platform/translator|TestImpossibleStatusToCaller
+peerstatus|gateway/internal/detourer/protocol.go|s/err != nil .. !translator.IsFinalStatus(status)/err != nil/|gateway/internal/detourer|TestImpossibleStatus
+substatus|core/transport/connector/message.go|s/response.StatusCode != http.StatusOK .. //|core/transport/connector|TestReplyWithAnotherStatus
+evacuated|core/coordination/forwarder/evacuation.go|s/bool { return slices.Contains(m.evacuated, u.FailureDomain) }/bool { return u == nil }/|core/coordination/forwarder|TestEvacuation
+emptied|core/coordination/forwarder/evacuation.go|s/	m.configureReach()$/	_ = m/|core/coordination/forwarder|TestLossWhileEvacuated
+regained|core/coordination/selector/set.go|s/	u.rampStart, u.latency = now, latencyAverage{}$/	_ = u/|core/coordination/forwarder|TestEvacuation
+takenback|gateway/internal/watcher/evacuations.go|s/	e.entries = nil$/	_ = e/|gateway/internal/watcher|TestEvacuations
+readfirst|gateway/internal/watcher/watcher.go|s/if w.evacuations.replace(c.Evacuations) {/if w.evacuations.replace(nil) {/|gateway/internal/watcher|TestEvacuations
+cold|core/coordination/selector/warmup.go|s/	if !u.IsCold(now) {/	if true {/|core/coordination/forwarder|TestColdUpstreams
+unannounced|core/coordination/selector/upstream.go|/u.extendCold(now.Add(coldTime))/d|core/coordination/forwarder|TestColdUpstreams
+coldhedge|core/coordination/selector/pick.go|s/(limited .. u.IsCold(now))/limited/|core/coordination/forwarder|TestColdUpstreamGetsNoHedges
+countdown|gateway/internal/watcher/registry.go|/after.ColdFor = max(after.ColdFor, before.ColdFor)/d|gateway/internal/watcher|TestColdEntries
 orphans|core/coordination/forwarder/quarantine.go|s/			m.recordOrphan(now, a)/			_ = a/|core/coordination/forwarder|TestFleetStopsLateCrashes
 linger|core/coordination/forwarder/dispatch.go|s/		linger = aloneLinger/		linger = 0/|core/coordination/forwarder|TestSuspectIsWatchedToItsEnd
 awaited|core/transport/requester/client.go|s/if j == nil .. j.conn != nil .. j.send.Linger > 0 {/if j == nil {/|core/transport/requester|TestLinger
