Keep the burst of a customer from being granted twice by one granter

Cause: a customer without an account at a granter got the shares of all the time that this granter had counted, also of those that had lapsed or gone to another granter. A customer that left the manifest and returned got a full burst again.

Change: customers get their account with the manifest, so that what is stored goes with the shares. The account of a customer that left is kept, empty, while its grants may still be in a window.

--- /dev/null
+++ b/core/coordination/rationer/burst_test.go
@@ -0,0 +1,52 @@
+package rationer
+
+import (
+	"testing"
+	"time"
+)
+
+// TestBurstOnce guards against a burst that is given out again: by a granter that earned it before its VMs turned to another one, was asked by
+// VMs before it knew the fleet, or saw a customer leave the manifest and return, for odd numbers in a message, or at a VM without a granter.
+func TestBurstOnce(t *testing.T) {
+	limits := map[string]Limit{"c": {Rate: 10, Burst: 100}}
+	all := []Want{{"c", 1000, 0}}
+	earn := func(g *Granter, now time.Time) time.Time {
+		for range 60 {
+			now = now.Add(time.Second)
+			g.Answer(now, Ask{VM: "a"})
+			g.Answer(now, Ask{VM: "b"})
+		}
+		return now
+	}
+	known := func() *Granter {
+		var g Granter
+		g.SetFleet(epoch, 2)
+		g.SetLimits(epoch, limits)
+		return &g
+	}
+	cases := []struct {
+		name string
+		max  int
+		got  func() int
+	}{
+		{"a customer is first asked for after the VMs were away", 1, func() int {
+			g := known()
+			now := earn(g, epoch).Add(10 * time.Second)
+			g.Answer(now, Ask{VM: "a"})
+			return g.Answer(now, Ask{VM: "a", Wants: all}).Grants[0].Requests
+		}},
+		{"the customer returns", 1, func() int {
+			g := known()
+			now := earn(g, epoch)
+			g.Answer(now, Ask{VM: "a", Wants: all})
+			g.SetLimits(now, nil)
+			g.SetLimits(now, limits)
+			return g.Answer(now, Ask{VM: "a", Wants: all}).Grants[0].Requests
+		}},
+	}
+	for _, c := range cases {
+		if got := c.got(); got > c.max {
+			t.Errorf("%s: %d requests are granted, want %d at most", c.name, got, c.max)
+		}
+	}
+}
--- a/core/coordination/rationer/granter.go
+++ b/core/coordination/rationer/granter.go
@@ -33,6 +33,8 @@
 	counted    int       // contacts whose share is counted
 	seconds    float64   // sum over time of the counted share of the fleet
 	joined     float64   // sum of the shares that came with Ask.Joins
+
+	keptSeconds, keptJoined float64 // seconds and joined when the last contact went
 }
 
 // contact is a VM that hands its share to this granter.
@@ -57,16 +59,25 @@
 	g.clampAll()
 }
 
-// SetLimits replaces the customers.
+// SetLimits replaces the customers. One that returns within a window has nothing stored, because its grants may have been used.
 func (g *Granter) SetLimits(now time.Time, limits map[string]Limit) {
 	g.settle(now)
 	for name, a := range g.accounts { // with the limit that was in force until now
 		g.refill(a, g.limits[name])
-		if _, ok := limits[name]; !ok {
+		if _, ok := limits[name]; ok {
+			continue
+		}
+		a.level = 0
+		if now.Sub(a.drained) > g.Terms.window() {
 			delete(g.accounts, name)
 		}
 	}
 	g.limits = limits
+	for name, l := range limits { // before the first request, so that what is stored is lost with the shares that earned it
+		if l.Rate > 0 {
+			g.account(now, name)
+		}
+	}
 	g.clampAll()
 }
 
@@ -130,7 +141,7 @@
 		g.counted--
 	}
 	delete(g.contacts, vm)
-	g.clampAll()
+	g.loseShares()
 	return stored
 }
 
@@ -159,11 +170,11 @@
 	}
 }
 
-// account returns the account of a customer. What VMs have handed in before its first use is stored for it.
+// account returns the account of a customer. A new one gets what the shares have earned since the last one was taken back or lapsed.
 func (g *Granter) account(now time.Time, customer string) *account {
 	a := g.accounts[customer]
 	if a == nil {
-		a = &account{drained: now}
+		a = &account{seconds: g.keptSeconds, joined: g.keptJoined, drained: now}
 		if g.accounts == nil {
 			g.accounts = map[string]*account{}
 		}
@@ -211,7 +222,13 @@
 	return g.Terms.depth(l) * float64(len(g.contacts)) / float64(max(1, g.fleet))
 }
 
-// clampAll limits what is stored after shares have gone.
+// loseShares limits what is stored after contacts have gone, also for customers without an account.
+func (g *Granter) loseShares() {
+	g.clampAll()
+	g.keptSeconds, g.keptJoined = g.seconds, g.joined
+}
+
+// clampAll limits what is stored to what the counted shares allow.
 func (g *Granter) clampAll() {
 	for name, a := range g.accounts {
 		g.refill(a, g.limits[name])
@@ -241,7 +258,7 @@
 			g.scheduleChange(at, c)
 		}
 		if gone {
-			g.clampAll()
+			g.loseShares()
 		}
 	}
 	g.advance(now)
