Grant nothing of the customers' rates while the fleet's size is unknown

Cause: until the fleet was listed, a granter counted each asking VM as the whole fleet, and a VM without a granter used the whole rate as its own share. A granter that heard from more VMs than it knew gave out more than the rate.

Change: an unknown fleet has no shares at a granter, the one of the default size at a VM; all contacts together are one fleet at most.

--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -116,6 +116,7 @@
 	m.random = rand.New(rand.NewPCG(m.Config.Seed, m.Config.Seed))
 	m.quarantine.VM, m.quarantine.Random = m.Config.VM, m.random
 	m.rations.holder.Self, m.rations.holder.Terms = m.Config.VM, m.Config.RateTerms
+	m.rations.holder.SetFleet(m.sharingVMs()) // until the fleet is known
 	m.requests = map[RequestID]*request{}
 	m.attempts = map[AttemptID]*attempt{}
 }
--- a/core/coordination/rationer/burst_test.go
+++ b/core/coordination/rationer/burst_test.go
@@ -35,6 +35,35 @@
 			g.Answer(now, Ask{VM: "a"})
 			return g.Answer(now, Ask{VM: "a", Wants: all}).Grants[0].Requests
 		}},
+		{"asked before the fleet is known", 1, func() int {
+			var g Granter
+			now := earn(&g, epoch)
+			g.SetFleet(now, 2)
+			g.SetLimits(now, limits)
+			return g.Answer(now, Ask{VM: "a", Wants: all}).Grants[0].Requests
+		}},
+		{"a VM knows neither the fleet nor a granter", 0, func() int {
+			var h Holder
+			h.SetLimits(limits)
+			h.SetMembers(nil)
+			n := 0
+			for i := range 30 {
+				if h.Admit(epoch.Add(time.Duration(i)*time.Second), "c") == Granted {
+					n++
+				}
+			}
+			return n
+		}},
+		{"more VMs than are known", 10, func() int {
+			var g Granter
+			g.SetFleet(epoch, 1)
+			g.SetLimits(epoch, limits)
+			g.Answer(epoch, Ask{VM: "a"})
+			g.Answer(epoch, Ask{VM: "b"})
+			g.Answer(epoch.Add(time.Second), Ask{VM: "a", Wants: all})
+			return g.Answer(epoch.Add(time.Second), Ask{VM: "b", Wants: all}).Grants[0].Requests +
+				g.Answer(epoch.Add(2*time.Second), Ask{VM: "b", Wants: all}).Grants[0].Requests
+		}},
 		{"the customer returns", 1, func() int {
 			g := known()
 			now := earn(g, epoch)
--- a/core/coordination/rationer/granter.go
+++ b/core/coordination/rationer/granter.go
@@ -23,7 +23,7 @@
 	Terms Terms
 
 	stopping bool
-	fleet    int // VMs among which rates are divided
+	fleet    int // VMs among which rates are divided; 0 for not known yet
 	limits   map[string]Limit
 	contacts map[string]*contact
 	accounts map[string]*account
@@ -155,7 +155,7 @@
 		c = &contact{from: now.Add(max(0, q.ShareIn))}
 		g.contacts[q.VM] = c
 		if q.Joins {
-			g.joined += 1 / float64(max(1, g.fleet))
+			g.joined += g.shares(1)
 		}
 	}
 	c.until = now.Add(contactLifetime)
@@ -165,7 +165,7 @@
 		if l := g.limits[name]; l.Rate > 0 && part > 0 {
 			a := g.account(now, name)
 			g.refill(a, l)
-			a.level += min(part, g.Terms.depth(l)/float64(max(1, g.fleet)))
+			a.level += min(part, g.Terms.depth(l)*g.shares(1))
 		}
 	}
 }
@@ -219,7 +219,15 @@
 
 // depth returns the grants that may be stored for the shares that are handed to this granter.
 func (g *Granter) depth(l Limit) float64 {
-	return g.Terms.depth(l) * float64(len(g.contacts)) / float64(max(1, g.fleet))
+	return g.Terms.depth(l) * g.shares(len(g.contacts))
+}
+
+// shares returns the part of the fleet that some VMs are, 0 while the fleet is not known. It may be larger than this VM knows.
+func (g *Granter) shares(vms int) float64 {
+	if g.fleet == 0 {
+		return 0
+	}
+	return float64(vms) / float64(max(g.fleet, len(g.contacts)))
 }
 
 // loseShares limits what is stored after contacts have gone, also for customers without an account.
@@ -281,7 +289,7 @@
 // advance adds the time up to now to the sum of the counted shares.
 func (g *Granter) advance(now time.Time) {
 	if !g.settledAt.IsZero() && now.After(g.settledAt) {
-		g.seconds += now.Sub(g.settledAt).Seconds() * float64(g.counted) / float64(max(1, g.fleet))
+		g.seconds += now.Sub(g.settledAt).Seconds() * g.shares(g.counted)
 	}
 	if now.After(g.settledAt) {
 		g.settledAt = now
--- a/core/coordination/rationer/holder.go
+++ b/core/coordination/rationer/holder.go
@@ -40,7 +40,7 @@
 	Self  string // name of this VM
 	Terms Terms
 
-	fleet    int
+	fleet    int      // VMs among which rates are divided; 0 for not known yet
 	ranked   []Member // best granter first
 	position int      // of this VM among the names of all
 	limits   map[string]Limit
@@ -71,7 +71,7 @@
 
 // SetMembers sets the VMs that can be granters.
 func (h *Holder) SetMembers(all []Member) {
-	h.fleet = max(1, h.fleet, len(all))
+	h.fleet = max(h.fleet, len(all))
 	h.ranked = slices.Clone(all)
 	slices.SortFunc(h.ranked, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(hash(a.Name), hash(b.Name)), strings.Compare(a.Name, b.Name))
@@ -259,14 +259,14 @@
 // allow, which differ from customer to customer.
 func (h *Holder) useOwn(now time.Time, customer string) Admission {
 	l, ok := h.limits[customer]
-	if !ok {
+	if !ok || h.fleet == 0 {
 		return Alone
 	}
 	if h.own == nil {
 		h.own = map[string]*ownShare{}
 	}
-	depth := (l.Burst + depthShare*h.Terms.margin(l)) / float64(max(1, h.fleet))
-	rounded := int((uint64(h.position)+hash(customer))%uint64(max(1, h.fleet))) < int(loneShare*h.Terms.margin(l))
+	depth := (l.Burst + depthShare*h.Terms.margin(l)) / float64(h.fleet)
+	rounded := int((uint64(h.position)+hash(customer))%uint64(h.fleet)) < int(loneShare*h.Terms.margin(l))
 	if rounded {
 		depth = max(1, depth)
 	}
@@ -279,7 +279,7 @@
 		h.own[customer] = s
 	}
 	if from := later(s.at, h.freeAt); now.After(from) {
-		s.level += l.Rate / float64(max(1, h.fleet)) * now.Sub(from).Seconds()
+		s.level += l.Rate / float64(h.fleet) * now.Sub(from).Seconds()
 	}
 	s.at = now
 	s.level = min(s.level, depth)
