Take no negative numbers of requests in asks for grants

Cause: a want of less than no request filled the account of its customer, and numbers near the largest one overflowed.

Change: the granter bounds both numbers of a want.

Result: TestBurstOnce granted 100 requests after such a want where 1 is allowed, and passes now.

--- a/core/coordination/rationer/burst_test.go
+++ b/core/coordination/rationer/burst_test.go
@@ -72,6 +72,12 @@
 			g.SetLimits(now, limits)
 			return g.Answer(now, Ask{VM: "a", Wants: all}).Grants[0].Requests
 		}},
+		{"less than no request", 1, func() int {
+			g := known()
+			now := earn(g, epoch)
+			g.Answer(now, Ask{VM: "a", Wants: all})
+			return g.Answer(now, Ask{VM: "a", Wants: []Want{{"c", -1000, 0}, {"c", 1000, 0}, {"c", 0, -1000}, {"c", 1000, 0}}}).Grants[1].Requests
+		}},
 	}
 	for _, c := range cases {
 		if got := c.got(); got > c.max {
--- a/core/coordination/rationer/granter.go
+++ b/core/coordination/rationer/granter.go
@@ -14,6 +14,8 @@
 	// lateReserve is the part of the stored grants that is kept for requests which can still be answered within their latency target. A customer far
 	// beyond its rate would otherwise spend it on callers that come back.
 	lateReserve = 0.5
+	// maxWant bounds the requests of one customer that an ask counts. A VM holds fewer.
+	maxWant = 1 << 20
 	// minStored is the smallest part of a grant that is given back with a share.
 	minStored = 0.01
 )
@@ -113,6 +115,7 @@
 	o := Offer{Grants: make([]Grant, 0, len(q.Wants)), Released: q.Leaves || g.stopping}
 	if !g.stopping {
 		for _, w := range q.Wants {
+			w.Requests, w.Late = min(max(0, w.Requests), maxWant), min(max(0, w.Late), maxWant) // what another VM sends may be anything
 			o.Grants = append(o.Grants, g.grant(now, w))
 		}
 	}
