Give the stored part of a VM's own share up when a granter gets the share

Cause: what a VM without a granter had stored of its share stayed there while a granter counted the share, and came on top of the granter's burst when the VM was alone again.

Change: a VM that is alone again starts with an empty share, rounded up only if it has used none within a window.

--- a/core/coordination/rationer/burst_test.go
+++ b/core/coordination/rationer/burst_test.go
@@ -78,6 +78,35 @@
 			g.Answer(now, Ask{VM: "a", Wants: all})
 			return g.Answer(now, Ask{VM: "a", Wants: []Want{{"c", -1000, 0}, {"c", 1000, 0}, {"c", 0, -1000}, {"c", 1000, 0}}}).Grants[1].Requests
 		}},
+		{"a share is used, handed over and used again", 0, func() int {
+			h := Holder{Self: "a"}
+			h.SetMembers([]Member{{Name: "a"}})
+			h.SetLimits(limits)
+			now := epoch
+			answer := func(o *Offer) {
+				now = now.Add(time.Minute)
+				if _, _, ok := h.Ask(now, nil); !ok {
+					t.Fatal("no ask is due")
+				}
+				if o != nil {
+					h.Offered(now, o)
+				} else {
+					h.Failed(now)
+				}
+			}
+			answer(nil)
+			h.Admit(now, "c")
+			now = now.Add(2 * time.Second)
+			h.Admit(now, "c") // stores the share of half a second
+			answer(&Offer{})
+			answer(nil)
+			answer(nil)
+			n := 0
+			for h.Admit(now, "c") == Granted {
+				n++
+			}
+			return n
+		}},
 	}
 	for _, c := range cases {
 		if got := c.got(); got > c.max {
--- a/core/coordination/rationer/holder.go
+++ b/core/coordination/rationer/holder.go
@@ -271,9 +271,10 @@
 		depth = max(1, depth)
 	}
 	s := h.own[customer]
-	if s == nil {
+	if s == nil || s.at.Before(h.confirmedAt) { // what was stored has gone to the granter with the share
+		used := s != nil && now.Sub(s.at) <= h.Terms.window()
 		s = &ownShare{at: now}
-		if rounded {
+		if rounded && !used {
 			s.level = 1
 		}
 		h.own[customer] = s
