Find a granter when many of the best-ranked VMs are dark

Cause: a VM without a granter asked the best-ranked VM that had not failed for three seconds, at 350 ms for a dark one. With nine or more dark VMs at the top, the first was due again before the tenth was asked: no VM reached a granter while they were listed.

Change: VMs that were not tried go first, and after a failure a second VM is tested beside the one that is asked. Failures of VMs that are gone are forgotten.

--- a/core/coordination/rationer/fleet_test.go
+++ b/core/coordination/rationer/fleet_test.go
@@ -306,3 +306,28 @@
 		}
 	}
 }
+
+// TestDarkGranters guards against VMs that ask the best-ranked VMs again and again and find no granter, while these have lost their power and are still
+// listed.
+func TestDarkGranters(t *testing.T) {
+	const vms, dark, found = 82, 20, 8 * time.Second
+	f := newFleet(3, vms, Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, map[string]Limit{"acme": {Rate: 60, Burst: 60}})
+	for f.now.Before(epoch.Add(30 * time.Second)) {
+		for range poisson(f.random, 30*step.Seconds()) {
+			f.arrive(f.vms[f.random.IntN(vms)], "acme")
+		}
+		switch f.now.Sub(epoch) {
+		case 5 * time.Second:
+			for _, m := range f.vms[0].holder.ranked[:dark] {
+				f.vms[slices.IndexFunc(f.vms, func(v *vm) bool { return v.name == m.Name })].awayUntil = f.now.Add(time.Hour)
+			}
+		case 5*time.Second + found:
+			f.asked, f.refused = 0, 0
+		}
+		f.tick(150 * time.Millisecond)
+	}
+	t.Logf("%d of %d refused", f.refused, f.asked)
+	if f.refused*100 > f.asked {
+		t.Errorf("%v after %d of %d VMs went dark, %d of %d requests below the rate are refused, want one in a hundred at most", found, dark, vms, f.refused, f.asked)
+	}
+}
--- a/core/coordination/rationer/holder.go
+++ b/core/coordination/rationer/holder.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -45,9 +46,9 @@
 	position int      // of this VM among the names of all
 	limits   map[string]Limit
 
-	granter     string // that answered last; empty for none
-	failures    int    // in a row, at granter
-	failedAt    map[string]time.Time
+	granter     string             // that answered last; empty for none
+	failures    int                // in a row, at granter
+	failed      map[string]failure // of VMs that have not answered since
 	confirmedAt time.Time          // of the last answer
 	freeAt      time.Time          // from when on no granter counts the share of this VM
 	joinedAt    time.Time          // of the last ask with Joins
@@ -60,6 +61,12 @@
 	own         map[string]*ownShare
 }
 
+// failure is a VM that has not answered.
+type failure struct {
+	at    time.Time
+	times int // in a row
+}
+
 // ownShare is the part of one customer's rate that this VM uses while it reaches no granter.
 type ownShare struct {
 	level float64
@@ -85,6 +92,7 @@
 	if h.rank(h.granter) < 0 {
 		h.granter = ""
 	}
+	maps.DeleteFunc(h.failed, func(name string, _ failure) bool { return h.rank(name) < 0 })
 }
 
 // SetLimits replaces the customers.
@@ -128,12 +136,24 @@
 }
 
 func (h *Holder) allAvoided(now time.Time) bool {
-	return !slices.ContainsFunc(h.ranked, func(m Member) bool { return !h.avoided(now, m.Name) })
+	return h.candidate(now, "") < 0
 }
 
 func (h *Holder) avoided(now time.Time, name string) bool {
-	at, ok := h.failedAt[name]
-	return ok && now.Sub(at) < avoidTime
+	f, ok := h.failed[name]
+	return ok && now.Sub(f.at) < avoidTime
+}
+
+// candidate returns the rank of the VM to turn to without a granter, -1 for none. VMs that were not tried go before those that failed, however many
+// of the best-ranked ones have lost their power. One VM is left out, because it is asked already.
+func (h *Holder) candidate(now time.Time, except string) int {
+	best := -1
+	for i, m := range h.ranked {
+		if m.Name != except && !h.avoided(now, m.Name) && (best < 0 || h.failed[m.Name].times < h.failed[h.ranked[best].Name].times) {
+			best = i
+		}
+	}
+	return best
 }
 
 // rank returns the position of a VM among the possible granters, -1 for none.
@@ -160,7 +180,7 @@
 	}
 	i := h.rank(cmp.Or(h.granter, h.better))
 	if i < 0 {
-		i = slices.IndexFunc(h.ranked, func(m Member) bool { return !h.avoided(now, m.Name) })
+		i = h.candidate(now, h.probed)
 	}
 	if i < 0 {
 		h.nextAsk, h.pausedUntil = now.Add(retryDelay), now.Add(retryDelay)
@@ -181,11 +201,19 @@
 }
 
 // Probe returns an ask that tests whether a better granter than the current one answers, if there is one to try. Probed must follow. It carries
-// no wants, so that no request waits for a VM that may be dead.
+// no wants, so that no request waits for a VM that may be dead. After a failure without a granter it tests a second VM beside the one that is asked.
 func (h *Holder) Probe(now time.Time) (Ask, Member, bool) {
-	if h.probed != "" || h.granter == "" || h.better != "" {
+	if h.probed != "" || h.better != "" {
 		return Ask{}, Member{}, false
 	}
+	if h.granter == "" {
+		i := h.candidate(now, h.asked)
+		if i < 0 || h.pausedUntil.IsZero() {
+			return Ask{}, Member{}, false
+		}
+		h.probed = h.ranked[i].Name
+		return Ask{VM: h.Self, Tests: true}, h.ranked[i], true
+	}
 	for _, m := range h.ranked[:max(0, h.rank(h.granter))] {
 		if !h.avoided(now, m.Name) {
 			h.probed = m.Name
@@ -201,10 +229,10 @@
 	h.asked, h.nextAsk, h.pausedUntil = "", now.Add(askInterval), time.Time{}
 	if !o.Released {
 		h.granter, h.failures, h.confirmedAt, h.freeAt = name, 0, now, now.Add(contactLifetime)
-		if h.better == name {
+		if h.rank(h.better) >= h.rank(name) {
 			h.better = ""
 		}
-		delete(h.failedAt, name)
+		delete(h.failed, name)
 		return
 	}
 	h.freeAt, h.stored, h.nextAsk = now, o.Stored, now
@@ -236,17 +264,17 @@
 	switch {
 	case !ok:
 		h.avoid(now, name)
-	case h.granter != "":
+	case h.granter == "" || h.rank(name) < h.rank(h.granter):
 		h.better = name
 	}
 }
 
 // avoid keeps a VM from being asked for a while.
 func (h *Holder) avoid(now time.Time, name string) {
-	if h.failedAt == nil {
-		h.failedAt = map[string]time.Time{}
+	if h.failed == nil {
+		h.failed = map[string]failure{}
 	}
-	h.failedAt[name] = now
+	h.failed[name] = failure{at: now, times: h.failed[name].times + 1}
 	if name == h.granter || name == h.better {
 		h.better = ""
 	}
