Move no share to a granter that stops

Cause: a granter that stops answered probes like any other. A VM that moved to it was released at once, lost the grants that it brought along, and asked it again without a pause until it had ended.

Change: probes tell that a granter stops, a VM avoids one that releases it on arrival, and what it brought along comes back.

--- a/core/coordination/forwarder/ration.go
+++ b/core/coordination/forwarder/ration.go
@@ -123,7 +123,7 @@
 func (m *Machine) handleOffer(now time.Time, e GrantsOffered) {
 	switch {
 	case e.Probe:
-		m.rations.holder.Probed(now, e.Offer != nil)
+		m.rations.holder.Probed(now, e.Offer != nil && !e.Offer.Released)
 	case e.Offer == nil:
 		m.GrantCounts.Failed++
 		m.rations.holder.Failed(now)
--- a/core/coordination/rationer/fleet_test.go
+++ b/core/coordination/rationer/fleet_test.go
@@ -170,7 +170,7 @@
 // use applies an offer at the VM that asked for it.
 func (f *fleet) use(m message) {
 	if m.probe {
-		m.from.holder.Probed(f.now, true)
+		m.from.holder.Probed(f.now, !m.offer.Released)
 		return
 	}
 	m.from.holder.Offered(f.now, m.offer)
--- a/core/coordination/rationer/granter.go
+++ b/core/coordination/rationer/granter.go
@@ -105,8 +105,8 @@
 
 // Answer counts the share of the asking VM and gives out grants.
 func (g *Granter) Answer(now time.Time, q Ask) Offer {
-	if q.Tests && !g.stopping {
-		return Offer{}
+	if q.Tests {
+		return Offer{Released: g.stopping}
 	}
 	g.settle(now)
 	if !q.Leaves && !g.stopping {
@@ -121,6 +121,9 @@
 	}
 	if o.Released {
 		o.Stored = g.release(q.VM)
+		if o.Stored == nil {
+			o.Stored = q.Stored // not taken
+		}
 	}
 	return o
 }
--- a/core/coordination/rationer/granter_test.go
+++ b/core/coordination/rationer/granter_test.go
@@ -38,3 +38,45 @@
 		}
 	}
 }
+
+// TestMoveToStoppingGranter guards against VMs that move to a better-ranked granter while it stops, and ask it until it has ended.
+func TestMoveToStoppingGranter(t *testing.T) {
+	members := []Member{{Name: "best", LinkMbps: 3}, {Name: "second", LinkMbps: 2}}
+	var best, second Granter
+	for _, g := range []*Granter{&best, &second} {
+		g.SetFleet(epoch, 1)
+		g.SetLimits(epoch, map[string]Limit{"c": {Rate: 10, Burst: 100}})
+	}
+	h := Holder{Self: "a"}
+	h.SetMembers(members)
+	now, asked := epoch, []string{}
+	ask := func() {
+		now = now.Add(time.Second)
+		q, to, _ := h.Ask(now, []Want{{"c", 1, 0}})
+		asked = append(asked, to.Name)
+		o := map[string]*Granter{"best": &best, "second": &second}[to.Name].Answer(now, q)
+		h.Offered(now, &o)
+	}
+	h.Ask(now, nil)
+	h.Failed(now) // the best one
+	for range 4 {
+		ask()
+	}
+	if _, _, ok := h.Probe(now); !ok {
+		t.Fatal("no probe is due")
+	}
+	h.Probed(now, true)
+	best.Stop()
+	for range 4 {
+		ask()
+	}
+	if diff := cmp.Diff([]string{"second", "best", "second", "second"}, asked[4:]); diff != "" {
+		t.Errorf("VMs asked (-want +got):\n%s", diff)
+	}
+	if level := second.Level(now, "c"); level < 20 {
+		t.Errorf("%v grants are stored after the move, want those from before it", level)
+	}
+	if o := best.Answer(now, Ask{VM: "a", Tests: true}); !o.Released {
+		t.Error("a granter that stops answers a probe like one that does not")
+	}
+}
--- a/core/coordination/rationer/holder.go
+++ b/core/coordination/rationer/holder.go
@@ -236,7 +236,7 @@
 		return
 	}
 	h.freeAt, h.stored, h.nextAsk = now, o.Stored, now
-	if h.better == "" { // it stops
+	if h.better == "" || h.better == name { // it stops
 		h.avoid(now, name)
 		return
 	}
@@ -257,7 +257,7 @@
 	h.freeAt, h.nextAsk, h.pausedUntil = now.Add(contactLifetime), now.Add(retryDelay), now.Add(retryDelay)
 }
 
-// Probed records whether the probe in flight was answered. With the next ask, this VM then takes its share back from the current granter.
+// Probed records whether the probe in flight was answered by a VM that does not stop. With the next ask, this VM then takes its share back from the current granter.
 func (h *Holder) Probed(now time.Time, ok bool) {
 	name := h.probed
 	h.probed = ""
--- a/core/coordination/rationer/message.go
+++ b/core/coordination/rationer/message.go
@@ -35,8 +35,8 @@
 type Offer struct {
 	Grants []Grant `json:"grants,omitempty"`
 
-	// Released means that the granter no longer counts the share of the VM, because the VM leaves or the granter stops. Stored is the part of
-	// the stored grants that belongs to this share, by customer.
+	// Released means that the granter no longer counts the share of the VM, because the VM leaves or the granter stops; in the answer to
+	// a probe that it stops. Stored is the part of the stored grants that belongs to this share, by customer.
 	Released bool               `json:"released,omitempty"`
 	Stored   map[string]float64 `json:"stored,omitempty"`
 }
