--- a/core/coordination/rationer/burst_test.go
+++ b/core/coordination/rationer/burst_test.go
@@ -35,6 +35,35 @@
 			g.Answer(now, Ask{VM: "a"})
 			return g.Answer(now, Ask{VM: "a", Wants: all}).Grants[0].Requests
 		}},
+		{"asked before the fleet is known", 1, func() int {
+			var g Granter
+			now := earn(&g, epoch)
+			g.SetFleet(now, 2)
+			g.SetLimits(now, limits)
+			return g.Answer(now, Ask{VM: "a", Wants: all}).Grants[0].Requests
+		}},
+		{"a VM knows neither the fleet nor a granter", 0, func() int {
+			var h Holder
+			h.SetLimits(limits)
+			h.SetMembers(nil)
+			n := 0
+			for i := range 30 {
+				if h.Admit(epoch.Add(time.Duration(i)*time.Second), "c") == Granted {
+					n++
+				}
+			}
+			return n
+		}},
+		{"more VMs than are known", 10, func() int {
+			var g Granter
+			g.SetFleet(epoch, 1)
+			g.SetLimits(epoch, limits)
+			g.Answer(epoch, Ask{VM: "a"})
+			g.Answer(epoch, Ask{VM: "b"})
+			g.Answer(epoch.Add(time.Second), Ask{VM: "a", Wants: all})
+			return g.Answer(epoch.Add(time.Second), Ask{VM: "b", Wants: all}).Grants[0].Requests +
+				g.Answer(epoch.Add(2*time.Second), Ask{VM: "b", Wants: all}).Grants[0].Requests
+		}},
 		{"the customer returns", 1, func() int {
 			g := known()
 			now := earn(g, epoch)
@@ -43,6 +72,41 @@
 			g.SetLimits(now, limits)
 			return g.Answer(now, Ask{VM: "a", Wants: all}).Grants[0].Requests
 		}},
+		{"less than no request", 1, func() int {
+			g := known()
+			now := earn(g, epoch)
+			g.Answer(now, Ask{VM: "a", Wants: all})
+			return g.Answer(now, Ask{VM: "a", Wants: []Want{{"c", -1000, 0}, {"c", 1000, 0}, {"c", 0, -1000}, {"c", 1000, 0}}}).Grants[1].Requests
+		}},
+		{"a share is used, handed over and used again", 0, func() int {
+			h := Holder{Self: "a"}
+			h.SetMembers([]Member{{Name: "a"}})
+			h.SetLimits(limits)
+			now := epoch
+			answer := func(o *Offer) {
+				now = now.Add(time.Minute)
+				if _, _, ok := h.Ask(now, nil); !ok {
+					t.Fatal("no ask is due")
+				}
+				if o != nil {
+					h.Offered(now, o)
+				} else {
+					h.Failed(now)
+				}
+			}
+			answer(nil)
+			h.Admit(now, "c")
+			now = now.Add(2 * time.Second)
+			h.Admit(now, "c") // stores the share of half a second
+			answer(&Offer{})
+			answer(nil)
+			answer(nil)
+			n := 0
+			for h.Admit(now, "c") == Granted {
+				n++
+			}
+			return n
+		}},
 	}
 	for _, c := range cases {
 		if got := c.got(); got > c.max {
