Share what VMs know of slow and silent upstreams without the store

The baseline followed the near upstream, which gets nearly all requests of a failure domain; ratings passed only with requests for changes, so that a domain whose reader had lost the store exchanged none for three seconds; and a silent upstream was reported at the deadline. docs/design/uneven.md. Change: an upstream is compared with the median of its route over all shards. Silent attempts are reported with their age. A collecting VM, which need not reach the store, merges the reports of a failure domain, tells the other domains what is urgent, and wakes waiting followers. Only in failure domains of five VMs or more, as the ratings before.

--- a/core/coordination/forwarder/config.go
+++ b/core/coordination/forwarder/config.go
@@ -64,6 +64,12 @@
 	// hedgeQuantile is the quantile of a route's latencies that becomes its hedge delay. One sub-request in twenty is then sent
 	// twice, which takes a quarter of the usual budget and leaves the rest for upstream pauses and retries.
 	hedgeQuantile = 0.95
+	// usualQuantile is the quantile of a route's latencies with which the latency of one upstream is compared. The replies of a minority of slow
+	// upstreams do not move it.
+	usualQuantile = 0.5
+	// minUsualSamples is the fewest latencies from which that quantile is computed. The first gathered request of a route yields as many before
+	// its slow sub-requests end.
+	minUsualSamples = 20
 	// minHedgeShare and maxHedgeShare bound the hedge delay to parts of the latency target, so that a hedge has time to reply.
 	minHedgeShare = 0.08
 	maxHedgeShare = 0.35
--- a/core/coordination/forwarder/dispatch.go
+++ b/core/coordination/forwarder/dispatch.go
@@ -16,6 +16,8 @@
 	service   *service
 	upstream  string
 	sent      time.Time
+	route     *routeState
+	reported  time.Duration // age at which other VMs were last told of its silence
 	cancelled bool
 	toPeer    bool // upstream names a peer, and service is nil
 	signature uint64
@@ -100,7 +102,7 @@
 	m.lastAttempt++
 	a := &attempt{
 		id: m.lastAttempt, request: r, subIndex: index, service: sub.service, upstream: u.Row.Upstream, sent: now,
-		signature: r.signature,
+		route: r.routeState, signature: r.signature,
 	}
 	m.markAlone(now, r, a)
 	m.attempts[a.id] = a
@@ -310,7 +312,11 @@
 		}
 	}
 	m.collectReport(now, a, kind, result)
-	a.service.set.RecordResult(now, i, selector.Result{Latency: now.Sub(a.sent), Kind: kind})
+	record := selector.Result{Latency: now.Sub(a.sent), Kind: kind}
+	if m.rated {
+		record.Usual = a.route.usualLatency(now)
+	}
+	a.service.set.RecordResult(now, i, record)
 }
 
 // collectReport records the result of an attempt for other VMs. A rejected connection says nothing about the open ones.
@@ -320,9 +326,10 @@
 	}
 	switch kind {
 	case selector.OK:
-		m.collector.RecordSuccess(a.service.name, a.upstream, now.Sub(a.sent))
+		m.repliedAt = now
+		m.collector.RecordSuccess(a.service.name, a.upstream, now.Sub(a.sent), a.reported, a.route.usualLatency(now))
 	case selector.Reset, selector.Refused, selector.TimedOut, selector.Errored:
-		m.collector.RecordFailure(a.service.name, a.upstream)
+		m.collector.RecordFailure(a.service.name, a.upstream, a.reported > 0)
 	}
 }
 
--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -37,6 +37,8 @@
 	aloneRuns     map[uint64]*attempt // last run of each suspect, by signature
 
 	collector   reporter.Collector
+	repliedAt   time.Time // of the last successful reply
+	rated       bool      // other VMs have passed on ratings of upstreams
 	random      *rand.Rand
 	manifest    *Manifest
 	fleetSize   int // number of VMs, 0 if unknown
@@ -123,9 +125,6 @@
 // PendingRequests returns the number of requests without an answer.
 func (m *Machine) PendingRequests() int { return len(m.requests) }
 
-// TakeReports returns the results of attempts, by upstream, since the last call.
-func (m *Machine) TakeReports() []reporter.Report { return m.collector.TakeReports() }
-
 // scheduleWake emits a Wake if the next due time is earlier than that of the pending Wake.
 func (m *Machine) scheduleWake(now time.Time) {
 	next := m.nextReachCheck(now)
--- a/core/coordination/forwarder/routestate.go
+++ b/core/coordination/forwarder/routestate.go
@@ -10,6 +10,8 @@
 type routeState struct {
 	latencies       budgeter.Latencies
 	delay           time.Duration
+	usual           time.Duration // median of the latencies; 0 if there are too few
+	usualComputedAt time.Time
 	delayComputedAt time.Time
 	currentWeights  []float64 // of the services of a Split: how far each one is behind its share
 	lastUsed        time.Time
@@ -59,6 +61,14 @@
 	return s.delay
 }
 
+// usualLatency returns the median latency of the route's sub-requests, 0 while it is unknown.
+func (s *routeState) usualLatency(now time.Time) time.Duration {
+	if now.Sub(s.usualComputedAt) >= hedgeDelayLifetime && s.latencies.Count() >= minUsualSamples {
+		s.usual, s.usualComputedAt = s.latencies.Quantile(usualQuantile), now
+	}
+	return s.usual
+}
+
 // nextService returns the service for the next request by smooth weighted round robin, which keeps the proportions in short runs too.
 func (s *routeState) nextService(split *Split) string {
 	if len(s.currentWeights) != len(split.Services) {
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -199,6 +199,7 @@
 
 // applyRatings passes the ratings of other VMs to the upstream selection.
 func (m *Machine) applyRatings(now time.Time, ratings []reporter.Rating) {
+	m.rated = true
 	for _, r := range ratings {
 		s := m.services[r.Service]
 		if s == nil {
--- /dev/null
+++ b/core/coordination/forwarder/silence_test.go
@@ -0,0 +1,49 @@
+package forwarder
+
+import (
+	"testing"
+	"time"
+
+	"comfreyroute/core/coordination/reporter"
+)
+
+// TestReportsOfSilence answers the load of a shard whose upstream of the own failure domain goes dark while a VM sends few requests: other VMs
+// must hear of it before the attempt ends. A VM that reaches no upstream must report none.
+func TestReportsOfSilence(t *testing.T) {
+	cases := []struct {
+		name     string
+		answered bool // the other shards reply
+		want     []string
+	}{
+		{"one is silent", true, []string{"shard0-0"}},
+		{"all are silent", false, nil},
+	}
+	for _, c := range cases {
+		const shards = 30
+		h := newReadyHarness(t, shards)
+		h.step(UpstreamsRated{Ratings: []reporter.Rating{}})
+		h.request("/all/", 0) // makes the usual latency known
+		h.advance(10 * time.Millisecond)
+		for _, s := range shardNames(shards) {
+			h.reply(s)
+		}
+		h.machine.TakeReports(h.now)
+		h.request("/all/", 0)
+		h.advance(10 * time.Millisecond)
+		for _, s := range shardNames(shards)[1:] {
+			if c.answered {
+				h.reply(s)
+			}
+		}
+		h.advance(24 * time.Millisecond) // less than the hedge delay
+		var got []string
+		for _, r := range h.machine.TakeReports(h.now) {
+			if r.Compared > silenceFactor*r.Usual {
+				got = append(got, r.Upstream)
+			}
+		}
+		if len(got) != len(c.want) || len(got) > 0 && got[0] != c.want[0] {
+			t.Errorf("%s: reported %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/core/coordination/reporter/aggregator.go
+++ b/core/coordination/reporter/aggregator.go
@@ -16,6 +16,12 @@
 	minErrorShare = 0.15
 	// slowFactor is the multiple of its service's mean latency from which an upstream is rated as slow.
 	slowFactor = 1.8
+	// usualFactor is the multiple of what its requests usually take from which an upstream is rated as slow. A gathered request that is ten times
+	// as patient as that has then lost half of its latency target there, and with it the time for a second attempt.
+	usualFactor = 5
+	// maxSlowShare is the share of the upstreams above which none is rated as slow. Requests are then too many for them, as after the return of
+	// all VMs, and avoiding some would overload the others.
+	maxSlowShare = 0.5
 	// minKeptTries is the number of weighted tries below which the totals of an upstream are removed.
 	minKeptTries = 0.05
 )
@@ -26,6 +32,7 @@
 	Upstream string
 	Errors   float64       // share of failed tries, 0 to 1
 	Latency  time.Duration // mean of the successful tries
+	Urgent   bool          `json:",omitempty"` // requests lose their latency target there; else it is only slower than others of its service
 }
 
 // Aggregator combines the reports of several VMs into ratings. The zero value is empty.
@@ -38,6 +45,7 @@
 type upstreamTotals struct {
 	service                  string
 	tries, failures, latency float64 // latency in ns
+	compared, usual          float64 // ns
 }
 
 // Merge adds reports. It ignores invalid ones.
@@ -47,7 +55,7 @@
 		a.totals = map[string]*upstreamTotals{}
 	}
 	for _, r := range reports {
-		if r.Tries <= 0 || r.Failures < 0 || r.Failures > r.Tries || r.Latency < 0 {
+		if r.Tries < 0 || r.Failures < 0 || r.Latency < 0 || r.Usual < 0 || r.Compared < 0 {
 			continue // from another version of the program
 		}
 		s := a.totals[r.Upstream]
@@ -57,8 +65,10 @@
 		}
 		s.service = r.Service
 		s.tries += float64(r.Tries)
-		s.failures += float64(r.Failures)
+		s.failures = min(s.failures+float64(r.Failures), s.tries) // the try of a failure may have been reported before, and forgotten
 		s.latency += float64(r.Latency)
+		s.compared += float64(r.Compared)
+		s.usual += float64(r.Usual)
 	}
 }
 
@@ -70,6 +80,8 @@
 		s.tries *= weight
 		s.failures *= weight
 		s.latency *= weight
+		s.compared *= weight
+		s.usual *= weight
 		if s.tries < minKeptTries {
 			delete(a.totals, upstream)
 		}
@@ -88,21 +100,35 @@
 		byService[s.service] = u
 	}
 	var all []Rating
+	var tried, slow float64
 	for upstream, s := range a.totals {
 		if s.tries < minTries {
 			continue
 		}
 		r := Rating{Service: s.service, Upstream: upstream, Errors: s.failures / s.tries}
 		u := byService[s.service]
-		isSlow := false
+		isSlow, isSlower := false, false
 		if good := s.tries - s.failures; good >= 1 && u.tries > 0 {
 			r.Latency = time.Duration(s.latency / good)
-			isSlow = s.latency/good >= slowFactor*u.latency/u.tries
+			// The VMs of a failure domain send most requests to one upstream of a service, so that the mean of the service follows that upstream.
+			isSlow = s.usual > 0 && s.compared >= usualFactor*s.usual
+			isSlower = s.usual == 0 && s.latency/good >= slowFactor*u.latency/u.tries
 		}
-		if r.Errors >= minErrorShare || isSlow {
+		r.Urgent = r.Errors >= minErrorShare || isSlow
+		tried++
+		if isSlow {
+			slow++
+		}
+		if r.Urgent || isSlower {
 			all = append(all, r)
 		}
 	}
+	if slow > maxSlowShare*tried {
+		all = slices.DeleteFunc(all, func(r Rating) bool { return r.Urgent && r.Errors < minErrorShare })
+	}
+	if len(all) == 0 {
+		return nil
+	}
 	slices.SortFunc(all, func(x, y Rating) int { return cmp.Compare(x.Upstream, y.Upstream) })
 	return all
 }
--- a/core/coordination/reporter/collector.go
+++ b/core/coordination/reporter/collector.go
@@ -14,21 +14,55 @@
 	Tries    int
 	Failures int           // tries that failed
 	Latency  time.Duration // sum over the successful tries
+	Compared time.Duration `json:",omitempty"` // part of Latency that is from tries whose usual latency is known
+	Usual    time.Duration `json:",omitempty"` // sum of these tries' usual latency: what their requests get from any upstream
 }
 
 // Collector accumulates the reports of one VM. The zero value is empty.
 type Collector struct{ reports map[string]*Report }
 
-// RecordFailure records a failed try.
-func (c *Collector) RecordFailure(service, upstream string) { c.addTry(service, upstream).Failures++ }
+// maxLatencyFactor bounds the latency of a try to a multiple of what it usually takes, so that a VM that has lost its network cannot outvote
+// the others.
+const maxLatencyFactor = 10
 
-// RecordSuccess records a successful try.
-func (c *Collector) RecordSuccess(service, upstream string, latency time.Duration) {
-	c.addTry(service, upstream).Latency += latency
+// RecordFailure records a failed try. It is known if its silence was recorded before.
+func (c *Collector) RecordFailure(service, upstream string, known bool) {
+	r := c.report(service, upstream)
+	if !known {
+		r.Tries++
+	}
+	r.Failures++
+}
+
+// RecordSilence records a try that has no reply yet at an age. Reported is the age at which it was recorded last, 0 for the first time.
+func (c *Collector) RecordSilence(service, upstream string, age, reported, usual time.Duration) {
+	c.addLatency(c.report(service, upstream), age, reported, usual)
+}
+
+// RecordSuccess records a successful try of a request that usually takes the given time, 0 if that is unknown. Reported is the age at which
+// its silence was recorded last, 0 if it was not.
+func (c *Collector) RecordSuccess(service, upstream string, latency, reported, usual time.Duration) {
+	c.addLatency(c.report(service, upstream), latency, reported, usual)
+}
+
+// addLatency adds the part of a try's latency that was not reported yet, and the try itself if none of it was.
+func (c *Collector) addLatency(r *Report, latency, reported, usual time.Duration) {
+	if reported == 0 {
+		r.Tries++
+		r.Usual += usual
+	}
+	if usual == 0 {
+		r.Latency += max(0, latency-reported)
+		return
+	}
+	bound := maxLatencyFactor * usual
+	added := max(0, min(latency, bound)-min(reported, bound))
+	r.Latency += added
+	r.Compared += added
 }
 
-// addTry adds a try to the report of an upstream and returns the report.
-func (c *Collector) addTry(service, upstream string) *Report {
+// report returns the report of an upstream.
+func (c *Collector) report(service, upstream string) *Report {
 	if c.reports == nil {
 		c.reports = map[string]*Report{}
 	}
@@ -37,7 +71,6 @@
 		r = &Report{Service: service, Upstream: upstream}
 		c.reports[upstream] = r
 	}
-	r.Tries++
 	return r
 }
 
--- a/core/coordination/selector/cost.go
+++ b/core/coordination/selector/cost.go
@@ -46,7 +46,10 @@
 
 // score returns the estimated time until a reply in ns, increased by the share of errors.
 func (s *Set) score(now time.Time, u *Upstream) float64 {
-	usual := s.latency.mean
+	usual := s.usual.mean
+	if usual == 0 {
+		usual = s.latency.mean
+	}
 	if usual == 0 {
 		usual = float64(defaultLatency)
 	}
--- a/core/coordination/selector/selector_test.go
+++ b/core/coordination/selector/selector_test.go
@@ -413,3 +413,16 @@
 		}
 	}
 }
+
+// TestSlowNearUpstream answers the load of a service whose near upstream becomes slow while it gets nearly all requests of this VM, so that the
+// mean latency of the service follows it.
+func TestSlowNearUpstream(t *testing.T) {
+	s := newSet(1, 3, 3)
+	for k := range 20 {
+		s.RecordStart(at(1000*k), 0)
+		s.RecordResult(at(1000*k+200), 0, Result{Latency: 200 * time.Millisecond, Usual: 20 * time.Millisecond})
+	}
+	if picks := countPicks(s, at(20_000), Query{Group: 0, Policy: Near}); picks[0] > 0 {
+		t.Errorf("picks %v, want none of the slow upstream", picks)
+	}
+}
--- a/core/coordination/selector/set.go
+++ b/core/coordination/selector/set.go
@@ -20,6 +20,7 @@
 	fixedLimits    bool
 	lastSerial     uint64
 	latency        latencyAverage    // of all replies of the service
+	usual          latencyAverage    // of what its requests take at the upstreams of any service; unknown if its mean is 0
 	quotas         map[string]*quota // by upstream
 	vms            int               // that share the rates in quotas
 	notices        map[string]*notice
@@ -213,6 +214,9 @@
 		u.recordSuccess(now)
 		u.latency.add(now, r.Latency)
 		s.latency.add(now, r.Latency)
+		if r.Usual > 0 {
+			s.usual.add(now, r.Usual)
+		}
 		u.limit.RecordSuccess(inFlight, u.Load.Queued)
 	case Shed:
 		u.recordReply(now)
--- a/core/coordination/selector/types.go
+++ b/core/coordination/selector/types.go
@@ -33,6 +33,7 @@
 // Result is the result of a sub-request. Latency is the time since RecordStart, for every kind.
 type Result struct {
 	Latency time.Duration
+	Usual   time.Duration // what such a sub-request usually takes at the upstreams of any service; 0 if unknown
 	Kind    ResultKind
 }
 
--- a/gateway/internal/relayer/history.go
+++ b/gateway/internal/relayer/history.go
@@ -16,6 +16,9 @@
 	maxItems = 512
 	// followerTimeout is how long after its last request a VM counts as a follower.
 	followerTimeout = 5 * time.Second
+	// alertInterval is the shortest time between two checks for new ratings. It is below the time that a slow upstream takes for a reply, and
+	// bounds what the reports of many VMs cost.
+	alertInterval = 50 * time.Millisecond
 )
 
 // storedRecord is a record of the history.
@@ -34,7 +37,10 @@
 	confirmedAt   time.Time // when revision was last known to be the newest; zero before the first Reset
 	changed       chan struct{}
 	lastRequest   time.Time
-	aggregator    reporter.Aggregator
+	board         reporter.Board
+	alerts        int // how often an upstream that had no rating got one
+	checkedAt     time.Time
+	checkPending  bool // a check for new ratings is due at the end of alertInterval
 }
 
 // Reset starts a new history after a full read of the store in an era.
@@ -79,29 +85,66 @@
 	return !h.lastRequest.IsZero() && now.Sub(h.lastRequest) < followerTimeout
 }
 
-// MergeReports merges this VM's reports about upstreams with those of its followers, and returns the ratings.
+// MergeReports merges this VM's reports about upstreams with those of others, and returns the ratings.
 func (h *History) MergeReports(now time.Time, reports []reporter.Report) []reporter.Rating {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.aggregator.Merge(now, reports)
-	return h.aggregator.Ratings(now)
+	h.board.MergeReports(now, reports)
+	h.alert(now)
+	return h.board.Ratings(now)
 }
 
-// ChangesSince returns the changes after a revision. It waits until there are some, q.Wait is over, or the history is older than
-// q.MaxAge. Without every change after the revision, or when the revision is of another era, it returns an incomplete response immediately.
+// alert wakes the waiting followers if an upstream has become slow or begun to fail, now or at the end of alertInterval. The caller holds h.mu.
+func (h *History) alert(now time.Time) {
+	switch left := alertInterval - now.Sub(h.checkedAt); {
+	case h.checkPending:
+	case left > 0:
+		h.checkPending = true
+		time.AfterFunc(left, func() {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.checkPending = false
+			h.alert(time.Now())
+		})
+	default:
+		h.checkedAt = now
+		if h.board.Alert(now) {
+			h.alerts++
+			h.notifyFollowers()
+		}
+	}
+}
+
+// UrgentRatings returns the urgent ratings by the reports of this failure domain.
+func (h *History) UrgentRatings(now time.Time) []reporter.Rating {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.board.Urgent(now)
+}
+
+// ChangesSince returns the changes after a revision. It waits until there are some, an upstream gets an urgent rating, q.Wait is over, or the
+// history is older than q.MaxAge. Without every change after the revision, or when the revision is of another era, it returns an incomplete response immediately.
 func (h *History) ChangesSince(ctx context.Context, q ChangesRequest) ChangesResponse {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.lastRequest = time.Now()
-	end := h.lastRequest.Add(q.Wait)
-	h.aggregator.Merge(h.lastRequest, q.Reports)
+	received, alerts := time.Now(), h.alerts
+	h.board.MergeReports(received, q.Reports)
+	if q.Domain != "" {
+		h.board.MergeRatings(received, q.Domain, q.Ratings)
+	}
+	h.alert(received)
+	if q.Exchange {
+		return ChangesResponse{Ratings: h.board.Ratings(received)}
+	}
+	h.lastRequest = received
+	end := received.Add(q.Wait)
 	for {
 		now := time.Now()
 		if h.confirmedAt.IsZero() || q.Era != h.era || q.After < h.startRevision {
 			return ChangesResponse{Incomplete: true, Era: h.era}
 		}
 		timeout := min(end.Sub(now), h.confirmedAt.Add(q.MaxAge).Sub(now))
-		if h.revision > q.After || timeout <= 0 || ctx.Err() != nil {
+		if h.revision > q.After || h.alerts > alerts || timeout <= 0 || ctx.Err() != nil {
 			return h.response(now, q.After)
 		}
 		if h.changed == nil {
@@ -125,7 +168,7 @@
 }
 
 func (h *History) response(now time.Time, after uint64) ChangesResponse {
-	r := ChangesResponse{Era: h.era, Revision: max(after, h.revision), Age: now.Sub(h.confirmedAt), Ratings: h.aggregator.Ratings(now)}
+	r := ChangesResponse{Era: h.era, Revision: max(after, h.revision), Age: now.Sub(h.confirmedAt), Ratings: h.board.Ratings(now)}
 	for i := range h.records {
 		s := &h.records[i]
 		if s.Revision <= after {
--- a/gateway/internal/relayer/message.go
+++ b/gateway/internal/relayer/message.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -12,6 +13,22 @@
 	"comfreyroute/platform/translator"
 )
 
+const (
+	// reportInterval is how often a VM sends its reports about upstreams and receives ratings. Faults of upstreams last seconds.
+	reportInterval = 500 * time.Millisecond
+	// troubleInterval is the interval while a rating is urgent. A slow upstream of four slots is full of requests a second after it has
+	// become slow, and those wait for most of their deadline.
+	troubleInterval = 150 * time.Millisecond
+)
+
+// ReportInterval returns how long after ratings of upstreams the next reports and ratings are due: sooner if one is urgent.
+func ReportInterval(ratings []reporter.Rating) time.Duration {
+	if slices.ContainsFunc(ratings, func(r reporter.Rating) bool { return r.Urgent }) {
+		return troubleInterval
+	}
+	return reportInterval
+}
+
 // ChangesRequest asks a VM for the changes after a revision, and passes on the follower's reports about upstreams.
 type ChangesRequest struct {
 	After  uint64        `json:"after"`
@@ -20,6 +37,10 @@
 	MaxAge time.Duration `json:"most"`          // maximum age of a useful response
 
 	Reports []reporter.Report `json:"reports,omitempty"`
+
+	Exchange bool              `json:"exchange,omitempty"` // only reports and ratings are exchanged
+	Domain   string            `json:"domain,omitempty"`   // failure domain to which Ratings belong
+	Ratings  []reporter.Rating `json:"ratings,omitempty"`  // of the collecting VM of another failure domain
 }
 
 // ChangesResponse holds the changes that a VM knows, and its ratings of upstreams from its own reports and those of its followers.
--- a/gateway/internal/relayer/relayer_test.go
+++ b/gateway/internal/relayer/relayer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/netip"
 	"strings"
@@ -10,7 +11,11 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap/zapcore"
 
+	"comfreyroute/core/coordination/elector"
+	"comfreyroute/core/coordination/reporter"
+	"comfreyroute/gateway/internal/logger"
 	"comfreyroute/platform/translator"
 )
 
@@ -180,3 +185,46 @@
 		}
 	})
 }
+
+// TestExchange answers the load of VMs that are cut from the store, and of the collecting VM of another failure domain: their reports of a slow
+// upstream must pass although the collecting VM knows nothing of the store. A waiting follower must hear of it before its wait is over.
+func TestExchange(t *testing.T) {
+	slow := []reporter.Report{{Service: "s", Upstream: "u", Tries: 9, Latency: 9 * time.Second, Compared: 9 * time.Second, Usual: time.Second},
+		{Service: "s", Upstream: "v", Tries: 9, Latency: 9 * time.Second, Compared: 9 * time.Second, Usual: 9 * time.Second}}
+	var histories [2]History
+	var members []elector.Member
+	for i, domain := range []string{"a", "b"} {
+		address := startRelay(t, &histories[i])
+		members = append(members, elector.Member{Name: "collector-" + domain, FailureDomain: domain, Address: address, LinkMbps: 9},
+			elector.Member{Name: "cut-" + domain, FailureDomain: domain})
+	}
+	histories[1].Reset(time.Now(), 0, 5)
+	woken := make(chan ChangesResponse, 1)
+	go func() {
+		woken <- histories[1].ChangesSince(t.Context(), ChangesRequest{After: 5, Wait: time.Minute, MaxAge: time.Minute})
+	}()
+	for !histories[1].HasFollowers(time.Now()) {
+		time.Sleep(time.Millisecond)
+	}
+	rated := map[string]int{}
+	for _, self := range []elector.Member{members[1], members[0]} {
+		e := &Exchange{
+			Collector: elector.Collector{Self: self, MinDomainSize: 1}, History: &histories[0], Log: logger.New(zapcore.AddSync(io.Discard), self.Name),
+			TakeReports: func() []reporter.Report { reports := slow; slow = nil; return reports },
+			OnRatings:   func(r []reporter.Rating) { rated[self.Name] += len(r) },
+		}
+		e.SetMembers(time.Now(), members)
+		if e.Carry(time.Now(), "") || !e.Carry(time.Now(), "collector-a") || e.Carry(time.Now(), "cut-a") {
+			t.Error("only a request for changes to the collecting VM carries the reports")
+		}
+		if pause, ok := e.step(t.Context()); !ok || pause != troubleInterval {
+			t.Errorf("%s: next step after %v, %t", self.Name, pause, ok)
+		}
+	}
+	if diff := cmp.Diff(map[string]int{"cut-a": 1, "collector-a": 1}, rated); diff != "" {
+		t.Errorf("ratings (-want +got):\n%s", diff)
+	}
+	if r := <-woken; len(r.Ratings) != 1 || r.Ratings[0].Upstream != "u" {
+		t.Errorf("the follower in the other failure domain got %+v", r)
+	}
+}
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -268,6 +268,11 @@
 // startWatcher starts the watcher of the store and passes its updates to the other components.
 func (g *Gateway) startWatcher(ctx context.Context) {
 	s := g.Settings
+	onRatings := func(r []reporter.Rating) { g.driver.HandleEvent(forwarder.UpstreamsRated{Ratings: r}) }
+	exchange := &relayer.Exchange{
+		Collector: elector.Collector{Self: g.self(), MinDomainSize: g.FollowThreshold}, History: &g.history, TakeReports: g.takeReports, OnRatings: onRatings,
+		Log: g.log,
+	}
 	w := &watcher.Watcher{
 		Store: &g.store, Peers: &relayer.Client{}, Elector: elector.Elector{Self: g.self(), MinDomainSize: g.FollowThreshold}, History: &g.history,
 		OnFleetSize: func(n int) { g.driver.HandleEvent(forwarder.FleetResized{VMs: n}) },
@@ -275,7 +280,8 @@
 		OnEvidence: func(all []quarantiner.Publication, complete bool) {
 			g.driver.HandleEvent(forwarder.EvidenceReceived{Publications: all, Complete: complete})
 		},
-		TakeReports: g.takeReports, OnRatings: func(r []reporter.Rating) { g.driver.HandleEvent(forwarder.UpstreamsRated{Ratings: r}) },
+		TakeReports: g.takeReports, OnRatings: onRatings,
+		Exchange: exchange,
 		OnRemoved: func() {
 			select {
 			case g.entryRemoved <- struct{}{}:
@@ -296,6 +302,7 @@
 		defer close(g.watcherDone)
 		var publishing sync.WaitGroup
 		publishing.Go(func() { g.publisher.Run(ctx) })
+		publishing.Go(func() { exchange.Run(ctx) })
 		w.Run(ctx)
 		publishing.Wait()
 	}()
@@ -402,7 +409,7 @@
 // takeReports returns and clears the reports about upstreams that were collected from attempts.
 func (g *Gateway) takeReports() []reporter.Report {
 	var all []reporter.Report
-	g.driver.WithMachine(func(m *forwarder.Machine) { all = m.TakeReports() })
+	g.driver.WithMachine(func(m *forwarder.Machine) { all = m.TakeReports(time.Now()) })
 	return all
 }
 
--- a/gateway/internal/watcher/fleet.go
+++ b/gateway/internal/watcher/fleet.go
@@ -52,6 +52,9 @@
 func (w *Watcher) updateMembers(now time.Time) {
 	members := w.fleet.members()
 	w.Elector.SetMembers(now, members)
+	if w.Exchange != nil {
+		w.Exchange.SetMembers(now, members)
+	}
 	if w.OnMembers != nil {
 		w.OnMembers(members)
 	}
--- a/gateway/internal/watcher/source.go
+++ b/gateway/internal/watcher/source.go
@@ -24,8 +24,6 @@
 	pauseRatio = 0.25
 	// peerTimeoutMargin bounds a request to a peer, in addition to its wait.
 	peerTimeoutMargin = 500 * time.Millisecond
-	// reportInterval is how often a follower sends its reports about upstreams and receives ratings. Faults of upstreams last seconds.
-	reportInterval = 500 * time.Millisecond
 	// peerChangePause is the pause after changes from a peer: changes come in bursts, and each request costs both VMs some work.
 	peerChangePause = 100 * time.Millisecond
 )
@@ -88,9 +86,12 @@
 func (w *Watcher) followPeer(ctx context.Context, peer elector.Member, wait time.Duration) time.Duration {
 	callCtx, cancel := context.WithTimeout(ctx, wait+peerTimeoutMargin)
 	defer cancel()
-	r, err := w.Peers.ChangesSince(callCtx, peer.Address, relayer.ChangesRequest{
-		After: w.revision, Era: w.era, Wait: min(wait, reportInterval), MaxAge: w.maxAge(1), Reports: w.TakeReports(),
-	})
+	q := relayer.ChangesRequest{After: w.revision, Era: w.era, Wait: min(wait, relayer.ReportInterval(w.ratings)), MaxAge: w.maxAge(1)}
+	carries := w.Exchange == nil || w.Exchange.Carry(time.Now(), peer.Name)
+	if carries {
+		q.Reports = w.TakeReports()
+	}
+	r, err := w.Peers.ChangesSince(callCtx, peer.Address, q)
 	now := time.Now()
 	var c *translator.Changes
 	if err == nil {
@@ -117,7 +118,10 @@
 		w.Elector.PeerStale(now, peer.Name)
 		return abandon("its last contact with the store was " + r.Age.String() + " ago")
 	}
-	w.OnRatings(r.Ratings)
+	if carries {
+		w.ratings = r.Ratings
+		w.OnRatings(r.Ratings)
+	}
 	w.applyChanges(now, now.Add(-r.Age), c)
 	if len(c.Items) > 0 {
 		return peerChangePause
--- a/gateway/internal/watcher/watcher.go
+++ b/gateway/internal/watcher/watcher.go
@@ -74,7 +74,8 @@
 	OnEvidence     func(all []quarantiner.Publication, complete bool) // called with what VMs have published about crashes; nil ignores it
 	TakeReports    func() []reporter.Report                           // returns and clears this VM's reports about upstreams; nil for no reports
 	OnRatings      func([]reporter.Rating)
-	OnRemoved      func() // called when the entry of this VM disappears from the store; not before the entry was seen there
+	Exchange       *relayer.Exchange // takes the reports while no request for changes carries them; nil for none
+	OnRemoved      func()            // called when the entry of this VM disappears from the store; not before the entry was seen there
 	Log            *logger.Logger
 
 	registered      bool // the entry of this VM is in the store
@@ -83,9 +84,10 @@
 	fleet           fleet
 	backoff         storeBackoff
 	source          elector.Source
-	manifestVersion uint64 // of the newest manifest
-	era             uint64 // of the store's history to which revision belongs; 0 if the store names none
-	revision        uint64 // where the next watch continues; 0 requests a full read
+	ratings         []reporter.Rating // the last ones of the peer
+	manifestVersion uint64            // of the newest manifest
+	era             uint64            // of the store's history to which revision belongs; 0 if the store names none
+	revision        uint64            // where the next watch continues; 0 requests a full read
 }
 
 // Run follows the store until the context is done.
@@ -154,7 +156,9 @@
 	if peer, ok := source.(elector.Peer); ok {
 		return w.followPeer(ctx, peer.Member, min(wait, w.maxAge(waitRatio))), nil
 	}
-	if reports := w.TakeReports(); w.History.HasFollowers(now) { // taken without followers too, because they would accumulate
+	if w.Exchange != nil && w.Exchange.Active(now) {
+		w.Exchange.Carry(now, "")
+	} else if reports := w.TakeReports(); w.History.HasFollowers(now) { // taken without followers too, because they would accumulate
 		w.OnRatings(w.History.MergeReports(now, reports))
 	}
 	if w.backoff.unavailable {
