--- a/core/coordination/forwarder/ration.go
+++ b/core/coordination/forwarder/ration.go
@@ -7,12 +7,8 @@
 	"comfreyroute/core/coordination/rationer"
 )
 
-const (
-	// maxGrantWait bounds the wait for a grant. A granter answers within a few milliseconds, or is not reached.
-	maxGrantWait = 150 * time.Millisecond
-	// usualQuantile is the quantile of a route's latencies that counts as usual.
-	usualQuantile = 0.5
-)
+// maxGrantWait bounds the wait for a grant. A granter answers within a few milliseconds, or is not reached.
+const maxGrantWait = 150 * time.Millisecond
 
 // GrantCounts counts the requests of customers with a rate by what became of them, and the asks for grants.
 type GrantCounts struct {
@@ -79,12 +75,8 @@
 	if r.route.Timeout <= 0 || r.route.LatencyTarget <= 0 {
 		return false
 	}
-	usual := time.Duration(0)
-	if r.routeState.latencies.Count() >= minHedgeSamples {
-		usual = r.routeState.latencies.Quantile(usualQuantile)
-	}
 	used := r.route.Timeout - r.answerBy.Sub(now)
-	return used+usual > r.route.LatencyTarget
+	return used+r.routeState.usualLatency(now) > r.route.LatencyTarget
 }
 
 // endGrantWait ends the wait of a request for which no granter has answered in time.
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -236,6 +236,7 @@
 
 // applyRatings passes the ratings of other VMs to the upstream selection.
 func (m *Machine) applyRatings(now time.Time, ratings []reporter.Rating) {
+	m.rated = true
 	for _, r := range ratings {
 		s := m.services[r.Service]
 		if s == nil {
