Play pauses of demand and late asks in the model of customers' rates

Asks that a frozen granter reads after its VMs have turned to another one count shares twice for a moment, and stored grants meet a crowd after a pause; the model had neither.

--- a/core/coordination/rationer/fleet_test.go
+++ b/core/coordination/rationer/fleet_test.go
@@ -36,6 +36,7 @@
 	awayUntil time.Time              // stopped or frozen
 	cutUntil  time.Time
 	starts    int
+	frozen    bool // until awayUntil, not stopped
 }
 
 // message is an ask on its way, or its answer on its way back. A failed one has no offer.
@@ -43,10 +44,12 @@
 	at       time.Time
 	from, to *vm
 	starts   int // of the asking VM
+	toStarts int // of the asked VM, for an orphaned ask
 	ask      Ask
 	offer    *Offer
 	failed   bool
 	probe    bool
+	orphaned bool // nobody waits for the answer
 }
 
 func newFleet(seed uint64, n int, terms Terms, limits map[string]Limit) *fleet {
@@ -63,6 +66,7 @@
 // start lets a VM start with nothing in memory.
 func (f *fleet) start(v *vm) {
 	v.starts++
+	v.frozen = false
 	v.holder, v.granter, v.waiting = Holder{Self: v.name, Terms: f.terms}, Granter{Terms: f.terms}, map[string][]time.Time{}
 	var all []Member
 	for _, o := range f.vms {
@@ -147,7 +151,16 @@
 
 func (f *fleet) deliver(m message) {
 	switch {
+	case m.orphaned:
+		if m.toStarts == m.to.starts {
+			m.to.granter.Answer(f.now, m.ask)
+		}
 	case m.offer == nil && !m.failed && (f.away(m.to) || f.cut(m.from, m.to)):
+		if m.to.frozen && !f.cut(m.from, m.to) { // it reads the ask later
+			late := m
+			late.at, late.orphaned, late.toStarts = m.to.awayUntil, true, m.to.starts
+			f.messages = append(f.messages, late)
+		}
 		m.at, m.failed = f.now.Add(AskTimeout), true
 		f.messages = append(f.messages, m)
 	case m.offer == nil && !m.failed:
@@ -215,10 +228,13 @@
 		limits := map[string]Limit{"acme": {Rate: rate, Burst: rapid.Float64Range(0, 2*rate).Draw(t, "burst")}}
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 40).Draw(t, "vms"), Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, limits)
 		load := rapid.Float64Range(0.2, 8).Draw(t, "load") * rate
+		pauses := rapid.Bool().Draw(t, "pauses")
 		end := epoch.Add(time.Duration(rapid.IntRange(5, 25).Draw(t, "seconds")) * time.Second)
 		for f.now.Before(end) {
-			for range poisson(f.random, load*step.Seconds()) {
-				f.arrive(f.vms[f.random.IntN(len(f.vms))], "acme")
+			if !pauses || f.now.Sub(epoch)%(8*time.Second) > 4*time.Second {
+				for range poisson(f.random, load*step.Seconds()) {
+					f.arrive(f.vms[f.random.IntN(len(f.vms))], "acme")
+				}
 			}
 			if f.random.IntN(150) == 0 {
 				f.disturb()
@@ -244,7 +260,7 @@
 		case 0:
 			v.cutUntil = f.now.Add(lasts)
 		case 1: // frozen
-			v.awayUntil = f.now.Add(lasts / 2)
+			v.awayUntil, v.frozen = f.now.Add(lasts/2), true
 		case 2: // killed; clients of its listener find it again after a moment
 			f.start(v)
 			v.awayUntil = f.now.Add(lasts / 3)
