Keep the granter while the store does not list it

Cause: a VM forgot its granter when the entry of that VM was gone. After a fault of the store in which entries expire, each VM was left to a share of less than a request; and a VM that stops removes its entry before the others have taken their shares back. A VM that was removed between a probe and the move stayed the destination, and the share was taken back again and again.

Change: the granter stays a candidate until it fails; a better one that is not listed any more is forgotten.

--- a/core/coordination/rationer/fleet_test.go
+++ b/core/coordination/rationer/fleet_test.go
@@ -68,16 +68,21 @@
 	v.starts++
 	v.frozen = false
 	v.holder, v.granter, v.waiting = Holder{Self: v.name, Terms: f.terms}, Granter{Terms: f.terms}, map[string][]time.Time{}
-	var all []Member
-	for _, o := range f.vms {
-		all = append(all, Member{Name: o.name})
-	}
+	all := f.members()
 	v.holder.SetMembers(all)
 	v.holder.SetLimits(f.limits)
 	v.granter.SetFleet(f.now, len(all))
 	v.granter.SetLimits(f.now, f.limits)
 }
 
+func (f *fleet) members() []Member {
+	all := make([]Member, 0, len(f.vms))
+	for _, v := range f.vms {
+		all = append(all, Member{Name: v.name})
+	}
+	return all
+}
+
 func (f *fleet) away(v *vm) bool { return f.now.Before(v.awayUntil) }
 
 func (f *fleet) cut(a, b *vm) bool {
@@ -293,10 +298,11 @@
 		limits[fmt.Sprint("c", i)] = Limit{Rate: rate, Burst: rate}
 	}
 	for _, c := range []struct {
-		name string
-		stop bool
-	}{{"calm", false}, {"granter stops and returns", true}} {
+		name         string
+		stop, forget bool
+	}{{"calm", false, false}, {"granter stops and returns", true, false}, {"the store forgets the VMs for a while", false, true}} {
 		f := newFleet(3, vms, Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, limits)
+		best := f.vms[slices.IndexFunc(f.vms, func(v *vm) bool { return v.name == f.vms[0].holder.ranked[0].Name })]
 		for f.now.Before(epoch.Add(30 * time.Second)) {
 			at := f.now.Sub(epoch)
 			for i := range load {
@@ -306,13 +312,20 @@
 					}
 				}
 			}
-			i := slices.IndexFunc(f.vms, func(v *vm) bool { return v.name == f.vms[0].holder.ranked[0].Name })
 			switch {
 			case c.stop && at == 10*time.Second:
-				f.vms[i].granter.Stop()
+				best.granter.Stop()
+			case c.forget && at == 10*time.Second:
+				for _, v := range f.vms {
+					v.holder.SetMembers(nil)
+				}
+			case c.forget && at == 14*time.Second:
+				for _, v := range f.vms {
+					v.holder.SetMembers(f.members())
+				}
 			case c.stop && at == 13*time.Second:
-				f.start(f.vms[i])
-				f.vms[i].awayUntil = f.now.Add(2 * time.Second)
+				f.start(best)
+				best.awayUntil = f.now.Add(2 * time.Second)
 			}
 			f.tick(150 * time.Millisecond)
 		}
--- a/core/coordination/rationer/holder.go
+++ b/core/coordination/rationer/holder.go
@@ -76,9 +76,15 @@
 // SetFleet sets the number of VMs among which rates are divided.
 func (h *Holder) SetFleet(vms int) { h.fleet = max(1, vms, len(h.ranked)) }
 
-// SetMembers sets the VMs that can be granters.
+// SetMembers sets the VMs that can be granters. The current granter stays one until it fails: entries disappear during a fault of the store, and
+// that of a granter that stops does before the share is handed over.
 func (h *Holder) SetMembers(all []Member) {
 	h.fleet = max(h.fleet, len(all))
+	i := h.rank(h.granter)
+	listed := func(m Member) bool { return m.Name == h.granter }
+	if i >= 0 && !slices.ContainsFunc(all, listed) {
+		all = append(slices.Clone(all), h.ranked[i])
+	}
 	h.ranked = slices.Clone(all)
 	slices.SortFunc(h.ranked, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(hash(a.Name), hash(b.Name)), strings.Compare(a.Name, b.Name))
@@ -92,6 +98,9 @@
 	if h.rank(h.granter) < 0 {
 		h.granter = ""
 	}
+	if h.rank(h.better) < 0 {
+		h.better = ""
+	}
 	maps.DeleteFunc(h.failed, func(name string, _ failure) bool { return h.rank(name) < 0 })
 }
 
@@ -264,6 +273,7 @@
 	switch {
 	case !ok:
 		h.avoid(now, name)
+	case h.rank(name) < 0: // not listed any more
 	case h.granter == "" || h.rank(name) < h.rank(h.granter):
 		h.better = name
 	}
