Recognize requests that come again by their customer, not by the key

Cause: the signature of a request hashed the caller's key. A peer on a detour does not get the key, so that it knew neither the suspects of the first VM nor reported them as the same; and a fast hash of the key went to logs and to the store.

Change: for verified requests the customer's name stands for the key. The existing tests pass an unverified identity.

Result: the method had no place for the customer before, so that TestSignatureOfCustomer did not compile; the signatures with and without the key differed by construction. It passes now with the tests of suspects, keys and customers.

--- a/core/coordination/forwarder/orphan_test.go
+++ b/core/coordination/forwarder/orphan_test.go
@@ -260,7 +260,7 @@
 						result.Failure = Cancelled
 					}
 					s := h.takeSend("point")
-					signature = s.Message.Signature()
+					signature = s.Message.Signature(Identity{})
 					h.endAttempt(s, result)
 				}
 				for len(h.pending) > 0 { // second attempts
@@ -285,7 +285,7 @@
 				path := fmt.Sprint("/one/", n)
 				message := Message{Host: "h.example", Path: path, Target: path, Method: "GET"}
 				h.step(EvidenceReceived{Publications: []quarantiner.Publication{{VM: "vm2", Evidence: []quarantiner.Evidence{{
-					Signature: message.Signature(), Crashes: []quarantiner.Crash{{Service: "point", Upstream: "u"}, {Service: "point", Upstream: "v"}},
+					Signature: message.Signature(Identity{}), Crashes: []quarantiner.Crash{{Service: "point", Upstream: "u"}, {Service: "point", Upstream: "v"}},
 				}}}}})
 				h.request(path, 0)
 				h.resetAll(probes)
@@ -318,7 +318,7 @@
 			h := newReadyHarness(t, 0)
 			message := Message{Host: "h.example", Path: "/one/x", Target: "/one/x", Method: "GET"}
 			h.step(EvidenceReceived{Publications: []quarantiner.Publication{{VM: "vm2", Evidence: []quarantiner.Evidence{{
-				Signature: message.Signature(), Crashes: []quarantiner.Crash{{Service: "point", Upstream: "u"}, {Service: "point", Upstream: "v"}},
+				Signature: message.Signature(Identity{}), Crashes: []quarantiner.Crash{{Service: "point", Upstream: "u"}, {Service: "point", Upstream: "v"}},
 			}}}}})
 			first := h.request("/one/x", 0)
 			run := h.takeSend("point")
--- a/core/coordination/forwarder/request.go
+++ b/core/coordination/forwarder/request.go
@@ -109,12 +109,13 @@
 	r := &request{
 		id: e.Request, message: e.Message, route: route, routeState: m.routeState(now, route), manifestVersion: m.manifest.Version,
 		fingerprint: m.manifest.fingerprints[route],
-		arrived:     now, heapIndex: -1, detoured: e.Detour, signature: e.Message.Signature(), suspect: e.Detour != nil && e.Detour.Suspect,
+		arrived:     now, heapIndex: -1, detoured: e.Detour, suspect: e.Detour != nil && e.Detour.Suspect,
 	}
 	if reason, ok := m.authenticate(r, e.Keys); !ok {
 		m.emit(Answer{Request: r.id, Outcome: Refused{Reason: reason}, Report: Report{Route: route.Name, Manifest: r.manifestVersion}})
 		return
 	}
+	r.signature = e.Message.Signature(r.identity)
 	r.setDeadlines(now, e.Deadline)
 	if m.refuseAtStop(now, r) {
 		return
--- a/core/coordination/forwarder/signature.go
+++ b/core/coordination/forwarder/signature.go
@@ -11,8 +11,8 @@
 var credentialHeaders = [...]string{"Authorization", "Cookie", "X-Api-Key"}
 
 // Signature returns a hash of what an upstream gets to see of a request: two requests with the same signature are the same request that comes
-// again, at whatever VM and with whatever ID.
-func (m *Message) Signature() uint64 {
+// again, at whatever VM and with whatever ID. The customer of a verified request stands for its key, which a peer does not get.
+func (m *Message) Signature(id Identity) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	add := func(s string) {
@@ -22,8 +22,13 @@
 	add(m.Method)
 	add(m.Host)
 	add(m.Target)
+	claimed := m.Identity
+	if id.Verified {
+		add(id.Customer)
+		claimed = nil
+	}
 	for _, name := range credentialHeaders {
-		for _, header := range [...]http.Header{m.Header, m.Identity} {
+		for _, header := range [...]http.Header{m.Header, claimed} {
 			for _, value := range header[name] {
 				add(value)
 			}
--- a/core/coordination/forwarder/signature_test.go
+++ b/core/coordination/forwarder/signature_test.go
@@ -29,8 +29,27 @@
 	for _, c := range cases {
 		m := base()
 		c.change(m)
-		if same := m.Signature() == base().Signature(); same != c.same {
+		if same := m.Signature(Identity{}) == base().Signature(Identity{}); same != c.same {
 			t.Errorf("%s changed: same signature %t, want %t", c.name, same, c.same)
 		}
 	}
 }
+
+// TestSignatureOfCustomer guards against a request that is not recognized when it comes through a peer, which does not get the caller's key, or with
+// another key of the same customer.
+func TestSignatureOfCustomer(t *testing.T) {
+	signature := func(key, customer string) uint64 {
+		m := &Message{Method: "GET", Host: "h", Target: "/a"}
+		if key != "" {
+			m.Identity = http.Header{"X-Api-Key": {key}}
+		}
+		return m.Signature(Identity{Verified: true, Customer: customer})
+	}
+	first := signature("k", "acme")
+	if signature("", "acme") != first || signature("l", "acme") != first {
+		t.Error("the signature depends on the key, want it to depend on the customer")
+	}
+	if signature("k", "other") == first {
+		t.Error("requests of two customers have the same signature")
+	}
+}
--- a/core/coordination/forwarder/suspect_test.go
+++ b/core/coordination/forwarder/suspect_test.go
@@ -96,7 +96,7 @@
 	suspected := func(h *harness, path string) {
 		message := Message{Host: "h.example", Path: path, Target: path, Method: "GET"}
 		h.step(EvidenceReceived{Publications: []quarantiner.Publication{{VM: "vm2", Evidence: []quarantiner.Evidence{{
-			Signature: message.Signature(), Crashes: []quarantiner.Crash{{Service: "shard2", Upstream: "u"}, {Service: "shard2", Upstream: "v"}},
+			Signature: message.Signature(Identity{}), Crashes: []quarantiner.Crash{{Service: "shard2", Upstream: "u"}, {Service: "shard2", Upstream: "v"}},
 		}}}}})
 	}
 	t.Run("lookup", func(t *testing.T) {
@@ -200,7 +200,7 @@
 			for n := range int64(2) {
 				h.request("/once/x", 0)
 				s := h.takeSend("point")
-				signature = s.Message.Signature()
+				signature = s.Message.Signature(Identity{})
 				h.endAttempt(s, Failed{Failure: Reset, Written: true})
 				h.advance(time.Second)
 				h.step(all(c.change(s.Upstream)))
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -360,7 +360,7 @@
 			fields = append(fields, zap.String("detail", r.Detail))
 		}
 	}
-	fields = append(fields, formatSignature(s.Message.Signature()), zap.String("target", s.Message.Target[:min(len(s.Message.Target), maxLoggedTarget)]))
+	fields = append(fields, formatSignature(s.Message.Signature(s.Identity)), zap.String("target", s.Message.Target[:min(len(s.Message.Target), maxLoggedTarget)]))
 	g.log.InfoLimited("requester: attempt failed", fields...)
 }
 
