--- a/core/coordination/forwarder/config.go
+++ b/core/coordination/forwarder/config.go
@@ -70,6 +70,9 @@
 	// minUsualSamples is the fewest latencies from which that quantile is computed. The first gathered request of a route yields as many before
 	// its slow sub-requests end.
 	minUsualSamples = 20
+	// settleTime is how long after its start a VM chooses by what it sees itself. After the loss of all VMs, upstreams count the connections of the
+	// dead ones for about so long, and reset those that a move to another upstream opens.
+	settleTime = 10 * time.Second
 	// minHedgeShare and maxHedgeShare bound the hedge delay to parts of the latency target, so that a hedge has time to reply.
 	minHedgeShare = 0.08
 	maxHedgeShare = 0.35
--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -37,6 +37,7 @@
 	aloneRuns     map[uint64]*attempt // last run of each suspect, by signature
 
 	collector   reporter.Collector
+	startedAt   time.Time // of the first event
 	repliedAt   time.Time // of the last successful reply
 	rated       bool      // other VMs have passed on ratings of upstreams
 	random      *rand.Rand
@@ -57,7 +58,7 @@
 // Step handles one event and returns the actions to perform, in order. The slice is valid until the next Step. The times of
 // successive events must not decrease.
 func (m *Machine) Step(now time.Time, ev Event) []Action {
-	m.initialize()
+	m.initialize(now)
 	m.actions = m.actions[:0]
 	switch e := ev.(type) {
 	case ManifestAdopted:
@@ -100,10 +101,11 @@
 }
 
 // initialize prepares the zero value for use.
-func (m *Machine) initialize() {
+func (m *Machine) initialize(now time.Time) {
 	if m.random != nil {
 		return
 	}
+	m.startedAt = now
 	m.random = rand.New(rand.NewPCG(m.Config.Seed, m.Config.Seed))
 	m.quarantine.VM, m.quarantine.Random = m.Config.VM, m.random
 	m.requests = map[RequestID]*request{}
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -197,8 +197,11 @@
 	m.dispatchWaiting(now, s)
 }
 
-// applyRatings passes the ratings of other VMs to the upstream selection.
+// applyRatings passes the ratings of other VMs to the upstream selection. A VM that has just started ignores them.
 func (m *Machine) applyRatings(now time.Time, ratings []reporter.Rating) {
+	if now.Sub(m.startedAt) < settleTime {
+		return
+	}
 	m.rated = true
 	for _, r := range ratings {
 		s := m.services[r.Service]
--- a/core/coordination/forwarder/silence_test.go
+++ b/core/coordination/forwarder/silence_test.go
@@ -21,7 +21,6 @@
 	for _, c := range cases {
 		const shards = 30
 		h := newReadyHarness(t, shards)
-		h.step(UpstreamsRated{Ratings: []reporter.Rating{}})
 		h.request("/all/", 0) // makes the usual latency known
 		h.advance(10 * time.Millisecond)
 		for _, s := range shardNames(shards) {
@@ -47,3 +46,25 @@
 		}
 	}
 }
+
+// TestRatingsAfterStart answers the load of the return of all VMs: one that has just started keeps to its near upstream, so that it opens no
+// further connections.
+func TestRatingsAfterStart(t *testing.T) {
+	cases := []struct {
+		name  string
+		after time.Duration
+		near  bool
+	}{
+		{"just started", 0, true},
+		{"settled", settleTime, false},
+	}
+	for _, c := range cases {
+		h := newReadyHarness(t, 1)
+		h.advance(c.after)
+		h.step(UpstreamsRated{Ratings: []reporter.Rating{{Service: "point", Upstream: "point-0", Latency: time.Second}}})
+		h.request("/one/", 0)
+		if s := h.takeSend("point"); (s.Upstream == "point-0") != c.near {
+			t.Errorf("%s: sent to %s", c.name, s.Upstream)
+		}
+	}
+}
