--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -234,8 +234,11 @@
 	maps.DeleteFunc(s.coldUntil, func(_ string, until time.Time) bool { return !until.After(now) })
 }
 
-// applyRatings passes the ratings of other VMs to the upstream selection.
+// applyRatings passes the ratings of other VMs to the upstream selection. A VM that has just started ignores them.
 func (m *Machine) applyRatings(now time.Time, ratings []reporter.Rating) {
+	if now.Sub(m.startedAt) < settleTime {
+		return
+	}
 	m.rated = true
 	for _, r := range ratings {
 		s := m.services[r.Service]
