Count the share of a VM that starts only when no granter can know it any more

Cause: a VM forgets at a restart which granter counts its share. When many VMs restarted after planned stops of granters, they turned to another one, and both counted the shares for 1.5 s.

Change: the first ask of a VM names the time after which its share is free at the latest. The model splits the fleet in two as well.

--- a/core/coordination/rationer/burst_test.go
+++ b/core/coordination/rationer/burst_test.go
@@ -78,6 +78,14 @@
 			g.Answer(now, Ask{VM: "a", Wants: all})
 			return g.Answer(now, Ask{VM: "a", Wants: []Want{{"c", -1000, 0}, {"c", 1000, 0}, {"c", 0, -1000}, {"c", 1000, 0}}}).Grants[1].Requests
 		}},
+		{"a VM starts again while another granter counts its share", 0, func() int {
+			var h Holder
+			h.SetMembers([]Member{{Name: "a"}})
+			if q, _, _ := h.Ask(epoch, nil); q.ShareIn < contactLifetime {
+				return 1
+			}
+			return 0
+		}},
 		{"a share is used, handed over and used again", 0, func() int {
 			h := Holder{Self: "a"}
 			h.SetMembers([]Member{{Name: "a"}})
--- a/core/coordination/rationer/fleet_test.go
+++ b/core/coordination/rationer/fleet_test.go
@@ -26,6 +26,8 @@
 	admitted map[string][]time.Time
 	asked    int // requests that came
 	refused  int // of these
+
+	splitUntil time.Time // until then, the two sides do not reach each other
 }
 
 type vm struct {
@@ -35,6 +37,7 @@
 	waiting   map[string][]time.Time // arrivals
 	awayUntil time.Time              // stopped or frozen
 	cutUntil  time.Time
+	side      bool // of the fleet while it is split
 	starts    int
 	frozen    bool // until awayUntil, not stopped
 }
@@ -86,7 +89,7 @@
 func (f *fleet) away(v *vm) bool { return f.now.Before(v.awayUntil) }
 
 func (f *fleet) cut(a, b *vm) bool {
-	return a != b && (f.now.Before(a.cutUntil) || f.now.Before(b.cutUntil))
+	return a != b && (f.now.Before(a.cutUntil) || f.now.Before(b.cutUntil) || f.now.Before(f.splitUntil) && a.side != b.side)
 }
 
 // arrive lets a request come to a VM.
@@ -254,8 +257,14 @@
 
 // disturb does something to a random part of the VMs.
 func (f *fleet) disturb() {
-	share, lasts, kind := f.random.Float64(), time.Duration(f.random.IntN(6000))*time.Millisecond, f.random.IntN(5)
+	share, lasts, kind := f.random.Float64(), time.Duration(f.random.IntN(6000))*time.Millisecond, f.random.IntN(6)
+	if kind == 5 {
+		f.splitUntil = f.now.Add(lasts)
+	}
 	for _, v := range f.vms {
+		if kind == 5 {
+			v.side = f.random.Float64() < share
+		}
 		if f.random.Float64() > share {
 			continue
 		}
