Count the share of a VM that starts at once, and of one that is gone for a second only

Change: it counts at once again. In exchange a granter counts a share for 1 s instead of 1.5 s after the last ask, and stores 30 % of the allowed excess instead of 40 %, so that two granters which count the same shares for that second stay within the bound.

--- a/core/coordination/rationer/granter.go
+++ b/core/coordination/rationer/granter.go
@@ -5,9 +5,9 @@
 )
 
 const (
-	// contactLifetime is how long a granter counts the share of a VM after its last ask. It spans three of the asks that a VM sends at
-	// least.
-	contactLifetime = 1500 * time.Millisecond
+	// contactLifetime is how long a granter counts the share of a VM after its last ask. It spans one ask that is lost and the
+	// next one.
+	contactLifetime = time.Second
 	// minAfter and maxAfter bound the time after which callers beyond a limit may come again.
 	minAfter = 100 * time.Millisecond
 	maxAfter = 5 * time.Second
--- a/core/coordination/rationer/holder.go
+++ b/core/coordination/rationer/holder.go
@@ -195,9 +195,6 @@
 		h.nextAsk, h.pausedUntil = now.Add(retryDelay), now.Add(retryDelay)
 		return Ask{}, Member{}, false
 	}
-	if h.freeAt.IsZero() { // a granter may count the share since before a restart
-		h.freeAt = now.Add(contactLifetime)
-	}
 	to := h.ranked[i]
 	h.asked = to.Name
 	q := Ask{VM: h.Self, ShareIn: max(0, h.freeAt.Sub(now)), Wants: wants}
--- a/core/coordination/rationer/terms.go
+++ b/core/coordination/rationer/terms.go
@@ -20,10 +20,10 @@
 	defaultWindow = 5 * time.Second
 
 	// The allowed excess of a window is divided among the ways in which the VMs may exceed the limit. The rest covers grants that are used
-	// a moment after they were given.
+	// a moment after they were given, and shares of VMs that start again within contactLifetime and are counted by two granters.
 
 	// depthShare is added to the burst that a granter stores.
-	depthShare = 0.4
+	depthShare = 0.3
 	// joinShare is brought along by VMs that join a granter, because a granter that starts has nothing stored.
 	joinShare = 0.2
 	// loneShare is for VMs that reach no granter. Their own share of a burst is less than one request.
