--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -16,7 +16,6 @@
 own-share|core/coordination/rationer/holder.go|s/^\ts.level--$/_ = s/|core/coordination/rationer|TestRateOverFleet
 released|core/coordination/rationer/holder.go|s/h.freeAt, h.stored, h.nextAsk = now, o.Stored, now/h.freeAt, h.nextAsk = now.Add(contactLifetime), now/|core/coordination/rationer|TestShareBelowRate
 late-grants|core/coordination/rationer/granter.go|s/lateReserve = 0.5/lateReserve = 0.0/|core/coordination/rationer|TestScarceGrants
-evacuated|core/coordination/forwarder/evacuation.go|s/return slices.Contains(m.evacuated, u.FailureDomain)/return false/|core/coordination/forwarder|TestEvacuation
 snapshot|core/coordination/router/search.go|s/reply.Version != x.version .. reply.Layout != x.layout/false/|core/coordination/router|TestFaultMatrix
 coverage|core/coordination/router/search.go|s/!m.shardSet.matches(expected, reply.Results, total)/len(expected) < 0/|core/coordination/router|TestFaultMatrix
 budget|core/coordination/budgeter/budget.go|s/if b.tokens-tokenUnit < .*{$/if false {/|core/coordination/budgeter|TestBudgetHoldsInEveryWindow
