--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -16,8 +16,8 @@
 
 	"comfreyroute/core/coordination/doorkeeper"
 	"comfreyroute/core/coordination/forwarder"
+	"comfreyroute/core/transport/acceptor"
 	"comfreyroute/core/transport/bounder"
-	"comfreyroute/gateway/internal/acceptor"
 	"comfreyroute/gateway/internal/driver"
 	"comfreyroute/gateway/internal/logger"
 	"comfreyroute/platform/translator"
--- a/gateway/internal/runner/bounds.go
+++ b/gateway/internal/runner/bounds.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"comfreyroute/core/coordination/doorkeeper"
-	"comfreyroute/gateway/internal/acceptor"
+	"comfreyroute/core/transport/acceptor"
 	"comfreyroute/platform/translator"
 )
 
--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -32,7 +32,7 @@
 era|gateway/internal/watcher/source.go|s/c.Era != 0 .. w.era != 0 .. c.Era != w.era/c.Era == 1 \&\& w.era == 2/|gateway/internal/watcher|TestManifestAfterRestore
 copy|gateway/internal/watcher/registry.go|s/ .. e.Precedes(&reg.entry) {/ \&\& false {/|gateway/internal/watcher|TestUpstreamsAfterRestore
 leases|platform/translator/vm.go|s/era := s.era.Load(); era != 0 .. era != lease.Era/false/|platform/translator|TestEras
-queue|gateway/internal/acceptor/acceptor.go|s/case draining:/case !draining:/|gateway/internal/acceptor|TestDrainServesQueuedConnections
+queue|core/transport/acceptor/acceptor.go|s/case draining:/case !draining:/|core/transport/acceptor|TestDrainServesQueuedConnections
 detour|core/coordination/navigator/reach.go|s/if late < r.needed() .. len(services) < .*{$/if true {/|core/coordination/forwarder|TestStrandedVMUsesPeers
 elsewhere|core/coordination/navigator/elsewhere.go|s/case e.Unreached(now), .*:/case false:/|core/coordination/navigator|TestElsewhere
 trial|core/coordination/navigator/reach.go|s/if r.lost .. r.trial.Arm(now) {/if r.RecordReply(now) {/|core/coordination/forwarder|TestReturnOfUpstreams
