Bound what callers take of an entry daemon

Crowds of callers took up to 171 MB of an entry daemon with 64 MiB, and every descriptor that they asked for (TestCrowdsAtEntry, 39 of 42 crowds beyond a bound). Its port had a limit on heads, on bodies and on requests in flight, and none on connections, on what heads and bodies take together, or on answers that nobody reads.

Change: the port is an acceptor.Listener with the bounds of the gateway's callers: connections (new setting callers, by default what fits into the memory and the descriptors), a fifth of the memory for heads, bodies and answers, progress within 10 s. The collector's soft limit is 0.6 of the memory instead of all of it. Bodies are read before the routes, as they come at any path.

--- a/core/state/configloader/setting.go
+++ b/core/state/configloader/setting.go
@@ -50,6 +50,7 @@
 		return err == nil && f >= 0.1 && f <= 1000
 	}},
 	countSetting("limits", "requests", 1, 1_000_000, func(s *Settings) *int { return &s.Limits.Requests }),
+	countSetting("limits", "callers", 1, 1_000_000, func(s *Settings) *int { return &s.Limits.Callers }),
 	countSetting("limits", "tickets", 0, 10_000_000, func(s *Settings) *int { return &s.Limits.Tickets }),
 	timeSetting("limits", "life", time.Second, 24*time.Hour, func(s *Settings) *time.Duration { return &s.Limits.TicketLifetime }),
 	countSetting("limits", "claims", 1, 10_000_000, func(s *Settings) *int { return &s.Limits.Claims }),
--- a/core/state/configloader/settings.go
+++ b/core/state/configloader/settings.go
@@ -41,6 +41,7 @@
 	Retention      time.Duration // calls with an older key are rejected, so that the claims of their keys can be deleted
 	TraceRecords   int           // records kept in the decision trace
 	BodyBytes      int
+	Callers        int   // connections of callers; 0 for what fits into the memory and the descriptors
 	Memory         int64 // soft memory limit of the process
 }
 
--- a/entry/internal/measurer/measurer.go
+++ b/entry/internal/measurer/measurer.go
@@ -82,3 +82,8 @@
 func CountRejection(status int) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`comfrey_rejects_total{status="%d"}`, status)).Inc()
 }
+
+// CountDeparture counts a caller that was turned away by the bounds on connections, by cause.
+func CountDeparture(cause string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`comfrey_callers_turned_away_total{cause=%q}`, cause)).Inc()
+}
--- a/entry/internal/receiver/receiver.go
+++ b/entry/internal/receiver/receiver.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"sync"
@@ -20,6 +19,8 @@
 	"comfreyroute/core/coordination/router"
 	"comfreyroute/core/protocol/encoder"
 	"comfreyroute/core/state/tabler"
+	"comfreyroute/core/transport/acceptor"
+	"comfreyroute/core/transport/bounder"
 	"comfreyroute/entry/internal/claimrunner"
 	"comfreyroute/entry/internal/logger"
 	"comfreyroute/entry/internal/looper"
@@ -34,6 +35,8 @@
 	contentTypeJSON = "application/json"
 	reasonBusy      = "overloaded"
 	reasonLeaving   = "leaving"
+	pathSearch      = "/v1/search"
+	pathCall        = "/v1/call"
 )
 
 // Loop is the routing loop, which runs the requests of callers.
@@ -56,8 +59,9 @@
 	// AcceptsRequests reports whether requests are accepted. During shutdown a VM accepts them for a while although it is not ready.
 	AcceptsRequests func() (accepts bool, reason string)
 	MaxBodyBytes    int64
-	IDPrefix        string // prefix of request IDs
-	MaxRequests     int    // limit of requests in flight
+	Memory          *bounder.Memory // counts the bodies of requests and answers; nil for none
+	IDPrefix        string          // prefix of request IDs
+	MaxRequests     int             // limit of requests in flight
 	Log             *zap.Logger
 	Admin           map[string]http.HandlerFunc // handlers of the operators' GET requests, by path
 	RecordAnswer    func(row *tabler.ServiceRow, kind string, latency time.Duration, a looper.Answer)
@@ -73,9 +77,10 @@
 	app := iris.New()
 	app.Configure(iris.WithoutStartupLog)
 	app.Logger().SetLevel("disable")
-	app.Post("/v1/search", r.handleSearch)
+	app.UseRouter(r.readBody)
+	app.Post(pathSearch, r.handleSearch)
 	app.Post("/v1/lookup", r.handleLookup)
-	app.Post("/v1/call", r.handleCall)
+	app.Post(pathCall, r.handleCall)
 	app.Post("/v1/tickets", r.handleTickets)
 	app.Get("/livez", func(c iris.Context) { c.StatusCode(http.StatusOK) })
 	app.Get("/readyz", r.handleReady)
@@ -86,7 +91,9 @@
 	if err := app.Build(); err != nil {
 		return nil, err
 	}
-	return app, nil
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		app.ServeHTTP(&answerWriter{ResponseWriter: w, conn: acceptor.ConnOf(request), memory: r.Memory}, request)
+	}), nil
 }
 
 // CloseAdmission makes the receiver refuse every new request.
@@ -160,15 +167,10 @@
 
 // decodeBody decodes the JSON body of a request into v. For an invalid body it answers with a 4xx status and returns false.
 func (r *Receiver) decodeBody(c iris.Context, v any) bool {
-	body := http.MaxBytesReader(c.ResponseWriter(), c.Request().Body, r.MaxBodyBytes)
-	err := encoder.Decode(body, r.MaxBodyBytes, v)
+	err := encoder.Decode(c.Request().Body, r.MaxBodyBytes, v)
 	if err == nil {
 		return true
 	}
-	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
-		writeError(c, http.StatusRequestEntityTooLarge, "the body has more than "+strconv.FormatInt(r.MaxBodyBytes, 10)+" bytes")
-		return false
-	}
 	writeError(c, http.StatusBadRequest, "the body is not a valid request: "+err.Error())
 	return false
 }
--- a/entry/internal/receiver/receiver_test.go
+++ b/entry/internal/receiver/receiver_test.go
@@ -16,6 +16,7 @@
 	"comfreyroute/core/coordination/router"
 	"comfreyroute/core/protocol/encoder"
 	"comfreyroute/core/state/tabler"
+	"comfreyroute/core/transport/bounder"
 	"comfreyroute/entry/internal/claimrunner"
 	"comfreyroute/entry/internal/looper"
 )
@@ -123,21 +124,27 @@
 // against a refusal without a Retry-After header.
 func TestRefusals(t *testing.T) {
 	search, call := `{"service":"matching"}`, `{"service":"ledger","body":{},"key":"`+key+`"}`
+	const memoryLimit = 1 << 20
 	isolated := func() (bool, string) { return false, "isolated" }
 	cases := []struct {
 		name, path, body string
 		accepts          func() (bool, string)
 		full             bool
+		held             int64 // bytes of memory that others hold, of memoryLimit
 		want             string
 	}{
-		{"search while isolated", "/v1/search", search, isolated, false, `"outcome":"not_run","reason":"isolated"`},
-		{"call while isolated", "/v1/call", call, isolated, false, `"outcome":"unknown","reason":"isolated"`},
-		{"search while the queue is full", "/v1/search", search, nil, true, `"outcome":"not_run","reason":"overloaded"`},
-		{"call while the queue is full", "/v1/call", call, nil, true, `"outcome":"unknown","reason":"overloaded"`},
+		{"search while isolated", "/v1/search", search, isolated, false, 0, `"outcome":"not_run","reason":"isolated"`},
+		{"call while isolated", "/v1/call", call, isolated, false, 0, `"outcome":"unknown","reason":"isolated"`},
+		{"search while the queue is full", "/v1/search", search, nil, true, 0, `"outcome":"not_run","reason":"overloaded"`},
+		{"call while the queue is full", "/v1/call", call, nil, true, 0, `"outcome":"unknown","reason":"overloaded"`},
+		{"search while the memory is full", "/v1/search", search, nil, false, memoryLimit, `"outcome":"not_run","reason":"overloaded"`},
+		{"call while the memory is full", "/v1/call", call, nil, false, memoryLimit, `"outcome":"unknown","reason":"overloaded"`},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			w := post(handler(t, &stub{full: c.full}, &Receiver{AcceptsRequests: c.accepts}), c.path, c.body, "")
+			memory := &bounder.Memory{Limit: memoryLimit}
+			memory.Take(c.held)
+			w := post(handler(t, &stub{full: c.full}, &Receiver{AcceptsRequests: c.accepts, Memory: memory}), c.path, c.body, "")
 			if w.Code != http.StatusServiceUnavailable || !strings.Contains(w.Body.String(), c.want) || w.Header().Get("Retry-After") == "" {
 				t.Errorf("got status %d, Retry-After %q, %s; want 503 with %s", w.Code, w.Header().Get("Retry-After"), w.Body, c.want)
 			}
--- a/entry/internal/runner/daemon.go
+++ b/entry/internal/runner/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
@@ -23,6 +22,8 @@
 	"comfreyroute/core/coordination/tracker"
 	"comfreyroute/core/state/configloader"
 	"comfreyroute/core/state/tabler"
+	"comfreyroute/core/transport/acceptor"
+	"comfreyroute/core/transport/bounder"
 	"comfreyroute/core/transport/connector"
 	"comfreyroute/core/transport/kvclient"
 	"comfreyroute/core/transport/messenger"
@@ -57,7 +58,8 @@
 	collector       measurer.Collector
 	receiver        receiver.Receiver
 	server          http.Server
-	listener        *net.TCPListener
+	memory          bounder.Memory // of callers' heads and bodies and the answers to them
+	callers         *acceptor.Listener
 	callerAddress   netip.AddrPort // bound by the HTTP listener; differs from the setting when that has port 0
 	actionCounter   measurer.ActionCounter
 	routerTable     atomic.Pointer[tabler.Snapshot] // last table posted to the router
@@ -68,7 +70,9 @@
 // error when it cannot listen on an address.
 func (d *daemon) start() error {
 	s := d.settings
-	debug.SetMemoryLimit(s.Limits.Memory)
+	debug.SetMemoryLimit(int64(float64(s.Limits.Memory) * softMemoryRatio))
+	d.memory.Limit = int64(float64(s.Limits.Memory) * bodyMemoryRatio)
+	d.memory.MakeRoom = func(size int64) bool { return d.callers.MakeRoom(size) }
 	d.incarnation = uint64(time.Now().UnixMicro())
 	d.kvClient = kvclient.Client{Address: s.Platform.Address, Timeout: s.Platform.Timeout}
 	d.startRouting()
@@ -273,23 +277,13 @@
 	return d.settings.VM.ID + "-" + strconv.FormatUint(d.incarnation, 36) + "-r"
 }
 
-// stopListening closes the listener for callers and passes the connections in its accept queue to the HTTP server.
-func (d *daemon) stopListening() {
-	conns, err := stopListening(d.listener)
-	if err != nil {
-		d.log.Warn("entry: could not accept the connections queued at the listener", logger.ErrorField(err))
-	}
-	q := newQueuedListener(d.listener, conns)
-	go func() { _ = d.server.Serve(q) }()
-	<-q.allAccepted
-	time.Sleep(trackingDelay)
-}
-
 // stopComponents stops all components. A component stops before those that it uses.
 func (d *daemon) stopComponents() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	d.stopListening()
+	if !d.callers.Drain() {
+		d.log.Warn("entry: callers kept connecting, and some of their connections were reset")
+	}
 	if err := d.server.Shutdown(ctx); err != nil {
 		_ = d.server.Close()
 	}
--- a/gateway/internal/runner/bounds.go
+++ b/gateway/internal/runner/bounds.go
@@ -13,34 +13,14 @@
 )
 
 const (
-	// callerShare is the part of the sockets that callers may have, as its inverse. The rest is for upstreams, peers, the store and probes.
-	callerShare = 2
 	// peerShare is the part of the sockets that requests of other VMs may have, as its inverse.
 	peerShare = 8
-	// connMemoryRatio is the fraction of the allowed memory for the connections of callers, connBytes what one takes with its buffers.
-	connMemoryRatio = 0.25
-	connBytes       = 32 << 10
 	// maxProbeConns bounds the connections to the readiness port and to the port of metrics and profiles.
 	maxProbeConns       = 32
 	maxProbeHeaderBytes = 1 << 10 // net/http allows 4 KB more
 	maxProbeTime        = 3 * time.Second
 )
 
-// maxCallers returns the most connections of callers, 0 for no limit.
-func maxCallers(s *translator.Settings) int {
-	limit := 0
-	if s.MaxSockets > 0 {
-		limit = max(1, s.MaxSockets/callerShare)
-	}
-	if s.MemoryBytes > 0 {
-		fitting := max(1, int(float64(s.MemoryBytes)*connMemoryRatio)/connBytes)
-		if limit == 0 || fitting < limit {
-			limit = fitting
-		}
-	}
-	return limit
-}
-
 // bounds returns the bounds of a listener that takes at most a number of connections. Without limits in the settings the number has none.
 func (g *Gateway) bounds(port string, maxConns int) acceptor.Bounds {
 	if g.Settings.MaxSockets == 0 && g.Settings.MemoryBytes == 0 {
@@ -51,7 +31,7 @@
 
 // boundListeners sets the bounds of the ports for callers and probes.
 func (g *Gateway) boundListeners() {
-	g.callers.Bounds = g.bounds("callers", maxCallers(g.Settings))
+	g.callers.Bounds = g.bounds("callers", acceptor.Capacity(g.Settings.MaxSockets, g.Settings.MemoryBytes))
 	g.callers.Bounds.StallTime = g.receiver.StallTime
 	g.probes.Bounds = g.bounds("readiness", maxProbeConns)
 	g.metrics.NewGauge("comfreyroute_gateway_caller_connections", func() float64 { return float64(g.callers.Conns()) })
