Publish a confirmed crasher at once

A VM that has confirmed a request which crashes upstreams published it up to half a second late, if it had published anything else in the half second before. In the meantime the next VM's turn began, and it ran the request too. In a traced play of TestRequestsThatCrashUpstreams/booking the fifth crash was confirmed at 2.27 s after the third and published at 2.53 s; another gateway ran the request at 2.40 s in its turn, so that all three upstreams were down until 3.77 s, and 140 of 3543 harmless requests were refused, want at most 12.

A confirmation now goes ahead by one interval, and the publication after it waits for longer, so that the average stays at two a second (TestPublicationsKeepTheirInterval is unchanged). TestConfirmationIsPublishedAtOnce fails before.

--- a/core/coordination/quarantiner/publication.go
+++ b/core/coordination/quarantiner/publication.go
@@ -10,7 +10,8 @@
 	// publishDelay is how long unconfirmed evidence waits for a reply that makes its publication needless. Most requests that are reset in a
 	// crash are answered at once by another upstream.
 	publishDelay = 250 * time.Millisecond
-	// publishInterval is the minimum time between two publications of a VM. Each one is a write to the store.
+	// publishInterval is the minimum time between two publications of a VM, on average if a confirmation is published ahead. Each one is a write to the
+	// store.
 	publishInterval = 500 * time.Millisecond
 	// republishSpread is the time over which the VMs publish again what the store has lost. The first one saves the others the write.
 	republishSpread = 1500 * time.Millisecond
@@ -43,6 +44,16 @@
 	}
 }
 
+// publishAhead makes a publication due now, if the last one was not published ahead too. The next one is due later instead.
+func (w *Watchlist) publishAhead(now time.Time) {
+	if now.Before(w.publishedAt) {
+		now = w.publishedAt
+	}
+	if w.publishAt.IsZero() || now.Before(w.publishAt) {
+		w.publishAt = now
+	}
+}
+
 // NextPublication returns when TakePublication has something to publish, zero for never.
 func (w *Watchlist) NextPublication() time.Time { return w.publishAt }
 
@@ -51,7 +62,10 @@
 	if w.publishAt.IsZero() || now.Before(w.publishAt) {
 		return nil, false
 	}
-	w.publishAt, w.publishedAt = time.Time{}, now
+	w.publishAt = time.Time{}
+	if w.publishedAt = w.publishedAt.Add(publishInterval); w.publishedAt.Before(now) {
+		w.publishedAt = now
+	}
 	var own []*watched
 	for signature := range w.entries {
 		if e := w.find(now, signature); e != nil && e.own {
--- a/core/coordination/quarantiner/watchlist.go
+++ b/core/coordination/quarantiner/watchlist.go
@@ -58,7 +58,7 @@
 	survivals   replyTable // upstreams that have outlived orphans
 	members     []string   // all VMs
 	publishAt   time.Time  // when what this VM knows is due for publication; zero for never
-	publishedAt time.Time  // last publication
+	publishedAt time.Time  // last publication; one publishInterval after the one before if it was published ahead
 }
 
 // watched is what a VM knows about one signature.
@@ -196,6 +196,9 @@
 	w.addCrash(now, e, c, false)
 	e.own, e.substitute = true, false
 	if alone && !w.answeredElsewhere(now, signature, c.Service) {
+		if !e.confirmed {
+			w.publishAhead(now) // each other VM would run it in its turn
+		}
 		e.confirm(now)
 		w.publishBy(now)
 		return
--- a/core/coordination/quarantiner/watchlist_test.go
+++ b/core/coordination/quarantiner/watchlist_test.go
@@ -329,6 +329,22 @@
 	}
 }
 
+// TestConfirmationIsPublishedAtOnce guards against VMs that run a suspect in their turn because one that has confirmed it had published something else
+// just before.
+func TestConfirmationIsPublishedAtOnce(t *testing.T) {
+	w, now := &Watchlist{VM: "vm1"}, time.Unix(1000, 0)
+	crashOf("s", "a", false).do(w, now)
+	now = now.Add(publishDelay)
+	if _, ok := w.TakePublication(now); !ok {
+		t.Fatal("the first crash is not published")
+	}
+	now = now.Add(time.Millisecond)
+	crashOf("s", "b", true).do(w, now)
+	if diff := cmp.Diff([]Evidence{evidenceOf(true, "a", "b")}, takeAll(w, now, 0)); diff != "" {
+		t.Errorf("published at once (-want +got):\n%s", diff)
+	}
+}
+
 // TestTurns guards against VMs that all run a suspect alone at the same time, each at the cost of one more upstream, and against one that gets no turn.
 func TestTurns(t *testing.T) {
 	cases := []struct{ vms, most int }{{1, 1}, {3, 1}, {7, 1}, {60, 5}, {195, 17}}
