Probe an upstream again that has reset a request and still accepts connections

A reset counted as no crash for good when the upstream's port still accepted one connection just after it. A process that ends may reset a connection before it closes its port: in a traced play of TestRequestsThatCrashUpstreams/booking the probe was accepted 0.13 ms after the reset of a suspect that ran alone, the other connections were reset 6.3 ms later and the port refused then. The crash did not confirm the suspect, which ran twice more while the upstreams of the service came back, so that all three were down at once.

Such a reset stays open, and the upstream is probed again after 10 ms, within the time that requests wait for evidence, and once more 40 ms later. A refusal in between counts for it too.

--- a/core/coordination/forwarder/config.go
+++ b/core/coordination/forwarder/config.go
@@ -102,3 +102,7 @@
 	// routeStateLifetime is how long the state of a route that left the manifest is kept, because a route often returns under its name.
 	routeStateLifetime = time.Minute
 )
+
+// recheckDelays are the times from one accepted probe of an upstream that has reset a request to the next. A host under load takes some milliseconds to
+// close all that a process had open. The first delay is within maxResetHold, because requests wait for it.
+var recheckDelays = [...]time.Duration{10 * time.Millisecond, 40 * time.Millisecond}
--- a/core/coordination/forwarder/crash.go
+++ b/core/coordination/forwarder/crash.go
@@ -16,6 +16,8 @@
 	at        time.Time
 	startTime time.Time // of the upstream
 	refused   bool      // the upstream's host refuses connections: it has crashed, or this VM does not reach it
+	accepted  int       // probes that the upstream has accepted since: it lives, or has not closed its port yet
+	recheckAt time.Time // of the next probe after an accepted one; zero for none
 	others    []string  // upstreams that were probed since, because this VM may not reach any
 }
 
@@ -42,7 +44,7 @@
 		return false
 	}
 	probed := slices.ContainsFunc(m.pendingResets, func(p pendingReset) bool {
-		return p.isOf(s.name, upstream) && now.Sub(p.at) < crashProbeTimeout
+		return p.isOf(s.name, upstream) && p.accepted == 0 && now.Sub(p.at) < crashProbeTimeout
 	})
 	if probed && a == nil {
 		return false
@@ -54,15 +56,13 @@
 	return true
 }
 
-// resolveResets uses what a probe says of the upstreams. One that accepts connections has not crashed. One whose host refuses them has, if this
-// VM reaches other upstreams; otherwise its own connections may be the fault, so that a further probe is sent. Without an answer of the host, the
-// list of upstreams may still tell.
+// resolveResets uses what a probe says of the upstreams. One that accepts connections has not crashed, if it still does a little later: a process
+// that ends may reset its connections before it closes its port. One whose host refuses them has, if this VM reaches other upstreams; otherwise its
+// own connections may be the fault, so that a further probe is sent. Without an answer of the host, the list of upstreams may still tell.
 func (m *Machine) resolveResets(now time.Time, e ProbeEnded) {
 	switch {
 	case e.Connected:
-		m.takeResets(now, func(p pendingReset) (known, crashed bool) {
-			return p.isOf(e.Service, e.Upstream), false
-		})
+		m.recordAccepted(now, e)
 		m.recordUpstreamContact(now, e.Upstream)
 	case e.Refused:
 		m.recordRefusal(now, e)
@@ -81,6 +81,57 @@
 	}
 }
 
+// recordAccepted records that an upstream accepts connections after its resets, and plans to probe it again. Requests go on if it accepts the second
+// probe too, and it has not crashed if it accepts all.
+func (m *Machine) recordAccepted(now time.Time, e ProbeEnded) {
+	var alive []pendingReset
+	for i := range m.pendingResets {
+		p := &m.pendingResets[i]
+		if !p.isOf(e.Service, e.Upstream) || !p.recheckAt.IsZero() {
+			continue
+		}
+		if p.accepted < len(recheckDelays) {
+			p.recheckAt = now.Add(recheckDelays[p.accepted])
+		}
+		p.refused = false
+		if p.accepted++; p.accepted == 2 {
+			alive = append(alive, *p)
+		}
+	}
+	m.pendingResets = slices.DeleteFunc(m.pendingResets, func(p pendingReset) bool { return p.accepted > len(recheckDelays) })
+	for _, p := range alive {
+		m.releaseReset(now, p)
+	}
+}
+
+// recheckResets probes the upstreams again that have accepted a connection after a reset.
+func (m *Machine) recheckResets(now time.Time) {
+	var probed []string
+	for i := range m.pendingResets {
+		p := &m.pendingResets[i]
+		if p.recheckAt.IsZero() || now.Before(p.recheckAt) {
+			continue
+		}
+		p.recheckAt = time.Time{}
+		k, ok := p.service.set.Index(p.upstream)
+		if ok && !slices.Contains(probed, p.upstream) {
+			probed = append(probed, p.upstream)
+			m.emitProbe(p.service, p.service.set.At(k), now.Add(crashProbeTimeout))
+		}
+	}
+}
+
+// nextRecheck returns when recheckResets has a probe to send, zero for never.
+func (m *Machine) nextRecheck() time.Time {
+	next := time.Time{}
+	for i := range m.pendingResets {
+		if at := m.pendingResets[i].recheckAt; !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	return next
+}
+
 // releaseUnexplained lets requests go on whose reset has no explanation yet, because the host of the upstream does not answer.
 func (m *Machine) releaseUnexplained(now time.Time, e ProbeEnded) {
 	for _, p := range slices.Clone(m.pendingResets) {
@@ -169,20 +220,25 @@
 		m.recordOrphanCrashes(now, m.orphans.TakeCrashed(p.at, c))
 	}
 	for _, p := range resolved {
-		a := p.attempt
-		if a == nil {
-			continue
-		}
-		if r := a.request; r != nil && !r.finished {
-			r.subs[a.subIndex].heldUntil = time.Time{}
-			if r.alone == a.id {
-				r.alone = 0
-			}
-			m.releaseHeld(now, r)
-		}
-		if a.alone {
-			m.releaseSame(now, a.signature)
+		m.releaseReset(now, p)
+	}
+}
+
+// releaseReset goes on with the request whose attempt was reset.
+func (m *Machine) releaseReset(now time.Time, p pendingReset) {
+	a := p.attempt
+	if a == nil {
+		return
+	}
+	if r := a.request; r != nil && !r.finished {
+		r.subs[a.subIndex].heldUntil = time.Time{}
+		if r.alone == a.id {
+			r.alone = 0
 		}
+		m.releaseHeld(now, r)
+	}
+	if a.alone {
+		m.releaseSame(now, a.signature)
 	}
 }
 
--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -107,6 +107,7 @@
 		m.wakeAt = time.Time{}
 	}
 	m.checkReach(now)
+	m.recheckResets(now)
 	for len(m.timers) > 0 && !m.timers[0].due.After(now) {
 		m.runDueSteps(now, m.timers[0])
 	}
@@ -156,6 +157,9 @@
 	if at := m.quarantine.NextPublication(); !at.IsZero() && (next.IsZero() || at.Before(next)) {
 		next = at
 	}
+	if at := m.nextRecheck(); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+		next = at
+	}
 	if at := m.nextAsk(now); !at.IsZero() && (next.IsZero() || at.Before(next)) {
 		next = at
 	}
--- a/core/coordination/forwarder/quarantine_test.go
+++ b/core/coordination/forwarder/quarantine_test.go
@@ -32,6 +32,7 @@
 	store     map[string]quarantiner.Publication
 	storeAway bool
 	spread    time.Duration // longest time from a write to the store until a VM has it
+	closing   time.Duration // from the reset of the request that crashes an upstream until its port is closed
 
 	lastRequest RequestID
 	arrivals    map[string][]time.Time // of requests under crashing paths at upstreams, by path: when their caller sent them
@@ -278,15 +279,23 @@
 	switch {
 	case f.downUntil[s.Upstream].After(f.now) || f.isCut(n, s.Upstream) || f.crashedAt[s.Upstream].After(began):
 		end(Failed{Failure: Reset, Written: true})
+	case q.crashes() && f.closing > 0:
+		f.after(f.closing, -1, func() { f.crashUnder(s.Upstream, q) })
+		end(Failed{Failure: Reset, Written: true})
 	case q.crashes():
-		f.crashUpstream(s.Upstream, crashRestart)
-		f.crashes[q.path] = append(f.crashes[q.path], f.now)
+		f.crashUnder(s.Upstream, q)
 		end(Failed{Failure: Reset, Written: true})
 	default:
 		end(Replied{Reply: successReply(s)})
 	}
 }
 
+// crashUnder takes an upstream down that runs a request which crashes it.
+func (f *crashFleet) crashUnder(upstream string, q *crashRequest) {
+	f.crashUpstream(upstream, crashRestart)
+	f.crashes[q.path] = append(f.crashes[q.path], f.now)
+}
+
 func (f *crashFleet) requestOf(s Send) *crashRequest {
 	var id RequestID
 	if _, err := fmt.Sscan(s.Message.RequestID, &id); err != nil {
@@ -407,6 +416,9 @@
 		{"seldom", 7, 0, "/one/crash", 2 * time.Second, nil, [2]time.Duration{}},
 		{"seldom search", 7, 0, "/all/crash", 2 * time.Second, nil, [2]time.Duration{}},
 		{"large fleet", 60, 0, "/one/crash", 300 * time.Millisecond, nil, [2]time.Duration{}},
+		{"ports close after connections, all upstreams down at times", 7, 3, "/one/crash", 130 * time.Millisecond, func(f *crashFleet) {
+			f.closing = []time.Duration{7 * time.Millisecond, 30 * time.Millisecond}[f.random.IntN(2)]
+		}, [2]time.Duration{}},
 		{"store away at first", 7, 0, "/one/crash", 300 * time.Millisecond, away(0, 8*time.Second), [2]time.Duration{0, 12 * time.Second}},
 		{"store away later", 7, 0, "/one/crash", 300 * time.Millisecond, away(8*time.Second, 15*time.Second), [2]time.Duration{}},
 		{"one VM after the other starts again", 7, 0, "/one/crash", 300 * time.Millisecond, func(f *crashFleet) {
