Try upstreams with a request that no peer takes instead of refusing it

A VM that has lost all upstreams sends one request to them once they accept connections again, if its way to a peer is paid from the retry budget. With the budget used up it waited for two seconds, also while peers had no room for its requests, and refused these.

A request that may run more than once and that no peer takes is now the trial: it would be refused otherwise. New case in TestReturnWithoutTokens with a bound of 0.2 s, which fails before; the bounds of the others stay.

--- a/core/coordination/forwarder/detour.go
+++ b/core/coordination/forwarder/detour.go
@@ -63,9 +63,13 @@
 			m.reach.TakeTrial()
 			return false
 		}
-		if m.elsewhere.Unreached(now) || !m.startDetour(now, r) {
-			m.refuseLost(now, r)
+		if !m.elsewhere.Unreached(now) && m.startDetour(now, r) {
+			return true
+		}
+		if m.tryInsteadOfRefusal(r) {
+			return false
 		}
+		m.refuseLost(now, r)
 		return true
 	}
 	ask, trial, overdue := false, false, false
@@ -84,6 +88,16 @@
 	return ask && m.startDetour(now, r)
 }
 
+// tryInsteadOfRefusal takes the trial of the lost upstreams for a request that no peer takes. It may run twice, so that a trial costs its caller no
+// more than the refusal, also without the tokens for a way back to the peers.
+func (m *Machine) tryInsteadOfRefusal(r *request) bool {
+	if !m.reach.TrialDue() || !r.route.Idempotent {
+		return false
+	}
+	m.reach.TakeTrial()
+	return true
+}
+
 // refuseLost refuses a request that neither this VM nor a peer can serve. If all VMs have lost the upstreams, another VM does not help, and
 // the caller is to return when the next probe may have succeeded.
 func (m *Machine) refuseLost(now time.Time, r *request) {
@@ -377,7 +391,7 @@
 	switch {
 	case counted:
 		m.resumeSubRequests(now, r)
-	case m.reach.Lost(now):
+	case m.reach.Lost(now) && !m.tryInsteadOfRefusal(r):
 		m.refuseLost(now, r)
 	default:
 		m.dispatchSubRequests(now, r)
--- a/core/coordination/forwarder/detour_test.go
+++ b/core/coordination/forwarder/detour_test.go
@@ -248,18 +248,20 @@
 }
 
 // TestReturnWithoutTokens guards against a VM that stays without upstreams after they are back, because no request is fit for a trial: all peers have
-// lost them too and the retry budget is used up, the only requests must not run twice, or there are no peers.
+// lost them too or are busy and the retry budget is used up, the only requests must not run twice, or there are no peers.
 func TestReturnWithoutTokens(t *testing.T) {
 	cases := []struct {
 		name  string
 		path  string
 		peers int
 		end   PeerAnswered // of requests to peers
+		after time.Duration
 	}{
-		{"peers are lost too", "/one/x", 5, PeerAnswered{Outcome: Refused{Reason: OutOfReach}}},
-		{"peers serve", "/one/x", 5, PeerAnswered{Outcome: Relayed{Reply: &Reply{Status: 200, Signature: "s"}}}},
-		{"must not run twice", "/once/x", 5, PeerAnswered{Outcome: Relayed{Reply: &Reply{Status: 200, Signature: "s"}}}},
-		{"no peers", "/once/x", 0, PeerAnswered{}},
+		{"peers are lost too", "/one/x", 5, PeerAnswered{Outcome: Refused{Reason: OutOfReach}}, 4 * time.Second},
+		{"peers have no room", "/one/x", 5, PeerAnswered{Outcome: Refused{Reason: Busy}}, 200 * time.Millisecond},
+		{"peers serve", "/one/x", 5, PeerAnswered{Outcome: Relayed{Reply: &Reply{Status: 200, Signature: "s"}}}, 4 * time.Second},
+		{"must not run twice", "/once/x", 5, PeerAnswered{Outcome: Relayed{Reply: &Reply{Status: 200, Signature: "s"}}}, 4 * time.Second},
+		{"no peers", "/once/x", 0, PeerAnswered{}, 4 * time.Second},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -273,7 +275,7 @@
 			if h.machine.UpstreamsLost() != 1 {
 				t.Fatal("the loss of all upstreams is not noticed")
 			}
-			for end := h.now.Add(4 * time.Second); h.now.Before(end) && h.machine.UpstreamsLost() == 1; h.advance(100 * time.Millisecond) {
+			for end := h.now.Add(c.after); h.now.Before(end) && h.machine.UpstreamsLost() == 1; h.advance(100 * time.Millisecond) {
 				h.step(ProbeEnded{Service: "shard0", Upstream: "shard0-0", Connected: true})
 				h.request(c.path, 0)
 				for len(h.pending) > 0 {
@@ -287,7 +289,7 @@
 				}
 			}
 			if h.machine.UpstreamsLost() != 0 {
-				t.Error("the VM is still without upstreams 4 s after they are back")
+				t.Errorf("the VM is still without upstreams %v after they are back", c.after)
 			}
 		})
 	}
