Send lookups to upstreams of services that have not failed while others are down

Dead upstreams of several services look to every VM like the loss of its own links.

A request that may run more than once, that no peer takes and whose own services have no failed or late attempt since their last reply now goes to its upstreams. A VM that is really cut off pays for this with one request of each service, until an attempt there is late. TestServiceBesideLostOnes fails before.

--- a/core/coordination/forwarder/detour.go
+++ b/core/coordination/forwarder/detour.go
@@ -66,7 +66,7 @@
 		if !m.elsewhere.Unreached(now) && m.startDetour(now, r) {
 			return true
 		}
-		if m.tryInsteadOfRefusal(r) {
+		if m.tryInsteadOfRefusal(now, r) {
 			return false
 		}
 		m.refuseLost(now, r)
@@ -88,10 +88,23 @@
 	return ask && m.startDetour(now, r)
 }
 
-// tryInsteadOfRefusal takes the trial of the lost upstreams for a request that no peer takes. It may run twice, so that a trial costs its caller no
-// more than the refusal, also without the tokens for a way back to the peers.
-func (m *Machine) tryInsteadOfRefusal(r *request) bool {
-	if !m.reach.TrialDue() || !r.route.Idempotent {
+// tryInsteadOfRefusal reports whether a request that no peer takes is sent to the lost upstreams: as their trial, or because none of its own services
+// has failed. Upstreams of other services that are down look like the loss of all. The request may run twice, so that this costs its caller no more
+// than the refusal, also without the tokens for a way back to the peers.
+func (m *Machine) tryInsteadOfRefusal(now time.Time, r *request) bool {
+	if !r.route.Idempotent {
+		return false
+	}
+	sound := 0
+	for index := range r.subs {
+		if s := r.subs[index].service; !s.reach.Suspected(now) && !s.unreachable(now) {
+			sound++
+		}
+	}
+	if sound >= max(1, r.minShards) {
+		return true
+	}
+	if !m.reach.TrialDue() {
 		return false
 	}
 	m.reach.TakeTrial()
@@ -391,7 +404,7 @@
 	switch {
 	case counted:
 		m.resumeSubRequests(now, r)
-	case m.reach.Lost(now) && !m.tryInsteadOfRefusal(r):
+	case m.reach.Lost(now) && !m.tryInsteadOfRefusal(now, r):
 		m.refuseLost(now, r)
 	default:
 		m.dispatchSubRequests(now, r)
--- a/core/coordination/forwarder/detour_test.go
+++ b/core/coordination/forwarder/detour_test.go
@@ -295,6 +295,38 @@
 	}
 }
 
+// TestServiceBesideLostOnes guards against lookups that are refused while the upstreams of other services are down, for which a VM and its peers have
+// lost all, and against more than one lookup that waits for upstreams which are down too.
+func TestServiceBesideLostOnes(t *testing.T) {
+	for _, up := range []bool{true, false} {
+		t.Run(fmt.Sprint("up ", up), func(t *testing.T) {
+			h := newReadyHarness(t, 4)
+			h.listPeers(5)
+			h.strand()
+			lookup := func() RequestID {
+				id := h.request("/one/x", 0)
+				for s, ok := h.takeDetour(); ok; s, ok = h.takeDetour() {
+					h.endAttempt(s, PeerAnswered{Outcome: Refused{Reason: OutOfReach, RetryAfter: time.Second}})
+				}
+				return id
+			}
+			id := lookup()
+			if up {
+				h.reply("point")
+				if _, ok := h.answers[id].Outcome.(Relayed); !ok || h.machine.UpstreamsLost() != 0 {
+					t.Errorf("outcome %+v, want the reply, and that it ends the loss", h.answers[id].Outcome)
+				}
+				return
+			}
+			h.endAttempt(h.takeSend("point"), Failed{Failure: Reset, Written: true})
+			again := lookup()
+			if o, ok := h.answers[again].Outcome.(Refused); !ok || o.Reason != OutOfReach {
+				t.Errorf("outcome %+v of a lookup after one has failed, want a refusal at once", h.answers[again].Outcome)
+			}
+		})
+	}
+}
+
 // TestLostServiceUsesPeers guards against callers of a VM that has lost the upstreams of one service only, and against detours of all requests to a
 // service that is down for all VMs.
 func TestLostServiceUsesPeers(t *testing.T) {
--- a/core/coordination/navigator/reach.go
+++ b/core/coordination/navigator/reach.go
@@ -117,6 +117,11 @@
 	return !r.repliedAt.IsZero() && now.Sub(r.repliedAt) < provenLifetime
 }
 
+// Suspected reports whether an upstream has failed or is late since the last reply.
+func (r *Reach) Suspected(now time.Time) bool {
+	return slices.ContainsFunc(r.silent, func(s silentUpstream) bool { return !s.lateAt.After(now) })
+}
+
 // Stale reports whether no request was tried for long, so that a loss may be over.
 func (r *Reach) Stale(now time.Time) bool { return now.Sub(r.triedAt) > staleAfter }
 
