--- a/core/coordination/forwarder/detour.go
+++ b/core/coordination/forwarder/detour.go
@@ -63,9 +63,13 @@
 			m.reach.TakeTrial()
 			return false
 		}
-		if m.elsewhere.Unreached(now) || !m.startDetour(now, r) {
-			m.refuseLost(now, r)
+		if !m.elsewhere.Unreached(now) && m.startDetour(now, r) {
+			return true
+		}
+		if m.tryInsteadOfRefusal(now, r) {
+			return false
 		}
+		m.refuseLost(now, r)
 		return true
 	}
 	ask, trial, overdue := false, false, false
@@ -84,6 +88,29 @@
 	return ask && m.startDetour(now, r)
 }
 
+// tryInsteadOfRefusal reports whether a request that no peer takes is sent to the lost upstreams: as their trial, or because none of its own services
+// has failed. Upstreams of other services that are down look like the loss of all. The request may run twice, so that this costs its caller no more
+// than the refusal, also without the tokens for a way back to the peers.
+func (m *Machine) tryInsteadOfRefusal(now time.Time, r *request) bool {
+	if !r.route.Idempotent {
+		return false
+	}
+	sound := 0
+	for index := range r.subs {
+		if s := r.subs[index].service; !s.reach.Suspected(now) && !s.unreachable(now) {
+			sound++
+		}
+	}
+	if sound >= max(1, r.minShards) {
+		return true
+	}
+	if !m.reach.TrialDue() {
+		return false
+	}
+	m.reach.TakeTrial()
+	return true
+}
+
 // refuseLost refuses a request that neither this VM nor a peer can serve. If all VMs have lost the upstreams, another VM does not help, and
 // the caller is to return when the next probe may have succeeded.
 func (m *Machine) refuseLost(now time.Time, r *request) {
@@ -377,7 +404,7 @@
 	switch {
 	case counted:
 		m.resumeSubRequests(now, r)
-	case m.reach.Lost(now):
+	case m.reach.Lost(now) && !m.tryInsteadOfRefusal(now, r):
 		m.refuseLost(now, r)
 	default:
 		m.dispatchSubRequests(now, r)
