Let a failed search hear what its upstreams declare by now

Cause: crashes hold down other shards, each search fails at once, and its attempts at upstreams that have ever replied were cancelled. The reply that would have told of the rate was lost with its connection.

Change: a failed search cancels an attempt only if its upstream has replied since the attempt was sent.

TestRateIsLearnedFromFailedSearches now plays an upstream that has replied before, too, and fails on that without the change (2 attempts of 2 cancelled).

--- a/core/coordination/forwarder/answer.go
+++ b/core/coordination/forwarder/answer.go
@@ -80,15 +80,15 @@
 	m.answer(now, r, o)
 }
 
-// cancelHeard cancels the attempts of a sub-request that has failed, but for those at upstreams which this VM has never had a reply from: if other
-// shards have no upstreams, all searches fail at once, and no reply would ever tell of a declared rate.
+// cancelHeard cancels the attempts of a sub-request that has failed, but for those at upstreams which have not replied to this VM since they were sent: if
+// other shards have no upstreams, all searches fail at once, and no reply would tell that an upstream declares a rate or has withdrawn it.
 func (m *Machine) cancelHeard(sub *subRequest) {
 	for _, id := range sub.inFlight {
 		a := m.attempts[id]
 		if a == nil {
 			continue
 		}
-		if i, ok := a.service.set.Index(a.upstream); !ok || a.service.set.HasReplied(i) {
+		if i, ok := a.service.set.Index(a.upstream); !ok || a.service.set.HasRepliedSince(i, a.sent) {
 			m.cancel(a)
 		}
 	}
--- a/core/coordination/forwarder/rate_test.go
+++ b/core/coordination/forwarder/rate_test.go
@@ -322,40 +322,50 @@
 }
 
 // TestRateIsLearnedFromFailedSearches guards against an upstream that gets more than it declares from a VM whose searches all fail at once, because
-// other shards have no upstreams: a search that closes its connections never hears of the rate.
+// other shards have no upstreams: a search that closes its connections never hears of the rate, whether the upstream has replied before or not.
 func TestRateIsLearnedFromFailedSearches(t *testing.T) {
-	h := newReadyHarness(t, 4)
-	// failSearch fails a search by two of its four shards and returns the sends to the others.
-	failSearch := func() (left []Send) {
-		id := h.request("/all/x", 0)
-		for len(h.pending) > 0 {
-			s := h.pending[0]
-			h.pending = h.pending[1:]
-			if s.Service == "shard2" || s.Service == "shard3" {
-				h.endAttempt(s, Failed{Failure: Unreachable})
-			} else {
-				left = append(left, s)
+	for _, heard := range []bool{false, true} {
+		h := newReadyHarness(t, 4)
+		// search sends a search and returns the sends to two of its four shards. The others fail, and with them the search.
+		search := func() (left []Send) {
+			id := h.request("/all/x", 0)
+			for len(h.pending) > 0 {
+				s := h.pending[0]
+				h.pending = h.pending[1:]
+				if s.Service == "shard2" || s.Service == "shard3" {
+					h.endAttempt(s, Failed{Failure: Unreachable})
+				} else {
+					left = append(left, s)
+				}
 			}
+			if _, ok := h.answers[id].Outcome.(Gathered); ok || h.answers[id].Outcome == nil {
+				t.Fatalf("outcome %+v, want a failure", h.answers[id].Outcome)
+			}
+			return left
 		}
-		if _, ok := h.answers[id].Outcome.(Gathered); ok || h.answers[id].Outcome == nil {
-			t.Fatalf("outcome %+v, want a failure", h.answers[id].Outcome)
+		if heard {
+			h.request("/all/x", 0)
+			for _, name := range shardNames(4) {
+				h.reply(name)
+			}
+			h.advance(time.Second)
+		}
+		left := search()
+		if h.cancelled > 0 || len(left) == 0 {
+			t.Fatalf("heard before %v: %d attempts of %d are cancelled before a reply of their upstreams", heard, h.cancelled, len(left))
+		}
+		h.advance(rateLatency)
+		for _, s := range left {
+			reply := successReply(s)
+			reply.Rate = limiter.Declaration{Kind: limiter.Limited, Rate: 1}
+			h.endAttempt(s, Replied{Reply: reply})
+		}
+		sends := 0
+		for range 20 {
+			sends += len(search())
+		}
+		if most := 2 * 3 * (1 + rateSlack); sends > most { // two shards of three upstreams
+			t.Errorf("heard before %v: %d sends to upstreams that declare 1/s in no time, want at most %d", heard, sends, most)
 		}
-		return left
-	}
-	left := failSearch()
-	if h.cancelled > 0 || len(left) == 0 {
-		t.Fatalf("%d attempts of %d are cancelled before the first reply of their upstreams", h.cancelled, len(left))
-	}
-	for _, s := range left {
-		reply := successReply(s)
-		reply.Rate = limiter.Declaration{Kind: limiter.Limited, Rate: 1}
-		h.endAttempt(s, Replied{Reply: reply})
-	}
-	sends := 0
-	for range 20 {
-		sends += len(failSearch())
-	}
-	if most := 2 * 3 * (1 + rateSlack); sends > most { // two shards of three upstreams
-		t.Errorf("%d sends to upstreams that declare 1/s in no time, want at most %d", sends, most)
 	}
 }
--- a/core/coordination/selector/set.go
+++ b/core/coordination/selector/set.go
@@ -202,8 +202,8 @@
 	u.domain.recordStart(now, u.serial)
 }
 
-// HasReplied reports whether this VM has had a reply from an upstream. Before the first one it does not know what the upstream declares.
-func (s *Set) HasReplied(i int) bool { return !s.upstreams[i].lastReply.IsZero() }
+// HasRepliedSince reports whether this VM has had a reply from the upstream at a position after a time, and so knows what the upstream has declared by then.
+func (s *Set) HasRepliedSince(i int, at time.Time) bool { return s.upstreams[i].lastReply.After(at) }
 
 // RecordResult records the end of a sub-request to the upstream at a position.
 func (s *Set) RecordResult(now time.Time, i int, r Result) {
--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -102,7 +102,7 @@
 relisted|core/coordination/forwarder/service.go|/m.resolveOrphans(now, s, upstreams)/d|core/coordination/forwarder|TestOrphanEvidence
 answeredby|core/coordination/quarantiner/watchlist.go|s/if alone .. !w.answeredElsewhere.*{$/if alone {/|core/coordination/quarantiner|TestWatchlist
 rivals|core/coordination/quarantiner/watchlist.go|s/now.Before(settled)/false/|core/coordination/quarantiner|TestRivalAtAnotherVM
-untold|core/coordination/forwarder/answer.go|s/if i, ok := .*HasReplied(i) {/if m != nil {/|core/coordination/forwarder|TestRateIsLearnedFromFailedSearches
+untold|core/coordination/forwarder/answer.go|s/HasRepliedSince(i, a.sent)/HasRepliedSince(i, time.Time{})/|core/coordination/forwarder|TestRateIsLearnedFromFailedSearches
 overrun|core/transport/requester/conn.go|s/response.Reply.Overrun, response.KeepAlive = true, false/response.KeepAlive = false/|platform/translator|TestBytesAfterReply
 lineends|platform/translator/framing.go|s/if err := checkHead(r); err != nil {/if err := checkHead(r); false {/|platform/translator|TestSpoiledReply
 unframed|platform/translator/upstreamcodec.go|s/ .. isChunked(body) {/ \&\& false {/|platform/translator|TestSpoiledReply
