Let VMs tell each other of the rates that upstreams declare

The share of one of forty VMs is a grant each 5 s, and only the reply to its next request told a VM of the withdrawal.

Change: the reports and ratings of upstreams that VMs exchange anyway also carry what an upstream declares or has withdrawn, with its age and its incarnation. The latest news counts, and news that contradicts a reply to the VM itself must be later by more than such a report may be under way. A VM that has just started uses them too, while it still ignores the ratings. Where no upstream declares a rate, the messages are as before; a failure domain that exchanges no reports works as before.

--- a/core/coordination/forwarder/rate.go
+++ b/core/coordination/forwarder/rate.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"comfreyroute/core/coordination/limiter"
+	"comfreyroute/core/coordination/reporter"
 	"comfreyroute/core/coordination/selector"
 )
 
@@ -50,6 +52,30 @@
 	m.emit(change)
 }
 
+// reportRates reports to other VMs what the upstreams of a service have declared.
+func (m *Machine) reportRates(now time.Time, s *service) {
+	for _, o := range s.set.TakeRates() {
+		m.collector.RecordRate(s.name, o.Upstream, reporter.Rate{
+			Incarnation: o.Incarnation, Limited: o.Declaration.Kind == limiter.Limited, PerSecond: o.Declaration.Rate, Age: max(0, now.Sub(o.At)),
+		})
+	}
+}
+
+// learnRate records what the upstream at a position has declared to other VMs.
+func (m *Machine) learnRate(now time.Time, s *service, i int, r *reporter.Rate) {
+	if !r.Valid() {
+		return // from another version of the program
+	}
+	d := limiter.Declaration{}
+	if r.Limited {
+		d = limiter.Declaration{Kind: limiter.Limited, Rate: r.PerSecond}
+	}
+	if s.set.LearnRate(now, now.Add(-r.Age), m.random, i, r.Incarnation, d) {
+		m.reportRate(s, i)
+		m.dispatchWaiting(now, s)
+	}
+}
+
 // ColdUpstreams returns how many upstreams limit their rate because they are cold.
 func (m *Machine) ColdUpstreams(now time.Time) uint64 {
 	return m.countUpstreams(func(u *selector.Upstream) bool { return u.IsCold(now) })
--- a/core/coordination/forwarder/rate_test.go
+++ b/core/coordination/forwarder/rate_test.go
@@ -6,7 +6,10 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"comfreyroute/core/coordination/limiter"
+	"comfreyroute/core/coordination/reporter"
 )
 
 const (
@@ -321,6 +324,34 @@
 	}
 }
 
+// TestRateNews guards against VMs that are refused requests for long after an upstream has withdrawn its rate, because each has a grant once in
+// several seconds, and against untold ones that send it what they like.
+func TestRateNews(t *testing.T) {
+	const vms, rate = 40, 8
+	f := newRateFleet(t, vms)
+	f.even = true
+	f.list(upstreams("point")[:1])
+	f.setDemand(60)
+	var board reporter.Board
+	var got []int // VMs that know of a rate before, after it was declared and after it was withdrawn
+	for _, limits := range []map[string]float64{{}, {"point-0": rate}, {}} {
+		f.limits = limits
+		limited := 0
+		for k := range 4 {
+			f.run(500 * time.Millisecond)
+			for _, h := range f.vms {
+				board.MergeReports(f.now, h.machine.TakeReports(f.now))
+				h.step(UpstreamsRated{Ratings: board.Ratings(f.now)})
+				limited += k / 3 * int(h.machine.LimitedUpstreams())
+			}
+		}
+		got = append(got, limited)
+	}
+	if diff := cmp.Diff([]int{0, vms, 0}, got); diff != "" {
+		t.Errorf("VMs that know of a rate (-want +got):\n%s", diff)
+	}
+}
+
 // TestRateIsLearnedFromFailedSearches guards against an upstream that gets more than it declares from a VM whose searches all fail at once, because
 // other shards have no upstreams: a search that closes its connections never hears of the rate, whether the upstream has replied before or not.
 func TestRateIsLearnedFromFailedSearches(t *testing.T) {
--- a/core/coordination/forwarder/service.go
+++ b/core/coordination/forwarder/service.go
@@ -234,20 +234,25 @@
 	maps.DeleteFunc(s.coldUntil, func(_ string, until time.Time) bool { return !until.After(now) })
 }
 
-// applyRatings passes the ratings of other VMs to the upstream selection. A VM that has just started ignores them.
+// applyRatings passes the ratings of other VMs to the upstream selection. A VM that has just started takes only the declared rates from them.
 func (m *Machine) applyRatings(now time.Time, ratings []reporter.Rating) {
-	if now.Sub(m.startedAt) < settleTime {
-		return
-	}
-	m.rated = true
+	settled := now.Sub(m.startedAt) >= settleTime
+	m.rated = m.rated || settled
 	for _, r := range ratings {
 		s := m.services[r.Service]
 		if s == nil {
 			continue
 		}
-		if i, ok := s.set.Index(r.Upstream); ok {
+		i, ok := s.set.Index(r.Upstream)
+		if !ok {
+			continue
+		}
+		if settled && (r.Errors > 0 || r.Latency > 0) {
 			s.set.SetPeerRating(now, i, r.Errors, r.Latency)
 		}
+		if r.Rate != nil {
+			m.learnRate(now, s, i, r.Rate)
+		}
 	}
 }
 
--- a/core/coordination/forwarder/silence.go
+++ b/core/coordination/forwarder/silence.go
@@ -10,12 +10,15 @@
 // sent when the first one is late, would have replied by then.
 const silenceFactor = 3
 
-// TakeReports returns the results of attempts, by upstream, since the last call. The age of an attempt that is still without a reply counts: an
+// TakeReports returns the results of attempts and what upstreams have declared, by upstream, since the last call. The age of an attempt that is still without a reply counts: an
 // upstream that is silent or slow would else be known only when its first requests end.
 func (m *Machine) TakeReports(now time.Time) []reporter.Report {
 	for _, a := range m.attempts {
 		m.reportSilence(now, a)
 	}
+	for _, s := range m.services {
+		m.reportRates(now, s)
+	}
 	return m.collector.TakeReports()
 }
 
--- a/core/coordination/limiter/quota.go
+++ b/core/coordination/limiter/quota.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// Learn is Observe for what another VM was told at a time.
+func (q *Quota) Learn(now, at time.Time, d Declaration, vms int, phase float64) bool {
+	changed := q.Observe(now, at, d, vms, phase)
+	if d.Kind == Limited {
+		q.declaredAt = at
+	}
+	return changed
+}
+
 // Share sets the number of VMs that share the rate.
 func (q *Quota) Share(now time.Time, vms int) {
 	if !q.limited {
--- a/core/coordination/reporter/aggregator.go
+++ b/core/coordination/reporter/aggregator.go
@@ -26,13 +26,14 @@
 	minKeptTries = 0.05
 )
 
-// Rating describes an upstream that fails or is slow. An upstream without a rating works normally or has too few tries.
+// Rating describes an upstream that fails, is slow or declares a rate. An upstream without a rating works normally or has too few tries.
 type Rating struct {
 	Service  string
 	Upstream string
 	Errors   float64       // share of failed tries, 0 to 1
 	Latency  time.Duration // mean of the successful tries
 	Urgent   bool          `json:",omitempty"` // requests lose their latency target there; else it is only slower than others of its service
+	Rate     *Rate         `json:",omitempty"` // nil if the upstream has declared none lately
 }
 
 // Aggregator combines the reports of several VMs into ratings. The zero value is empty.
@@ -129,6 +130,10 @@
 	if len(all) == 0 {
 		return nil
 	}
-	slices.SortFunc(all, func(x, y Rating) int { return cmp.Compare(x.Upstream, y.Upstream) })
+	sortRatings(all)
 	return all
 }
+
+func sortRatings(all []Rating) {
+	slices.SortFunc(all, func(x, y Rating) int { return cmp.Compare(x.Upstream, y.Upstream) })
+}
--- a/core/coordination/reporter/board.go
+++ b/core/coordination/reporter/board.go
@@ -20,7 +20,8 @@
 	own    Aggregator
 	remote map[string]remoteRatings // by failure domain
 
-	alertedAt map[string]time.Time // when the upstreams with an urgent rating got it
+	alertedAt map[string]time.Time   // when the upstreams with an urgent rating got it
+	rates     map[string]declaration // by upstream
 }
 
 type remoteRatings struct {
@@ -29,23 +30,33 @@
 }
 
 // MergeReports adds reports of VMs of this failure domain.
-func (b *Board) MergeReports(now time.Time, reports []Report) { b.own.Merge(now, reports) }
+func (b *Board) MergeReports(now time.Time, reports []Report) {
+	b.own.Merge(now, reports)
+	for i := range reports {
+		b.addRate(now, reports[i].Service, reports[i].Upstream, reports[i].Rate, false)
+	}
+}
 
 // MergeRatings replaces the ratings of another failure domain.
 func (b *Board) MergeRatings(now time.Time, domain string, ratings []Rating) {
 	if b.remote == nil {
 		b.remote = map[string]remoteRatings{}
 	}
-	b.remote[domain] = remoteRatings{ratings: ratings, receivedAt: now}
+	for i := range ratings {
+		b.addRate(now, ratings[i].Service, ratings[i].Upstream, ratings[i].Rate, true)
+	}
+	rated := slices.DeleteFunc(slices.Clone(ratings), func(r Rating) bool { return !r.Urgent })
+	b.remote[domain] = remoteRatings{ratings: rated, receivedAt: now}
 }
 
-// Urgent returns the urgent ratings by the reports of this failure domain.
+// Urgent returns the urgent ratings, and the declared rates, by the reports of this failure domain.
 func (b *Board) Urgent(now time.Time) []Rating {
-	return slices.DeleteFunc(b.own.Ratings(now), func(r Rating) bool { return !r.Urgent })
+	urgent := slices.DeleteFunc(b.own.Ratings(now), func(r Rating) bool { return !r.Urgent })
+	return b.appendRates(now, urgent, false)
 }
 
 // Ratings returns the ratings of all failure domains, sorted by upstream. Of several for one upstream the worst latency and errors count. They
-// are urgent for newsTime.
+// are urgent for newsTime. Upstreams that declare a rate, or have withdrawn one lately, are among them.
 func (b *Board) Ratings(now time.Time) []Rating {
 	ratings := b.merge(now)
 	for i := range ratings {
@@ -53,7 +64,7 @@
 			ratings[i].Urgent = false
 		}
 	}
-	return ratings
+	return b.appendRates(now, ratings, true)
 }
 
 func (b *Board) merge(now time.Time) []Rating {
--- a/core/coordination/reporter/board_test.go
+++ b/core/coordination/reporter/board_test.go
@@ -36,11 +36,16 @@
 	}
 }
 
-// TestBoard guards against ratings of another failure domain that are lost or stay, and against an alert for each report of a known fault.
+// TestBoard guards against ratings of another failure domain that are lost or stay, against an alert for each report of a known fault, and against a
+// declared rate that is not passed on, or an outdated one that is.
 func TestBoard(t *testing.T) {
 	var b Board
 	slow := Rating{Service: "s", Upstream: "a", Latency: time.Second, Urgent: true}
 	failing := []Report{{Service: "s", Upstream: "a", Tries: 9, Failures: 9}, {Service: "s", Upstream: "b", Tries: 9, Latency: time.Second}}
+	rate := func(limited bool, age time.Duration) *Rate {
+		return &Rate{Incarnation: 1, Limited: limited, PerSecond: 8, Age: age}
+	}
+	rated := func(r *Rate) []Rating { return []Rating{{Service: "s", Upstream: "a", Rate: r}} }
 	steps := []struct {
 		name    string
 		after   time.Duration
@@ -55,6 +60,11 @@
 		{"own only", 4 * time.Second, func(time.Time) {}, []Rating{{Service: "s", Upstream: "a", Errors: 1}}, false},
 		{"forgotten", time.Minute, func(time.Time) {}, nil, false},
 		{"again", 2 * time.Minute, func(now time.Time) { b.MergeRatings(now, "d1", []Rating{slow}) }, []Rating{slow}, true},
+		{"a declared rate", time.Hour, func(now time.Time) { b.MergeReports(now, []Report{{Service: "s", Upstream: "a", Rate: rate(true, 0)}}) }, rated(rate(true, 0)), false},
+		{"older news", time.Hour + time.Second, func(now time.Time) { b.MergeRatings(now, "d1", rated(rate(false, 2*time.Second))) }, rated(rate(true, time.Second)), false},
+		{"withdrawn", time.Hour + time.Second, func(now time.Time) { b.MergeRatings(now, "d1", rated(rate(false, 0))) }, rated(rate(false, 0)), false},
+		{"invalid", time.Hour + 2*time.Second, func(now time.Time) { b.MergeRatings(now, "d1", rated(rate(true, -1))) }, rated(rate(false, time.Second)), false},
+		{"old", time.Hour + time.Minute, func(time.Time) {}, nil, false},
 	}
 	for _, s := range steps {
 		now := start.Add(s.after)
@@ -66,4 +76,9 @@
 			t.Errorf("%s: alert %t, want %t", s.name, got, s.alert)
 		}
 	}
+	b.MergeReports(start, []Report{{Service: "s", Upstream: "b", Rate: rate(true, 0)}})
+	b.MergeRatings(start, "d1", rated(rate(true, 0)))
+	if diff := cmp.Diff([]Rating{{Service: "s", Upstream: "b", Rate: rate(true, 0)}}, b.Urgent(start)); diff != "" {
+		t.Errorf("passed on to other failure domains (-want +got):\n%s", diff)
+	}
 }
--- a/core/coordination/reporter/collector.go
+++ b/core/coordination/reporter/collector.go
@@ -16,6 +16,7 @@
 	Latency  time.Duration // sum over the successful tries
 	Compared time.Duration `json:",omitempty"` // part of Latency that is from tries whose usual latency is known
 	Usual    time.Duration `json:",omitempty"` // sum of these tries' usual latency: what their requests get from any upstream
+	Rate     *Rate         `json:",omitempty"` // nil if no reply has said anything new about the rate that the upstream takes
 }
 
 // Collector accumulates the reports of one VM. The zero value is empty.
@@ -45,6 +46,11 @@
 	c.addLatency(c.report(service, upstream), latency, reported, usual)
 }
 
+// RecordRate records what the last replies of an upstream declare.
+func (c *Collector) RecordRate(service, upstream string, r Rate) {
+	c.report(service, upstream).Rate = &r
+}
+
 // addLatency adds the part of a try's latency that was not reported yet, and the try itself if none of it was.
 func (c *Collector) addLatency(r *Report, latency, reported, usual time.Duration) {
 	if reported == 0 {
--- a/core/coordination/selector/quota.go
+++ b/core/coordination/selector/quota.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"comfreyroute/core/coordination/limiter"
@@ -12,12 +13,23 @@
 // upstreams that are alive write them again.
 const quotaLifetime = time.Minute
 
+const (
+	// withdrawalNews is how long a withdrawn rate is news to other VMs.
+	withdrawalNews = 10 * time.Second
+	// hearsayMargin is how much later than a reply to this VM something must be that contradicts it and comes from another VM. It covers the time
+	// that reports are under way.
+	hearsayMargin = 500 * time.Millisecond
+)
+
 // quota is the quota of one incarnation of an upstream. Unlike Upstream it outlives the upstream's entry.
 type quota struct {
 	limiter.Quota
 	address     string
 	incarnation uint64 // 0 if unknown
 	observedAt  time.Time
+	limitedAt   time.Time // of the latest reply with a limit, to any VM
+	unlimitedAt time.Time // when the latest request was sent whose reply had none, by this VM
+	heard       bool      // this VM has had replies since the last TakeRates
 }
 
 // ObserveRate records the rate that the upstream at a position declared in a reply to a request sent at the given time. It reports whether
@@ -28,14 +40,80 @@
 		if d.Kind != limiter.Limited {
 			return false
 		}
-		u.quota = &quota{address: u.Row.Address.String(), incarnation: u.Incarnation}
-		if s.quotas == nil {
-			s.quotas = map[string]*quota{}
+		s.addQuota(u)
+	}
+	q := u.quota
+	q.observedAt = now
+	changed := q.Observe(now, sent, d, s.vms, r.Float64())
+	_, limited := q.Rate()
+	switch {
+	case d.Kind == limiter.Limited:
+		q.limitedAt, q.heard = now, true
+	case d.Kind == limiter.Unlimited && !limited:
+		q.unlimitedAt, q.heard = later(q.unlimitedAt, sent), true
+	}
+	return changed
+}
+
+// LearnRate records what the upstream at a position declared to another VM at a time, unless this VM knows better. It reports whether the declared
+// rate has changed.
+func (s *Set) LearnRate(now, at time.Time, r *rand.Rand, i int, incarnation uint64, d limiter.Declaration) bool {
+	u := &s.upstreams[i]
+	known := quota{}
+	if u.quota != nil {
+		known = *u.quota
+	}
+	switch {
+	case incarnation != u.Incarnation:
+		return false
+	case d.Kind == limiter.Limited && at.After(known.limitedAt) && at.After(known.unlimitedAt.Add(hearsayMargin)):
+		if u.quota == nil {
+			s.addQuota(u)
 		}
-		s.quotas[u.Row.Upstream] = u.quota
+		u.quota.limitedAt = at
+	case d.Kind == limiter.Unlimited && u.quota != nil && at.After(known.limitedAt.Add(hearsayMargin)):
+	default:
+		return false
 	}
 	u.quota.observedAt = now
-	return u.quota.Observe(now, sent, d, s.vms, r.Float64())
+	return u.quota.Learn(now, at, d, s.vms, r.Float64())
+}
+
+// addQuota gives an upstream a quota.
+func (s *Set) addQuota(u *Upstream) {
+	u.quota = &quota{address: u.Row.Address.String(), incarnation: u.Incarnation}
+	if s.quotas == nil {
+		s.quotas = map[string]*quota{}
+	}
+	s.quotas[u.Row.Upstream] = u.quota
+}
+
+// ObservedRate is what replies to this VM say about the rate that an upstream declares.
+type ObservedRate struct {
+	Upstream    string
+	Incarnation uint64
+	Declaration limiter.Declaration
+	At          time.Time // when the latest reply with a limit arrived, or the latest request was sent whose reply had none
+}
+
+// TakeRates returns what replies have said since the last call about upstreams that declare a rate or have withdrawn one lately.
+func (s *Set) TakeRates() []ObservedRate {
+	var all []ObservedRate
+	for name, q := range s.quotas {
+		if !q.heard {
+			continue
+		}
+		q.heard = false
+		o := ObservedRate{Upstream: name, Incarnation: q.incarnation, At: q.unlimitedAt}
+		if rate, limited := q.Rate(); limited {
+			o.Declaration, o.At = limiter.Declaration{Kind: limiter.Limited, Rate: rate}, q.limitedAt
+		} else if q.unlimitedAt.Sub(q.limitedAt) > withdrawalNews {
+			continue
+		}
+		all = append(all, o)
+	}
+	slices.SortFunc(all, func(a, b ObservedRate) int { return strings.Compare(a.Upstream, b.Upstream) })
+	return all
 }
 
 // ReturnGrant records that a request to the upstream at a position did not reach it.
--- a/core/coordination/selector/quota_test.go
+++ b/core/coordination/selector/quota_test.go
@@ -11,9 +11,13 @@
 	"comfreyroute/core/coordination/limiter"
 )
 
-// TestQuotaOutlivesEntry guards against forgetting the declared rate of an upstream whose entry disappears for a while, and against keeping
-// the rate of an earlier incarnation.
+// TestQuotaOutlivesEntry guards against forgetting the declared rate of an upstream whose entry disappears for a while, against keeping
+// the rate of an earlier incarnation, and against older or foreign news of other VMs that replace what this VM knows.
 func TestQuotaOutlivesEntry(t *testing.T) {
+	r, own, limited := rand.New(rand.NewPCG(1, 1)), uint64(start.UnixMilli()), limiter.Declaration{Kind: limiter.Limited, Rate: 1}
+	learn := func(s *Set, ms int, incarnation uint64, d limiter.Declaration) {
+		s.LearnRate(at(9000), at(ms), r, 0, incarnation, d)
+	}
 	cases := []struct {
 		name   string
 		change func(s *Set)
@@ -41,11 +45,22 @@
 			moved[0].Address = netip.MustParseAddrPort("127.0.0.9:80")
 			s.Update(at(1000), moved, "d0")
 		}, false},
+		{"withdrawn at another VM", func(s *Set) { learn(s, 1000, own, limiter.Declaration{}) }, false},
+		{"withdrawn by an earlier incarnation", func(s *Set) { learn(s, 1000, own-1, limiter.Declaration{}) }, true},
+		{"a report that may have been under way for long", func(s *Set) { learn(s, 300, own, limiter.Declaration{}) }, true},
+		{"an old limit after a reply without one", func(s *Set) {
+			s.ObserveRate(at(1000), at(900), r, 0, limiter.Declaration{})
+			learn(s, 1100, own, limited)
+		}, false},
+		{"declared again at another VM", func(s *Set) {
+			s.ObserveRate(at(1000), at(900), r, 0, limiter.Declaration{})
+			learn(s, 2000, own, limited)
+		}, true},
 	}
 	for _, c := range cases {
 		s := newSet(1, 3, 3)
 		s.SetStartTime(start, 0, start)
-		s.ObserveRate(at(10), start, rand.New(rand.NewPCG(1, 1)), 0, limiter.Declaration{Kind: limiter.Limited, Rate: 1})
+		s.ObserveRate(at(10), start, r, 0, limited)
 		c.change(s)
 		i, _ := s.Index("u0-0")
 		_, got := s.At(i).DeclaredRate()
--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -103,6 +103,8 @@
 answeredby|core/coordination/quarantiner/watchlist.go|s/if alone .. !w.answeredElsewhere.*{$/if alone {/|core/coordination/quarantiner|TestWatchlist
 rivals|core/coordination/quarantiner/watchlist.go|s/now.Before(settled)/false/|core/coordination/quarantiner|TestRivalAtAnotherVM
 untold|core/coordination/forwarder/answer.go|s/HasRepliedSince(i, a.sent)/HasRepliedSince(i, time.Time{})/|core/coordination/forwarder|TestRateIsLearnedFromFailedSearches
+news|core/coordination/forwarder/service.go|s/if r.Rate != nil {/if false {/|core/coordination/forwarder|TestRateNews
+hearsay|core/coordination/selector/quota.go|s/hearsayMargin = 500/hearsayMargin = 0/|core/coordination/selector|TestQuotaOutlivesEntry
 overrun|core/transport/requester/conn.go|s/response.Reply.Overrun, response.KeepAlive = true, false/response.KeepAlive = false/|platform/translator|TestBytesAfterReply
 lineends|platform/translator/framing.go|s/if err := checkHead(r); err != nil {/if err := checkHead(r); false {/|platform/translator|TestSpoiledReply
 unframed|platform/translator/upstreamcodec.go|s/ .. isChunked(body) {/ \&\& false {/|platform/translator|TestSpoiledReply
