Tell a call that cannot have been sent from one without an answer

A connection that the other VM had closed failed the next call, and callers could not tell a call that was never sent from one that may have been received. Invoke now opens a new connection in place of a closed one, and its error is ErrUnsent if none could be opened. The test plays methods that fail, long answers, and VMs that restart or end.

--- a/gateway/internal/invoker/invoker.go
+++ b/gateway/internal/invoker/invoker.go
@@ -19,6 +19,9 @@
 // dialTimeout bounds the connect to a peer: a VM that lost power does not refuse connections.
 const dialTimeout = 300 * time.Millisecond
 
+// ErrUnsent is the error of a call that cannot have reached the VM.
+var ErrUnsent = eris.New("not sent")
+
 // Method is an RPC with one request and one response.
 type Method[In, Out any] struct {
 	Name  string
@@ -67,16 +70,30 @@
 	conn    *drpcconn.Conn
 }
 
-// Invoke calls a method of the VM at an address. After an error, the next call opens a new connection.
+// Closed returns a channel that is closed once the other VM has closed the connection, and nil if there is no connection.
+func (c *Conn) Closed() <-chan struct{} {
+	if c.conn == nil {
+		return nil
+	}
+	return c.conn.Closed()
+}
+
+// Invoke calls a method of the VM at an address. After an error, the next call opens a new connection. The error is ErrUnsent if no connection
+// could be opened.
 func (c *Conn) Invoke(ctx context.Context, address netip.AddrPort, method string, in, out any) error {
 	if c.conn != nil && c.address != address {
 		c.Close()
 	}
+	select {
+	case <-c.Closed():
+		c.Close()
+	default:
+	}
 	if c.conn == nil {
 		d := net.Dialer{Timeout: dialTimeout}
 		nc, err := d.DialContext(ctx, "tcp", address.String())
 		if err != nil {
-			return eris.Wrapf(err, "connect to VM %s", address)
+			return eris.Wrapf(ErrUnsent, "connect to VM %s: %v", address, err)
 		}
 		c.conn, c.address = drpcconn.NewWithOptions(nc, drpcconn.Options{Manager: Options(c.MaxBytes)}), address
 	}
