Count the latency target from the caller's first try

Cause: a gathered request went out without its last shards 16 ms (at most a fifth) before the latency target, counted from its arrival.

Change: what a deadline lacks of the route's timeout, or of the longest deadline of the last 30 to 60 s if that is shorter, has been spent. The partial answer goes out that much sooner, unless the target is out of reach. Grants of rates use the same time; they counted 10 ms more of it before. The request line logs it as spent.

TestGatherPartialAnswer becomes a table; its old case is the first one, with 80 to 90 ms instead of 80 to 100 ms as the bounds.

--- a/core/coordination/forwarder/action.go
+++ b/core/coordination/forwarder/action.go
@@ -164,6 +164,7 @@
 	Customer string // empty if the caller needs no key, or has none that is known
 	Manifest uint64 // version by which the request was routed
 	Elapsed  time.Duration
+	Spent    time.Duration // that the caller had waited before, as on a try that failed
 	Sends    int
 	Hedges   int
 	Retries  int
--- a/core/coordination/forwarder/config.go
+++ b/core/coordination/forwarder/config.go
@@ -31,7 +31,7 @@
 	// (1 to 3 ms) and the timer delay on a small VM.
 	answerMargin = 10 * time.Millisecond
 	// latencyTargetMargin is how long before the latency target a gathered answer is sent without its last shards. It covers the
-	// network delay of a caller that opens a connection for the request (four trips of 3 ms) and the timer delay.
+	// network delay of a caller that sends no deadline and opens a connection for the request (four trips of 3 ms), and the timer delay.
 	latencyTargetMargin = 16 * time.Millisecond
 	// marginDivisor limits both margins to the remaining time divided by it.
 	marginDivisor = 5
--- a/core/coordination/forwarder/forwarder_test.go
+++ b/core/coordination/forwarder/forwarder_test.go
@@ -147,24 +147,44 @@
 	}
 }
 
-// TestGatherPartialAnswer guards against an answer that misses the latency target because it waits for a paused shard.
+// TestGatherPartialAnswer guards against an answer that misses the latency target because it waits for a paused shard. The target runs from the
+// caller's first try: ten other callers come before.
 func TestGatherPartialAnswer(t *testing.T) {
-	h := newReadyHarness(t, 4)
-	id := h.request("/all/x", 0)
-	for _, s := range shardNames(3) {
-		h.reply(s)
-	}
-	start := h.now
-	h.advance(100 * time.Millisecond)
-	got, ok := h.answers[id].Outcome.(Gathered)
-	if !ok || got.Missing != 1 {
-		t.Fatalf("answer %+v", h.answers[id])
-	}
-	if missing := h.answers[id].Report.Missing; len(missing) != 1 || missing[0].Service != "shard3" || missing[0].Reason != Late {
-		t.Errorf("the report names %+v", missing)
+	cases := []struct {
+		name               string
+		others, left, most int // ms: deadlines, 0 for none, and the latest answer, which comes at most 10 ms sooner
+	}{
+		{"first try", 0, 0, 90},
+		{"opened a connection", 1000, 993, 80},
+		{"second try", 0, 950, 40},
+		{"late anyway", 1000, 905, 90},
+		{"less patient callers, first try", 950, 950, 90},
+		{"less patient callers, second try", 500, 450, 40},
 	}
-	if took := h.answers[id].Report.Elapsed; took > 100*time.Millisecond || took < 80*time.Millisecond {
-		t.Errorf("answered after %v of 100ms; started at %v", took, start)
+	for _, c := range cases {
+		h := newReadyHarness(t, 4)
+		for range 10 {
+			h.request("/all/x", time.Duration(c.others)*time.Millisecond)
+			h.now = h.now.Add(5 * time.Millisecond)
+			for _, s := range shardNames(4) {
+				h.reply(s)
+			}
+		}
+		id := h.request("/all/x", time.Duration(c.left)*time.Millisecond)
+		for _, s := range shardNames(3) {
+			h.reply(s)
+		}
+		h.advance(500 * time.Millisecond)
+		a := h.answers[id]
+		if got, ok := a.Outcome.(Gathered); !ok || got.Missing != 1 {
+			t.Fatalf("%s: answer %+v", c.name, a)
+		}
+		if missing := a.Report.Missing; len(missing) != 1 || missing[0].Service != "shard3" || missing[0].Reason != Late {
+			t.Errorf("%s: the report names %+v", c.name, missing)
+		}
+		if took := int(a.Report.Elapsed.Milliseconds()); took > c.most || took < c.most-10 {
+			t.Errorf("%s: answered after %d ms, want %d at most", c.name, took, c.most)
+		}
 	}
 }
 
--- a/core/coordination/forwarder/ration.go
+++ b/core/coordination/forwarder/ration.go
@@ -70,13 +70,9 @@
 }
 
 // comesLate reports whether a request can hardly be answered within the latency target, because its caller has spent a part of its time already, such
-// as on a try that was refused. The timeout of the route is the time that callers have at first.
+// as on a try that was refused.
 func (r *request) comesLate(now time.Time) bool {
-	if r.route.Timeout <= 0 || r.route.LatencyTarget <= 0 {
-		return false
-	}
-	used := r.route.Timeout - r.answerBy.Sub(now)
-	return used+r.routeState.usualLatency(now) > r.route.LatencyTarget
+	return r.spent > 0 && r.spent+r.routeState.usualLatency(now) > r.route.LatencyTarget
 }
 
 // endGrantWait ends the wait of a request for which no granter has answered in time.
--- a/core/coordination/forwarder/request.go
+++ b/core/coordination/forwarder/request.go
@@ -29,9 +29,10 @@
 	gather          *Gather // nil for a request to one upstream
 	minShards       int     // fewest shards that an answer must have
 	arrived         time.Time
-	answerBy        time.Time // latest time of the answer
-	partialAt       time.Time // from when on a gathered answer is sent without its last shards
-	waitUntil       time.Time // latest time to wait for an upstream with free capacity
+	spent           time.Duration // that the caller waited before, as on a try that failed
+	answerBy        time.Time     // latest time of the answer
+	partialAt       time.Time     // from when on a gathered answer is sent without its last shards
+	waitUntil       time.Time     // latest time to wait for an upstream with free capacity
 	subs            []subRequest
 	pending         int // sub-requests without a result
 	succeeded       int
@@ -154,19 +155,30 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
+	if !deadline.IsZero() && r.detoured == nil {
+		r.routeState.patience.record(now, deadline.Sub(now))
+	}
 	if deadline.IsZero() || deadline.After(now.Add(timeout)) {
 		deadline = now.Add(timeout)
 	}
 	left := deadline.Sub(now)
+	if r.route.Timeout > 0 && r.route.LatencyTarget > 0 {
+		r.spent = r.routeState.patience.spent(left, timeout)
+	}
 	r.answerBy = deadline.Add(-min(answerMargin, left/marginDivisor))
 	target := r.route.LatencyTarget
 	if target <= 0 || target > left {
 		target = left
 	}
+	untilTarget := target
+	if r.spent > 0 && !r.comesLate(now) { // too late for its target, a request may as well wait for its last shards
+		untilTarget = min(target, r.route.LatencyTarget-r.spent)
+	}
 	if r.detoured != nil {
 		target = max(0, target-r.detoured.Age-detourMargin)
+		untilTarget = min(target, max(0, untilTarget-detourMargin))
 	}
-	r.partialAt = now.Add(target - min(latencyTargetMargin, target/marginDivisor))
+	r.partialAt = now.Add(untilTarget - min(latencyTargetMargin, target/marginDivisor))
 	r.waitUntil = now.Add(time.Duration(float64(target) * maxWaitShare))
 }
 
@@ -297,7 +309,7 @@
 
 func (r *request) report(now time.Time) Report {
 	p := Report{
-		Route: r.route.Name, Customer: r.identity.Customer, Manifest: r.manifestVersion, Elapsed: now.Sub(r.arrived), Sends: r.sends, Hedges: r.hedges, Retries: r.retries,
+		Route: r.route.Name, Customer: r.identity.Customer, Manifest: r.manifestVersion, Elapsed: now.Sub(r.arrived), Spent: r.spent, Sends: r.sends, Hedges: r.hedges, Retries: r.retries,
 	}
 	for index := range r.subs {
 		sub := &r.subs[index]
--- a/core/coordination/forwarder/routestate.go
+++ b/core/coordination/forwarder/routestate.go
@@ -9,6 +9,7 @@
 // routeState holds the latencies and the round-robin state of a route, which outlive a manifest.
 type routeState struct {
 	latencies       budgeter.Latencies
+	patience        patience
 	delay           time.Duration
 	usual           time.Duration // median of the latencies; 0 if there are too few
 	usualComputedAt time.Time
--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -176,7 +176,7 @@
 func (r *Receiver) recordAnswer(m *forwarder.Message, a *forwarder.Answer, status int, elapsed time.Duration) {
 	outcome, reason := classifyOutcome(a.Outcome)
 	r.Metrics.observe(outcome, elapsed)
-	fields := make([]zap.Field, 0, 13)
+	fields := make([]zap.Field, 0, 14)
 	fields = append(fields, zap.String("request", m.RequestID), zap.String("route", a.Report.Route), zap.Uint64("manifest", a.Report.Manifest),
 		zap.Stringer("outcome", outcome), zap.Int("status", status), zap.Duration("took", elapsed), zap.Int("sends", a.Report.Sends))
 	if a.Report.Customer != "" {
@@ -185,6 +185,9 @@
 	if reason != forwarder.None {
 		fields = append(fields, zap.Stringer("reason", reason))
 	}
+	if a.Report.Spent > 0 {
+		fields = append(fields, zap.Duration("spent", a.Report.Spent))
+	}
 	if a.Report.Hedges > 0 {
 		fields = append(fields, zap.Int("hedges", a.Report.Hedges))
 	}
