Free the shares of a granter that died sooner

A VM noticed the death of its granter after two asks of 0.3 s each, and its share counted nowhere for 1 s after the last of them. Asks now end after the time that a request may wait (0.15 s), connections that close make VMs ask at once, and the next VM in rank is probed meanwhile; VMs no longer pass over one that is being probed, which divided them among several granters. A share is handed over until a point in the time of the granter, so that an ask that arrives late prolongs nothing; the second of two failed asks does not prolong it, and asks that cannot have been sent neither take the share nor what a joining VM brings along. A VM that is cut off uses its own share, which each failed connect put off before.

--- a/core/coordination/forwarder/event.go
+++ b/core/coordination/forwarder/event.go
@@ -58,10 +58,14 @@
 
 // GrantsOffered ends an AskGrants action. Offer is nil if there was no answer.
 type GrantsOffered struct {
-	Offer *rationer.Offer
-	Probe bool // as in the action
+	Offer  *rationer.Offer
+	Probe  bool // as in the action
+	Unsent bool // the ask cannot have reached the granter
 }
 
+// GranterDisconnected means that a VM has closed the connection over which this one asks it for grants.
+type GranterDisconnected struct{ Name string }
+
 // RequestArrived carries a request of a caller. Deadline is when the caller stops waiting; zero means the route's timeout.
 type RequestArrived struct {
 	Request  RequestID
@@ -95,9 +99,10 @@
 func (StopBegun) isEvent()       {}
 func (ProbeEnded) isEvent()      {}
 
-func (EvidenceReceived) isEvent() {}
-func (GrantersListed) isEvent()   {}
-func (GrantsOffered) isEvent()    {}
+func (EvidenceReceived) isEvent()    {}
+func (GrantersListed) isEvent()      {}
+func (GrantsOffered) isEvent()       {}
+func (GranterDisconnected) isEvent() {}
 
 func (EvacuationsListed) isEvent() {}
 
--- a/core/coordination/forwarder/machine.go
+++ b/core/coordination/forwarder/machine.go
@@ -102,6 +102,8 @@
 		m.rations.holder.SetMembers(e.Members)
 	case GrantsOffered:
 		m.handleOffer(now, e)
+	case GranterDisconnected:
+		m.rations.holder.Disconnected(now, e.Name)
 	case TimerFired:
 		m.recordLag(now)
 		m.wakeAt = time.Time{}
--- a/core/coordination/forwarder/ration.go
+++ b/core/coordination/forwarder/ration.go
@@ -118,7 +118,7 @@
 		m.rations.holder.Probed(now, e.Offer != nil && !e.Offer.Released)
 	case e.Offer == nil:
 		m.GrantCounts.Failed++
-		m.rations.holder.Failed(now)
+		m.rations.holder.Failed(now, e.Unsent)
 	default:
 		m.rations.holder.Offered(now, e.Offer)
 	}
--- a/core/coordination/rationer/granter.go
+++ b/core/coordination/rationer/granter.go
@@ -7,7 +7,7 @@
 const (
 	// contactLifetime is how long a granter counts the share of a VM after its last ask. It spans one ask that is lost and the
 	// next one.
-	contactLifetime = time.Second
+	contactLifetime = askInterval + 2*AskTimeout
 	// minAfter and maxAfter bound the time after which callers beyond a limit may come again.
 	minAfter = 100 * time.Millisecond
 	maxAfter = 5 * time.Second
@@ -30,6 +30,7 @@
 	contacts map[string]*contact
 	accounts map[string]*account
 
+	startedAt  time.Time // of the first answer
 	settledAt  time.Time
 	nextChange time.Time // earliest time at which a contact changes; may be too early
 	counted    int       // contacts whose share is counted
@@ -109,10 +110,21 @@
 		return Offer{Released: g.stopping}
 	}
 	g.settle(now)
+	if g.startedAt.IsZero() {
+		g.startedAt = now
+	}
+	mark := Mark{Granter: g.startedAt.UnixNano(), At: now.Sub(g.startedAt)}
 	if !q.Leaves && !g.stopping {
-		g.hear(now, q)
+		until := now.Add(contactLifetime)
+		if q.Mark.Granter == mark.Granter {
+			until = earlier(until, g.startedAt.Add(q.Mark.At+q.Until))
+		}
+		if !until.After(now) {
+			return Offer{Mark: mark} // it was on its way for so long that the VM may have handed its share to another one
+		}
+		g.hear(now, until, q)
 	}
-	o := Offer{Grants: make([]Grant, 0, len(q.Wants)), Released: q.Leaves || g.stopping}
+	o := Offer{Grants: make([]Grant, 0, len(q.Wants)), Mark: mark, Released: q.Leaves || g.stopping}
 	if !g.stopping {
 		for _, w := range q.Wants {
 			w.Requests, w.Late = min(max(0, w.Requests), maxWant), min(max(0, w.Late), maxWant) // what another VM sends may be anything
@@ -151,8 +163,8 @@
 	return stored
 }
 
-// hear records that a VM hands its share to this granter.
-func (g *Granter) hear(now time.Time, q Ask) {
+// hear records that a VM hands its share to this granter until some time.
+func (g *Granter) hear(now, until time.Time, q Ask) {
 	if g.contacts == nil {
 		g.contacts = map[string]*contact{}
 	}
@@ -164,7 +176,7 @@
 			g.joined += g.shares(1)
 		}
 	}
-	c.until = now.Add(contactLifetime)
+	c.until = later(c.until, until)
 	g.scheduleChange(now, c)
 	g.settle(now)
 	for name, part := range q.Stored {
--- a/core/coordination/rationer/holder.go
+++ b/core/coordination/rationer/holder.go
@@ -20,8 +20,8 @@
 	avoidTime = 3 * time.Second
 )
 
-// AskTimeout bounds an ask. A VM that has lost its power does not answer at all.
-const AskTimeout = 300 * time.Millisecond
+// AskTimeout bounds an ask. A VM that has lost its power does not answer at all. No request waits longer for a grant.
+const AskTimeout = 150 * time.Millisecond
 
 // Admission is the decision about one request.
 type Admission int
@@ -50,17 +50,25 @@
 	failures    int                // in a row, at granter
 	failed      map[string]failure // of VMs that have not answered since
 	confirmedAt time.Time          // of the last answer
-	freeAt      time.Time          // from when on no granter counts the share of this VM
-	joinedAt    time.Time          // of the last ask with Joins
+	mark        Mark               // of the last answer of granter
+	handed                         // with the ask in flight
+	before      handed             // without it
 	asked       string             // of the ask in flight; empty for none
 	probed      string             // of the probe in flight; empty for none
+	tested      bool               // a VM was probed since the last ask failed
 	better      string             // to which this VM moves; empty for none
-	stored      map[string]float64 // that came back with the share
 	nextAsk     time.Time          // at the latest
 	pausedUntil time.Time          // after a failed ask
 	own         map[string]*ownShare
 }
 
+// handed says what granters have got from this VM.
+type handed struct {
+	freeAt   time.Time          // from when on no granter counts the share of this VM
+	joinedAt time.Time          // of the last ask with Joins
+	stored   map[string]float64 // came back with the share, and goes to the next granter
+}
+
 // failure is a VM that has not answered.
 type failure struct {
 	at    time.Time
@@ -170,10 +178,15 @@
 	return slices.IndexFunc(h.ranked, func(m Member) bool { return m.Name == name })
 }
 
-// NextAskAt returns when the next ask is due, zero for not before the end of the one in flight. Waiting says whether requests wait for grants.
+// awaitsProbe reports whether the next VM to ask is being probed. The VMs would divide among several granters if some of them passed over it.
+func (h *Holder) awaitsProbe(now time.Time) bool {
+	return h.probed != "" && h.Granter() == "" && h.rank(h.probed) == h.candidate(now, "")
+}
+
+// NextAskAt returns when the next ask is due, zero for not before the end of the ask or probe in flight. Waiting says whether requests wait for grants.
 func (h *Holder) NextAskAt(now time.Time, waiting bool) time.Time {
 	switch {
-	case h.asked != "" || len(h.ranked) == 0:
+	case h.asked != "" || len(h.ranked) == 0 || h.awaitsProbe(now):
 		return time.Time{}
 	case waiting:
 		return later(h.pausedUntil, now)
@@ -189,18 +202,19 @@
 	}
 	i := h.rank(cmp.Or(h.granter, h.better))
 	if i < 0 {
-		i = h.candidate(now, h.probed)
+		i = h.candidate(now, "")
 	}
 	if i < 0 {
 		h.nextAsk, h.pausedUntil = now.Add(retryDelay), now.Add(retryDelay)
 		return Ask{}, Member{}, false
 	}
 	to := h.ranked[i]
-	h.asked = to.Name
+	h.asked, h.before = to.Name, h.handed
 	q := Ask{VM: h.Self, ShareIn: max(0, h.freeAt.Sub(now)), Wants: wants}
 	switch {
 	case to.Name == h.granter:
 		q.Leaves = h.better != ""
+		h.lend(now, &q)
 	case h.stored != nil:
 		q.Stored, h.stored = h.stored, nil
 	case h.joinedAt.IsZero() || now.Sub(h.joinedAt) >= 2*h.Terms.window():
@@ -209,18 +223,28 @@
 	return q, to, true
 }
 
+// lend hands the share to the current granter for longer. After a failure it does not, so that another granter can soon count the share.
+func (h *Holder) lend(now time.Time, q *Ask) {
+	if !q.Leaves && (h.failures == 0 || !h.freeAt.After(now)) {
+		h.freeAt = now.Add(contactLifetime)
+	}
+	if h.mark.Granter != 0 {
+		q.Mark, q.Until = h.mark, h.freeAt.Sub(h.confirmedAt)
+	}
+}
+
 // Probe returns an ask that tests whether a better granter than the current one answers, if there is one to try. Probed must follow. It carries
-// no wants, so that no request waits for a VM that may be dead. After a failure without a granter it tests a second VM beside the one that is asked.
+// no wants, so that no request waits for a VM that may be dead. After a failure it tests a second VM beside the one that is asked.
 func (h *Holder) Probe(now time.Time) (Ask, Member, bool) {
 	if h.probed != "" || h.better != "" {
 		return Ask{}, Member{}, false
 	}
-	if h.granter == "" {
-		i := h.candidate(now, h.asked)
-		if i < 0 || h.pausedUntil.IsZero() {
+	if h.granter == "" || h.failures > 0 {
+		i := h.candidate(now, cmp.Or(h.asked, h.granter))
+		if i < 0 || h.pausedUntil.IsZero() || h.granter != "" && h.tested {
 			return Ask{}, Member{}, false
 		}
-		h.probed = h.ranked[i].Name
+		h.probed, h.tested = h.ranked[i].Name, true
 		return Ask{VM: h.Self, Tests: true}, h.ranked[i], true
 	}
 	for _, m := range h.ranked[:max(0, h.rank(h.granter))] {
@@ -237,7 +261,13 @@
 	name := h.asked
 	h.asked, h.nextAsk, h.pausedUntil = "", now.Add(askInterval), time.Time{}
 	if !o.Released {
-		h.granter, h.failures, h.confirmedAt, h.freeAt = name, 0, now, now.Add(contactLifetime)
+		if h.failures > 0 {
+			h.nextAsk = now // the last ask did not prolong the time for which the share is handed over
+		}
+		if name != h.granter || o.Mark.Granter == 0 || o.Mark.Granter != h.mark.Granter {
+			h.freeAt = now.Add(contactLifetime)
+		}
+		h.granter, h.mark, h.failures, h.confirmedAt = name, o.Mark, 0, now
 		if h.rank(h.better) >= h.rank(name) {
 			h.better = ""
 		}
@@ -252,18 +282,32 @@
 	h.granter, h.failures = "", 0
 }
 
-// Failed records that the ask in flight was not answered.
-func (h *Holder) Failed(now time.Time) {
+// Failed records that the ask in flight was not answered. Unsent means that it cannot have reached the granter.
+func (h *Holder) Failed(now time.Time, unsent bool) {
 	name := h.asked
-	h.asked = ""
-	if name == h.granter {
-		h.failures++
+	h.asked, h.tested = "", false
+	switch {
+	case unsent:
+		h.handed = h.before
+	case name != h.granter || h.mark.Granter == 0:
+		h.freeAt = now.Add(contactLifetime) // it may count the share of this VM from an ask whose answer was lost
 	}
-	if name != h.granter || h.failures >= maxFailures {
+	h.nextAsk, h.pausedUntil = now.Add(retryDelay), now.Add(retryDelay)
+	if name != h.granter {
 		h.avoid(now, name)
+		return
+	}
+	if h.failures++; h.failures >= maxFailures {
+		h.avoid(now, name)
+	}
+	h.nextAsk, h.pausedUntil = now, now // the next one is to tell soon whether it was only the connection
+}
+
+// Disconnected records that a granter has closed the connection to this VM. A process that ends does so before the next ask is due.
+func (h *Holder) Disconnected(now time.Time, name string) {
+	if name == h.granter {
+		h.nextAsk = earlier(h.nextAsk, later(now, h.confirmedAt.Add(retryDelay)))
 	}
-	// The granter may count the share of this VM from an ask whose answer was lost.
-	h.freeAt, h.nextAsk, h.pausedUntil = now.Add(contactLifetime), now.Add(retryDelay), now.Add(retryDelay)
 }
 
 // Probed records whether the probe in flight was answered by a VM that does not stop. With the next ask, this VM then takes its share back from the current granter.
@@ -293,8 +337,8 @@
 	}
 }
 
-// useOwn takes one request from the share of this VM. A share of less than one request is rounded up at as many VMs as the terms
-// allow, which differ from customer to customer.
+// useOwn takes one request from the share of this VM. Where that stores less than one request, as many VMs as the terms allow store a whole one, and
+// the others none. These VMs differ from customer to customer.
 func (h *Holder) useOwn(now time.Time, customer string) Admission {
 	l, ok := h.limits[customer]
 	if !ok || h.fleet == 0 {
@@ -303,15 +347,20 @@
 	if h.own == nil {
 		h.own = map[string]*ownShare{}
 	}
-	depth := (l.Burst + depthShare*h.Terms.margin(l)) / float64(h.fleet)
-	rounded := int((uint64(h.position)+hash(customer))%uint64(h.fleet)) < int(loneShare*h.Terms.margin(l))
-	if rounded {
-		depth = max(1, depth)
+	stored, extra := l.Burst+depthShare*h.Terms.margin(l), loneShare*h.Terms.margin(l)
+	turn := int((uint64(h.position) + hash(customer)) % uint64(h.fleet))
+	depth := stored / float64(h.fleet)
+	if depth < 1 && turn < int(stored+extra) {
+		depth = 1
 	}
+	rounded := turn < int(extra)
 	s := h.own[customer]
 	if s == nil || s.at.Before(h.confirmedAt) { // what was stored has gone to the granter with the share
 		used := s != nil && now.Sub(s.at) <= h.Terms.window()
 		s = &ownShare{at: now}
+		if !h.confirmedAt.IsZero() {
+			s.at = earlier(now, h.freeAt)
+		}
 		if rounded && !used {
 			s.level = 1
 		}
@@ -329,6 +378,13 @@
 	return Granted
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/core/coordination/rationer/message.go
+++ b/core/coordination/rationer/message.go
@@ -16,6 +16,8 @@
 type Ask struct {
 	VM      string        `json:"vm"`
 	ShareIn time.Duration `json:"in,omitempty"`     // in ns, after which the share is no longer counted elsewhere
+	Mark    Mark          `json:"mark,omitzero"`    // of the last offer of this granter; zero for none
+	Until   time.Duration `json:"until,omitempty"`  // in ns after Mark, how long the share may be counted here
 	Joins   bool          `json:"joins,omitempty"`  // the VM brings along what a joining VM may, see joinShare
 	Leaves  bool          `json:"leaves,omitempty"` // the VM takes its share back with this ask
 	Tests   bool          `json:"tests,omitempty"`  // the VM only wants to know whether this one answers
@@ -31,9 +33,17 @@
 	Late     int    `json:"late,omitempty"`
 }
 
+// Mark is a point in the time of one granter. A VM uses it to say until when its share may be counted, so that an ask which arrives late does not
+// make it count longer.
+type Mark struct {
+	Granter int64         `json:"granter,omitempty"` // differs after each start of the granter; 0 for no mark
+	At      time.Duration `json:"at,omitempty"`      // in ns
+}
+
 // Offer is the answer to an Ask, with one Grant for each Want.
 type Offer struct {
 	Grants []Grant `json:"grants,omitempty"`
+	Mark   Mark    `json:"mark,omitzero"` // when the granter answered
 
 	// Released means that the granter no longer counts the share of the VM, because the VM leaves or the granter stops; in the answer to
 	// a probe that it stops. Stored is the part of the stored grants that belongs to this share, by customer.
--- a/gateway/internal/granter/granter.go
+++ b/gateway/internal/granter/granter.go
@@ -3,7 +3,9 @@
 package granter
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"time"
@@ -104,6 +106,7 @@
 	Self    netip.AddrPort // of this VM, which is asked without a message
 	Local   *Granter
 	Handle  func(forwarder.Event)
+	Timeout time.Duration // of an ask; 0 means rationer.AskTimeout
 	asks    chan forwarder.AskGrants
 	probes  chan forwarder.AskGrants
 	stopped chan struct{}
@@ -138,30 +141,39 @@
 
 // serve carries the asks of one channel, one after the other.
 func (c *Client) serve(ctx context.Context, asks <-chan forwarder.AskGrants) {
-	var conn invoker.Conn
-	defer conn.Close()
+	var (
+		conn  invoker.Conn
+		asked string // over conn
+	)
+	defer func() { conn.Close() }()
 	for {
 		select {
 		case a := <-asks:
-			c.Handle(forwarder.GrantsOffered{Offer: c.exchange(ctx, &conn, a), Probe: a.Probe})
+			if a.To.Address != c.Self {
+				asked = a.To.Name
+			}
+			c.Handle(c.exchange(ctx, &conn, a))
+		case <-conn.Closed():
+			conn.Close()
+			c.Handle(forwarder.GranterDisconnected{Name: asked})
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// exchange returns the answer to an ask, nil for none.
-func (c *Client) exchange(ctx context.Context, conn *invoker.Conn, a forwarder.AskGrants) *rationer.Offer {
-	ctx, cancel := context.WithTimeout(ctx, rationer.AskTimeout)
+// exchange returns the end of an ask.
+func (c *Client) exchange(ctx context.Context, conn *invoker.Conn, a forwarder.AskGrants) forwarder.GrantsOffered {
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, rationer.AskTimeout))
 	defer cancel()
 	if a.To.Address == c.Self {
 		o, _ := c.Local.Answer(ctx, &a.Ask) // never an error
-		return o
+		return forwarder.GrantsOffered{Offer: o, Probe: a.Probe}
 	}
 	var o rationer.Offer
 	if err := conn.Invoke(ctx, a.To.Address, method, &a.Ask, &o); err != nil {
 		c.Local.Log.InfoLimited("granter: ask failed", zap.String("granter", a.To.Name), zap.Bool("probe", a.Probe), zap.String("error", err.Error()))
-		return nil
+		return forwarder.GrantsOffered{Probe: a.Probe, Unsent: errors.Is(err, invoker.ErrUnsent)}
 	}
-	return &o
+	return forwarder.GrantsOffered{Offer: &o, Probe: a.Probe}
 }
