Test a VM before it gets a share of the rates

A VM without a granter sent the next one in rank its share and what a joining VM brings along. One that is frozen takes such an ask: the VM had to wait for 0.8 s more before another granter could count its share, and the frozen one counted it too when it went on. VMs now test the next one first, with an ask that carries neither, and hand over the share when it has answered. Two tests run side by side as before.

TestRateOverFleet holds in 10,000 checks. TestBurstOnce and TestRation answer one ask more, because the first one only tests.

--- a/core/coordination/rationer/burst_test.go
+++ b/core/coordination/rationer/burst_test.go
@@ -98,6 +98,7 @@
 			h.Admit(now, "c")
 			now = now.Add(2 * time.Second)
 			h.Admit(now, "c") // stores the share of half a second
+			answer(&Offer{})  // to the test
 			answer(&Offer{})
 			answer(nil)
 			answer(nil)
--- a/core/coordination/rationer/holder.go
+++ b/core/coordination/rationer/holder.go
@@ -54,6 +54,7 @@
 	handed                         // with the ask in flight
 	before      handed             // without it
 	asked       string             // of the ask in flight; empty for none
+	tests       bool               // the ask in flight only tests
 	probed      string             // of the probe in flight; empty for none
 	tested      bool               // a VM was probed since the last ask failed
 	better      string             // to which this VM moves; empty for none
@@ -195,18 +196,20 @@
 	}
 }
 
-// Ask returns the next ask, and the VM to send it to, if it is due. Offered or Failed must follow.
+// Ask returns the next ask, and the VM to send it to, if it is due. Offered or Failed must follow. A VM that was not in contact is tested first: one that
+// is frozen takes an ask, and would count the share when it goes on.
 func (h *Holder) Ask(now time.Time, wants []Want) (Ask, Member, bool) {
 	if at := h.NextAskAt(now, len(wants) > 0); at.IsZero() || at.After(now) {
 		return Ask{}, Member{}, false
 	}
 	i := h.rank(cmp.Or(h.granter, h.better))
 	if i < 0 {
-		i = h.candidate(now, "")
-	}
-	if i < 0 {
-		h.nextAsk, h.pausedUntil = now.Add(retryDelay), now.Add(retryDelay)
-		return Ask{}, Member{}, false
+		if i = h.candidate(now, ""); i < 0 {
+			h.nextAsk, h.pausedUntil = now.Add(retryDelay), now.Add(retryDelay)
+			return Ask{}, Member{}, false
+		}
+		h.asked, h.tests = h.ranked[i].Name, true
+		return Ask{VM: h.Self, Tests: true}, h.ranked[i], true
 	}
 	to := h.ranked[i]
 	h.asked, h.before = to.Name, h.handed
@@ -260,6 +263,11 @@
 func (h *Holder) Offered(now time.Time, o *Offer) {
 	name := h.asked
 	h.asked, h.nextAsk, h.pausedUntil = "", now.Add(askInterval), time.Time{}
+	if h.tests {
+		h.tests, h.nextAsk = false, now
+		h.answered(now, name, !o.Released)
+		return
+	}
 	if !o.Released {
 		if h.failures > 0 {
 			h.nextAsk = now // the last ask did not prolong the time for which the share is handed over
@@ -287,6 +295,8 @@
 	name := h.asked
 	h.asked, h.tested = "", false
 	switch {
+	case h.tests:
+		h.tests = false
 	case unsent:
 		h.handed = h.before
 	case name != h.granter || h.mark.Granter == 0:
@@ -314,11 +324,17 @@
 func (h *Holder) Probed(now time.Time, ok bool) {
 	name := h.probed
 	h.probed = ""
+	h.answered(now, name, ok)
+}
+
+// answered moves this VM to one that has answered a test, if it is better than the current one.
+func (h *Holder) answered(now time.Time, name string, ok bool) {
+	current := h.rank(h.Granter())
 	switch {
 	case !ok:
 		h.avoid(now, name)
 	case h.rank(name) < 0: // not listed any more
-	case h.granter == "" || h.rank(name) < h.rank(h.granter):
+	case current < 0 || h.rank(name) < current:
 		h.better = name
 	}
 }
