Probe rejected connections again only with other evidence

Connections that an upstream rejects when it has too many are no longer probed again, unless their request ran alone or has been at a crash.

--- a/core/coordination/forwarder/crash.go
+++ b/core/coordination/forwarder/crash.go
@@ -18,6 +18,7 @@
 	refused   bool      // the upstream's host refuses connections: it has crashed, or this VM does not reach it
 	accepted  int       // probes that the upstream has accepted since: it lives, or has not closed its port yet
 	recheckAt time.Time // of the next probe after an accepted one; zero for none
+	rejected  bool      // the attempt's connection was new: the upstream may have too many
 	others    []string  // upstreams that were probed since, because this VM may not reach any
 }
 
@@ -25,9 +26,14 @@
 	return p.upstream == upstream && p.service.name == service
 }
 
-// recordReset keeps an attempt that was reset until it is known whether its upstream has crashed, and probes the upstream.
-func (m *Machine) recordReset(now time.Time, a *attempt) {
-	if m.awaitEvidence(now, a.service, a.upstream, a) && a.request != nil {
+// recordReset keeps an attempt that was reset until it is known whether its upstream has crashed, and probes the upstream. Rejected is set if the
+// connection was new.
+func (m *Machine) recordReset(now time.Time, a *attempt, rejected bool) {
+	if !m.awaitEvidence(now, a.service, a.upstream, a) {
+		return
+	}
+	m.pendingResets[len(m.pendingResets)-1].rejected = rejected
+	if a.request != nil {
 		a.request.subs[a.subIndex].heldUntil = now.Add(maxResetHold)
 	}
 }
@@ -81,8 +87,9 @@
 	}
 }
 
-// recordAccepted records that an upstream accepts connections after its resets, and plans to probe it again. Requests go on if it accepts the second
-// probe too, and it has not crashed if it accepts all.
+// recordAccepted records that an upstream accepts connections after its resets, and plans to probe it again. Requests go on, but a suspect that ran
+// alone only after the second such probe. The upstream has not crashed if it accepts all. It is not probed again for new connections that it has rejected,
+// unless there is other evidence against their request: an upstream under load would get still more connections.
 func (m *Machine) recordAccepted(now time.Time, e ProbeEnded) {
 	var alive []pendingReset
 	for i := range m.pendingResets {
@@ -90,11 +97,17 @@
 		if !p.isOf(e.Service, e.Upstream) || !p.recheckAt.IsZero() {
 			continue
 		}
+		p.refused = false
+		if a := p.attempt; p.rejected && !a.alone && !m.quarantine.HasCrashes(now, a.signature) {
+			p.accepted = len(recheckDelays) + 1
+			alive = append(alive, *p)
+			continue
+		}
 		if p.accepted < len(recheckDelays) {
 			p.recheckAt = now.Add(recheckDelays[p.accepted])
 		}
-		p.refused = false
-		if p.accepted++; p.accepted == 2 {
+		p.accepted++
+		if alone := p.attempt != nil && p.attempt.alone; p.accepted == 1 && !alone || p.accepted == 2 && alone {
 			alive = append(alive, *p)
 		}
 	}
--- a/core/coordination/forwarder/quarantine.go
+++ b/core/coordination/forwarder/quarantine.go
@@ -123,7 +123,7 @@
 	case Failed:
 		switch {
 		case e.Failure == ConnectionRejected, e.Failure == Reset && e.Written:
-			m.recordReset(now, a)
+			m.recordReset(now, a, e.Failure == ConnectionRejected)
 		case e.Written && (e.Failure == TimedOut || e.Failure == Cancelled):
 			m.recordOrphan(now, a)
 		case e.Failure == Unreachable && m.orphans.Has(a.service.name, a.upstream):
