Bound the port that answers followers and asks for grants

Change: the port gets the listener of the other ports, with a quarter of the sockets. A message counts as a head does, from its first byte until its call ends, and a VM whose call waits is served. What the internal ports hold is given up too when memory runs short. The accept loop is our own, as drpc's does not tell when a connection's goroutine has ended, until which its bytes stay counted; it pauses after an error as drpc's did.

--- a/gateway/internal/acceptor/conn.go
+++ b/gateway/internal/acceptor/conn.go
@@ -62,9 +62,9 @@
 	listener *Listener
 	caller   doorkeeper.Caller // guarded by the mutex of the door
 
-	headless atomic.Bool // the head of the current request is complete
-	counted  int64       // bytes of heads in the Memory
-	ahead    int64       // cost of what the last read may hold of further requests
+	headless atomic.Bool  // the head of the current request is complete
+	counted  atomic.Int64 // bytes of heads in the Memory
+	ahead    int64        // cost of what the last read may hold of further requests
 }
 
 // admit returns the connection to serve, or nil if it is closed.
@@ -157,8 +157,7 @@
 		c.headless.Store(false)
 		c.endRequest()
 	case http.StateClosed:
-		c.listener.Bounds.Memory.Release(c.counted)
-		c.counted = 0
+		c.listener.Bounds.Memory.Release(c.counted.Swap(0))
 	}
 }
 
@@ -178,6 +177,18 @@
 // Move records what the connection is used for from now on.
 func (c *Conn) Move(s doorkeeper.State) { c.update(s, 0, true) }
 
+// Serve records that the request in the bytes read so far is served until end is called. It is for protocols whose requests Observe does not see.
+func (c *Conn) Serve() (end func()) {
+	size := c.counted.Load()
+	c.Move(doorkeeper.Served)
+	return func() {
+		c.counted.Add(-size)
+		c.listener.Bounds.Memory.Release(size)
+		c.Hold(-size)
+		c.Move(doorkeeper.Idle)
+	}
+}
+
 // Hold records that the connection holds more bytes, which are counted elsewhere.
 func (c *Conn) Hold(size int64) { c.update(0, size, false) }
 
@@ -258,7 +269,7 @@
 		return false
 	}
 	c.Hold(size)
-	c.counted += size
+	c.counted.Add(size)
 	return true
 }
 
@@ -290,8 +301,7 @@
 	d.keeper.Move(&c.caller, doorkeeper.Idle, now)
 	d.mu.Unlock()
 	memory := c.listener.Bounds.Memory
-	memory.Take(c.ahead - c.counted)
-	c.counted = c.ahead
+	memory.Take(c.ahead - c.counted.Swap(c.ahead))
 }
 
 // Write implements net.Conn. A caller that does not read in time is turned away.
--- a/gateway/internal/invoker/invoker.go
+++ b/gateway/internal/invoker/invoker.go
@@ -11,9 +11,12 @@
 	"github.com/rotisserie/eris"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcwire"
+
+	"comfreyroute/gateway/internal/acceptor"
 )
 
 // dialTimeout bounds the connect to a peer: a VM that lost power does not refuse connections.
@@ -31,7 +34,14 @@
 }
 
 // Call implements the RPC for drpc.
-func (m *Method[In, Out]) Call(ctx context.Context, in *In) (*Out, error) { return m.Serve(ctx, in) }
+func (m *Method[In, Out]) Call(ctx context.Context, in *In) (*Out, error) {
+	if transport, ok := drpcctx.Transport(ctx); ok {
+		if c, ok := transport.(*acceptor.Conn); ok {
+			defer c.Serve()()
+		}
+	}
+	return m.Serve(ctx, in)
+}
 
 // description describes a Method to drpc.
 type description[In, Out any] struct{ name string }
--- a/gateway/internal/relayer/relayer.go
+++ b/gateway/internal/relayer/relayer.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"comfreyroute/gateway/internal/acceptor"
 	"comfreyroute/gateway/internal/invoker"
 )
 
@@ -21,6 +25,8 @@
 	maxRequestBytes = 2 << 20
 	// inactivityTimeout is how long a connection without requests stays open.
 	inactivityTimeout = time.Minute
+	// acceptPause is the pause after a connection that could not be accepted.
+	acceptPause = 500 * time.Millisecond
 )
 
 // Serve serves a history to other VMs until the context is done, and the other RPCs of this VM. It passes errors of connections to log.
@@ -40,7 +46,34 @@
 	}
 	options := invoker.Options(maxRequestBytes)
 	options.InactivityTimeout = inactivityTimeout
-	return drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: options, Log: log}).Serve(ctx, l)
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: options})
+	ctx, cancel := context.WithCancel(ctx)
+	var serving sync.WaitGroup
+	defer serving.Wait()
+	defer cancel()
+	context.AfterFunc(ctx, func() { _ = l.Close() })
+	for {
+		nc, err := l.Accept()
+		switch {
+		case ctx.Err() != nil:
+			if err == nil {
+				_ = nc.Close()
+			}
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return eris.Wrap(err, "accept peers")
+		case err != nil: // out of descriptors
+			log(err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		serving.Go(func() {
+			defer acceptor.Observe(nc, http.StateClosed)
+			if err := server.ServeOne(ctx, nc); err != nil {
+				log(err)
+			}
+		})
+	}
 }
 
 // Client requests changes from other VMs over one connection at a time. The zero value is ready to use. It is not safe for
--- a/gateway/internal/relayer/relayer_test.go
+++ b/gateway/internal/relayer/relayer_test.go
@@ -15,6 +15,8 @@
 
 	"comfreyroute/core/coordination/elector"
 	"comfreyroute/core/coordination/reporter"
+	"comfreyroute/core/transport/bounder"
+	"comfreyroute/gateway/internal/acceptor"
 	"comfreyroute/gateway/internal/logger"
 	"comfreyroute/platform/translator"
 )
@@ -75,17 +77,19 @@
 }
 
 func startRelay(t *testing.T, h *History) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := acceptor.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
 		t.Fatal(err)
 	}
+	var memory bounder.Memory
+	l.Bounds.Memory = &memory
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- Serve(ctx, l, h, func(error) {}) }()
 	t.Cleanup(func() {
 		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
+		if err := <-done; err != nil || memory.Held() != 0 || l.Conns() != 0 {
+			t.Errorf("%v; %d bytes and %d connections remain", err, memory.Held(), l.Conns())
 		}
 	})
 	return netip.MustParseAddrPort(l.Addr().String())
--- a/gateway/internal/runner/bounds.go
+++ b/gateway/internal/runner/bounds.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,8 +17,9 @@
 const (
 	// callerShare is the part of the sockets that callers may have, as its inverse. The rest is for upstreams, peers, the store and probes.
 	callerShare = 2
-	// peerShare is the part of the sockets that requests of other VMs may have, as its inverse.
-	peerShare = 8
+	// peerShare is the part of the sockets that requests of other VMs may have, followerShare that of followers and asks for grants, as their inverses.
+	peerShare     = 8
+	followerShare = 4
 	// connMemoryRatio is the fraction of the allowed memory for the connections of callers, connBytes what one takes with its buffers.
 	connMemoryRatio = 0.25
 	connBytes       = 32 << 10
@@ -59,18 +62,43 @@
 
 // serveInternal serves requests of operators or other VMs with at most a number of connections.
 func (g *Gateway) serveInternal(h *http.Server, address netip.AddrPort, maxConns int) error {
-	l, err := acceptor.Listen(address)
+	l, err := g.listenInternal(address, maxConns)
 	if err != nil {
 		return err
 	}
-	l.Bounds = g.bounds("internal", maxConns)
 	serveOn(h, l)
 	return nil
 }
 
-// makeRoom gives up connections of callers that hold memory.
+// listenInternal listens for operators or other VMs.
+func (g *Gateway) listenInternal(address netip.AddrPort, maxConns int) (*acceptor.Listener, error) {
+	l, err := acceptor.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	l.Bounds = g.bounds("internal", maxConns)
+	g.internal.mu.Lock()
+	defer g.internal.mu.Unlock()
+	g.internal.listeners = append(g.internal.listeners, l)
+	return l, nil
+}
+
+// internalPorts are the ports for operators and other VMs.
+type internalPorts struct {
+	mu        sync.Mutex
+	listeners []*acceptor.Listener
+}
+
+// makeRoom gives up connections that hold memory.
+func (p *internalPorts) makeRoom(size int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.listeners, func(l *acceptor.Listener) bool { return l.MakeRoom(size) })
+}
+
+// makeRoom gives up connections that hold memory.
 func (g *Gateway) makeRoom(size int64) bool {
-	return g.callers.MakeRoom(size) || g.probes.MakeRoom(size)
+	return g.callers.MakeRoom(size) || g.probes.MakeRoom(size) || g.internal.makeRoom(size)
 }
 
 // departureRecorder counts and logs the callers that are turned away at a port.
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -77,6 +77,7 @@
 	metrics      *metrics.Set
 	callers      *acceptor.Listener
 	probes       *acceptor.Listener
+	internal     internalPorts
 	callerServer http.Server
 	readyServer  http.Server
 	adminServer  http.Server
@@ -230,10 +231,11 @@
 		close(done)
 		return done, nil
 	}
-	l, err := net.Listen("tcp", self.Address.String())
+	l, err := g.listenInternal(self.Address, g.Settings.MaxSockets/followerShare)
 	if err != nil {
 		return nil, err
 	}
+	l.Bounds.Refusal = nil // the others do not speak HTTP here
 	go func() {
 		if err := relayer.Serve(servingCtx, l, &g.history, func(err error) {
 			g.log.InfoLimited("relayer: connection of a peer failed", zap.String("error", err.Error()))
