Send news of slow upstreams instead of asking for changes more often

Cause: while a rating was urgent, every follower asked for changes each 0.15 s, also one that had nothing to report; and each request made the collecting VM compute all ratings anew.

Change: requests for changes come each 0.5 s, as without ratings. While a rating is urgent, a follower that has had a failure, a silence or a slow reply sends its reports within 0.15 s by a call of Exchange, over a connection that is closed after it.

--- a/core/coordination/forwarder/silence.go
+++ b/core/coordination/forwarder/silence.go
@@ -13,10 +13,23 @@
 // TakeReports returns the results of attempts, by upstream, since the last call. The age of an attempt that is still without a reply counts: an
 // upstream that is silent or slow would else be known only when its first requests end.
 func (m *Machine) TakeReports(now time.Time) []reporter.Report {
+	m.reportSilences(now)
+	return m.collector.TakeReports()
+}
+
+// TakeNews is TakeReports if an upstream has failed, been silent or slow since the last call of either, else it returns nil and keeps the reports.
+func (m *Machine) TakeNews(now time.Time) []reporter.Report {
+	m.reportSilences(now)
+	if !m.collector.News() {
+		return nil
+	}
+	return m.collector.TakeReports()
+}
+
+func (m *Machine) reportSilences(now time.Time) {
 	for _, a := range m.attempts {
 		m.reportSilence(now, a)
 	}
-	return m.collector.TakeReports()
 }
 
 func (m *Machine) reportSilence(now time.Time, a *attempt) {
--- a/core/coordination/forwarder/silence_test.go
+++ b/core/coordination/forwarder/silence_test.go
@@ -36,7 +36,11 @@
 		}
 		h.advance(24 * time.Millisecond) // less than the hedge delay
 		var got []string
-		for _, r := range h.machine.TakeReports(h.now) {
+		reports := h.machine.TakeNews(h.now)
+		if (reports == nil) == c.answered {
+			t.Errorf("%s: news %v", c.name, reports)
+		}
+		for _, r := range append(reports, h.machine.TakeReports(h.now)...) {
 			if r.Compared > silenceFactor*r.Usual {
 				got = append(got, r.Upstream)
 			}
--- a/core/coordination/reporter/collector.go
+++ b/core/coordination/reporter/collector.go
@@ -19,7 +19,10 @@
 }
 
 // Collector accumulates the reports of one VM. The zero value is empty.
-type Collector struct{ reports map[string]*Report }
+type Collector struct {
+	reports map[string]*Report
+	news    bool // a report may change a rating for the worse
+}
 
 // maxLatencyFactor bounds the latency of a try to a multiple of what it usually takes, so that a VM that has lost its network cannot outvote
 // the others.
@@ -27,6 +30,7 @@
 
 // RecordFailure records a failed try. It is known if its silence was recorded before.
 func (c *Collector) RecordFailure(service, upstream string, known bool) {
+	c.news = true
 	r := c.report(service, upstream)
 	if !known {
 		r.Tries++
@@ -36,12 +40,14 @@
 
 // RecordSilence records a try that has no reply yet at an age. Reported is the age at which it was recorded last, 0 for the first time.
 func (c *Collector) RecordSilence(service, upstream string, age, reported, usual time.Duration) {
+	c.news = true
 	c.addLatency(c.report(service, upstream), age, reported, usual)
 }
 
 // RecordSuccess records a successful try of a request that usually takes the given time, 0 if that is unknown. Reported is the age at which
 // its silence was recorded last, 0 if it was not.
 func (c *Collector) RecordSuccess(service, upstream string, latency, reported, usual time.Duration) {
+	c.news = c.news || reported > 0 || usual > 0 && latency >= usualFactor*usual
 	c.addLatency(c.report(service, upstream), latency, reported, usual)
 }
 
@@ -74,6 +80,9 @@
 	return r
 }
 
+// News reports whether there was a failure, a silence or a slow reply since the last call of TakeReports.
+func (c *Collector) News() bool { return c.news }
+
 // TakeReports removes and returns the reports, sorted by upstream.
 func (c *Collector) TakeReports() []Report {
 	all := make([]Report, 0, len(c.reports))
@@ -81,6 +90,7 @@
 		all = append(all, *r)
 	}
 	clear(c.reports)
+	c.news = false
 	slices.SortFunc(all, func(x, y Report) int { return cmp.Compare(x.Upstream, y.Upstream) })
 	return all
 }
--- a/gateway/internal/relayer/exchange.go
+++ b/gateway/internal/relayer/exchange.go
@@ -16,17 +16,20 @@
 // exchangeTimeout bounds a call, so that a VM that lost power costs one interval.
 const exchangeTimeout = 400 * time.Millisecond
 
-// Exchange passes reports and ratings of upstreams between VMs while the requests for changes do not carry them: from a VM that asks the store
-// itself to the collecting VM of its failure domain, and from there to those of the other domains. Its exported fields are set before Run.
+// Exchange passes reports and ratings of upstreams between VMs where the requests for changes do not carry them, or not soon enough: from a VM that
+// asks the store itself, or has news while a rating is urgent, to the collecting VM of its failure domain, and from there to those of the other
+// domains. Its exported fields are set before Run.
 type Exchange struct {
 	Collector   elector.Collector
 	History     *History
 	TakeReports func() []reporter.Report
+	TakeNews    func() []reporter.Report // as TakeReports, but none if no upstream has failed or been slow
 	OnRatings   func([]reporter.Rating)
 	Log         *logger.Logger
 
-	mu      sync.Mutex // guards Collector and carried
+	mu      sync.Mutex // guards Collector, carried and urgent
 	carried bool       // a request for changes carries the reports of this VM
+	urgent  bool       // so were the last ratings
 	wake    chan struct{}
 	clients map[string]*Client // by failure domain
 }
@@ -60,6 +63,15 @@
 	return e.carried
 }
 
+// SetRatings tells the ratings that the response to a request for changes has carried.
+func (e *Exchange) SetRatings(ratings []reporter.Rating) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.urgent = anyUrgent(ratings); e.urgent {
+		e.notify()
+	}
+}
+
 // notify ends the wait of Run. The caller holds e.mu.
 func (e *Exchange) notify() {
 	select {
@@ -102,31 +114,39 @@
 	now := time.Now()
 	e.mu.Lock()
 	own, ok := e.Collector.Own(now)
-	others, carried := e.Collector.Others(now), e.carried
+	others, carried, urgent := e.Collector.Others(now), e.carried, e.urgent
 	e.mu.Unlock()
 	switch {
-	case !ok || carried:
+	case !ok || carried && !urgent:
 		return 0, false
+	case carried:
+		if news := e.TakeNews(); len(news) > 0 {
+			if r := e.call(ctx, own, ChangesRequest{Reports: news}); r != nil {
+				e.OnRatings(r.Ratings)
+			}
+			e.client(own.FailureDomain).Close() // the collecting VM would hold a second connection of each follower
+		}
+		return troubleInterval, true
 	case own.Name != e.Collector.Self.Name:
 		r := e.call(ctx, own, ChangesRequest{Reports: e.TakeReports()})
 		if r == nil {
 			return troubleInterval, true
 		}
 		e.OnRatings(r.Ratings)
-		return ReportInterval(r.Ratings), true
+		return intervalAfter(r.Ratings), true
 	default:
 		ratings := e.History.MergeReports(now, e.TakeReports())
 		e.OnRatings(ratings)
 		local := e.History.UrgentRatings(now)
 		if len(local) == 0 {
-			return ReportInterval(ratings), true
+			return intervalAfter(ratings), true
 		}
 		var calls sync.WaitGroup
 		for _, m := range others {
 			calls.Go(func() { e.call(ctx, m, ChangesRequest{Domain: own.FailureDomain, Ratings: local}) })
 		}
 		calls.Wait()
-		return ReportInterval(ratings), true
+		return intervalAfter(ratings), true
 	}
 }
 
--- a/gateway/internal/relayer/history.go
+++ b/gateway/internal/relayer/history.go
@@ -38,6 +38,8 @@
 	changed       chan struct{}
 	lastRequest   time.Time
 	board         reporter.Board
+	rated         []reporter.Rating // of the board at ratedAt; shared by responses, which do not change it
+	ratedAt       time.Time
 	alerts        int // how often an upstream that had no rating got one
 	checkedAt     time.Time
 	checkPending  bool // a check for new ratings is due at the end of alertInterval
@@ -91,7 +93,21 @@
 	defer h.mu.Unlock()
 	h.board.MergeReports(now, reports)
 	h.alert(now)
-	return h.board.Ratings(now)
+	return h.rate(now)
+}
+
+// ratings returns the ratings of at most alertInterval ago. Many followers ask at the same moment. The caller holds h.mu.
+func (h *History) ratings(now time.Time) []reporter.Rating {
+	if now.Sub(h.ratedAt) < alertInterval {
+		return h.rated
+	}
+	return h.rate(now)
+}
+
+// rate returns the ratings of now. The caller holds h.mu.
+func (h *History) rate(now time.Time) []reporter.Rating {
+	h.rated, h.ratedAt = h.board.Ratings(now), now
+	return h.rated
 }
 
 // alert wakes the waiting followers if an upstream has become slow or begun to fail, now or at the end of alertInterval. The caller holds h.mu.
@@ -110,6 +126,7 @@
 		h.checkedAt = now
 		if h.board.Alert(now) {
 			h.alerts++
+			h.rate(now)
 			h.notifyFollowers()
 		}
 	}
@@ -134,7 +151,7 @@
 	}
 	h.alert(received)
 	if q.Exchange {
-		return ChangesResponse{Ratings: h.board.Ratings(received)}
+		return ChangesResponse{Ratings: h.ratings(received)}
 	}
 	h.lastRequest = received
 	end := received.Add(q.Wait)
@@ -168,7 +185,7 @@
 }
 
 func (h *History) response(now time.Time, after uint64) ChangesResponse {
-	r := ChangesResponse{Era: h.era, Revision: max(after, h.revision), Age: now.Sub(h.confirmedAt), Ratings: h.board.Ratings(now)}
+	r := ChangesResponse{Era: h.era, Revision: max(after, h.revision), Age: now.Sub(h.confirmedAt), Ratings: h.ratings(now)}
 	for i := range h.records {
 		s := &h.records[i]
 		if s.Revision <= after {
--- a/gateway/internal/relayer/message.go
+++ b/gateway/internal/relayer/message.go
@@ -11,19 +11,23 @@
 )
 
 const (
-	// reportInterval is how often a VM sends its reports about upstreams and receives ratings. Faults of upstreams last seconds.
-	reportInterval = 500 * time.Millisecond
-	// troubleInterval is the interval while a rating is urgent. A slow upstream of four slots is full of requests a second after it has
-	// become slow, and those wait for most of their deadline.
+	// ReportInterval is how often a VM sends its reports about upstreams and receives ratings. Faults of upstreams last seconds.
+	ReportInterval = 500 * time.Millisecond
+	// troubleInterval is how soon a VM sends news of an upstream while a rating is urgent. A slow upstream of four slots is full of requests a
+	// second after it has become slow, and those wait for most of their deadline.
 	troubleInterval = 150 * time.Millisecond
 )
 
-// ReportInterval returns how long after ratings of upstreams the next reports and ratings are due: sooner if one is urgent.
-func ReportInterval(ratings []reporter.Rating) time.Duration {
-	if slices.ContainsFunc(ratings, func(r reporter.Rating) bool { return r.Urgent }) {
+// intervalAfter returns how long after ratings of upstreams the next reports and ratings are due: sooner if one is urgent.
+func intervalAfter(ratings []reporter.Rating) time.Duration {
+	if anyUrgent(ratings) {
 		return troubleInterval
 	}
-	return reportInterval
+	return ReportInterval
+}
+
+func anyUrgent(ratings []reporter.Rating) bool {
+	return slices.ContainsFunc(ratings, func(r reporter.Rating) bool { return r.Urgent })
 }
 
 // ChangesRequest asks a VM for the changes after a revision, and passes on the follower's reports about upstreams.
--- a/gateway/internal/relayer/relayer.go
+++ b/gateway/internal/relayer/relayer.go
@@ -80,6 +80,9 @@
 // concurrent use.
 type Client struct{ conn invoker.Conn }
 
+// Close closes the connection, if there is one.
+func (c *Client) Close() { c.conn.Close() }
+
 // ChangesSince requests changes from the VM at an address. After an error, the next request opens a new connection.
 func (c *Client) ChangesSince(ctx context.Context, address netip.AddrPort, q ChangesRequest) (*ChangesResponse, error) {
 	c.conn.MaxBytes = maxMessageBytes
--- a/gateway/internal/relayer/relayer_test.go
+++ b/gateway/internal/relayer/relayer_test.go
@@ -211,8 +211,9 @@
 		time.Sleep(time.Millisecond)
 	}
 	rated := map[string]int{}
-	for _, self := range []elector.Member{members[1], members[0]} {
+	for n, self := range []elector.Member{members[1], members[1], members[0]} { // the second one follows the collecting VM, and has news
 		e := &Exchange{
+			TakeNews:  func() []reporter.Report { return []reporter.Report{{Service: "s", Upstream: "w"}} },
 			Collector: elector.Collector{Self: self, MinDomainSize: 1}, History: &histories[0], Log: logger.New(zapcore.AddSync(io.Discard), self.Name),
 			TakeReports: func() []reporter.Report { reports := slow; slow = nil; return reports },
 			OnRatings:   func(r []reporter.Rating) { rated[self.Name] += len(r) },
@@ -221,11 +222,18 @@
 		if e.Carry(time.Now(), "") || !e.Carry(time.Now(), "collector-a") || e.Carry(time.Now(), "cut-a") {
 			t.Error("only a request for changes to the collecting VM carries the reports")
 		}
+		if n == 1 {
+			e.Carry(time.Now(), "collector-a")
+			if _, ok := e.step(t.Context()); ok {
+				t.Error("news are sent while no rating is urgent")
+			}
+			e.SetRatings([]reporter.Rating{{Urgent: true}})
+		}
 		if pause, ok := e.step(t.Context()); !ok || pause != troubleInterval {
 			t.Errorf("%s: next step after %v, %t", self.Name, pause, ok)
 		}
 	}
-	if diff := cmp.Diff(map[string]int{"cut-a": 1, "collector-a": 1}, rated); diff != "" {
+	if diff := cmp.Diff(map[string]int{"cut-a": 2, "collector-a": 1}, rated); diff != "" {
 		t.Errorf("ratings (-want +got):\n%s", diff)
 	}
 	if r := <-woken; len(r.Ratings) != 1 || r.Ratings[0].Upstream != "u" {
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -287,8 +287,8 @@
 	s := g.Settings
 	onRatings := func(r []reporter.Rating) { g.driver.HandleEvent(forwarder.UpstreamsRated{Ratings: r}) }
 	exchange := &relayer.Exchange{
-		Collector: elector.Collector{Self: g.self(), MinDomainSize: g.FollowThreshold}, History: &g.history, TakeReports: g.takeReports, OnRatings: onRatings,
-		Log: g.log,
+		Collector: elector.Collector{Self: g.self(), MinDomainSize: g.FollowThreshold}, History: &g.history, TakeReports: g.takeReports, TakeNews: g.takeNews,
+		OnRatings: onRatings, Log: g.log,
 	}
 	w := &watcher.Watcher{
 		Store: &g.store, Peers: &relayer.Client{}, Elector: elector.Elector{Self: g.self(), MinDomainSize: g.FollowThreshold}, History: &g.history,
@@ -457,6 +457,13 @@
 	return all
 }
 
+// takeNews is takeReports if one of them is of an upstream that fails or is slow.
+func (g *Gateway) takeNews() []reporter.Report {
+	var all []reporter.Report
+	g.driver.WithMachine(func(m *forwarder.Machine) { all = m.TakeNews(time.Now()) })
+	return all
+}
+
 // registerMetrics exports the counters of the components.
 func (g *Gateway) registerMetrics() {
 	count := func(name string, f func() uint64) {
--- a/gateway/internal/watcher/source.go
+++ b/gateway/internal/watcher/source.go
@@ -95,7 +95,7 @@
 func (w *Watcher) followPeer(ctx context.Context, peer elector.Member, wait time.Duration) time.Duration {
 	callCtx, cancel := context.WithTimeout(ctx, wait+peerTimeoutMargin)
 	defer cancel()
-	q := relayer.ChangesRequest{After: w.revision, Era: w.era, Wait: min(wait, relayer.ReportInterval(w.ratings)), MaxAge: w.maxAge(1)}
+	q := relayer.ChangesRequest{After: w.revision, Era: w.era, Wait: min(wait, relayer.ReportInterval), MaxAge: w.maxAge(1)}
 	carries := w.Exchange == nil || w.Exchange.Carry(time.Now(), peer.Name)
 	if carries {
 		q.Reports = w.TakeReports()
@@ -128,7 +128,9 @@
 		return abandon("its last contact with the store was " + r.Age.String() + " ago")
 	}
 	if carries {
-		w.ratings = r.Ratings
+		if w.Exchange != nil {
+			w.Exchange.SetRatings(r.Ratings)
+		}
 		w.OnRatings(r.Ratings)
 	}
 	w.applyChanges(now, now.Add(-r.Age), c)
--- a/gateway/internal/watcher/watcher.go
+++ b/gateway/internal/watcher/watcher.go
@@ -87,10 +87,9 @@
 	fleet           fleet
 	backoff         storeBackoff
 	source          elector.Source
-	ratings         []reporter.Rating // the last ones of the peer
-	manifestVersion uint64            // of the newest manifest
-	era             uint64            // of the store's history to which revision belongs; 0 if the store names none
-	revision        uint64            // where the next watch continues; 0 requests a full read
+	manifestVersion uint64 // of the newest manifest
+	era             uint64 // of the store's history to which revision belongs; 0 if the store names none
+	revision        uint64 // where the next watch continues; 0 requests a full read
 }
 
 // Run follows the store until the context is done.
