--- a/core/coordination/reporter/reporter_test.go
+++ b/core/coordination/reporter/reporter_test.go
@@ -57,9 +57,16 @@
 	}
 }
 
-// TestCollector guards against counting a result twice or not at all.
+// TestCollector guards against counting a result twice or not at all, and against a failing or slow upstream that is no news.
 func TestCollector(t *testing.T) {
 	var c Collector
+	for latency, want := range map[time.Duration]bool{40 * time.Millisecond: false, 50 * time.Millisecond: true} {
+		c.TakeReports()
+		if c.RecordSuccess("s", "a", latency, 0, 10*time.Millisecond); c.News() != want {
+			t.Errorf("a reply after %v: news %t", latency, c.News())
+		}
+	}
+	c.TakeReports()
 	c.RecordFailure("s", "b", false)
 	c.RecordSuccess("s", "a", time.Second, 0, 0)
 	c.RecordSuccess("s", "b", time.Minute, 0, 0)
--- a/gateway/internal/relayer/relayer_test.go
+++ b/gateway/internal/relayer/relayer_test.go
@@ -15,6 +15,8 @@
 
 	"comfreyroute/core/coordination/elector"
 	"comfreyroute/core/coordination/reporter"
+	"comfreyroute/core/transport/acceptor"
+	"comfreyroute/core/transport/bounder"
 	"comfreyroute/gateway/internal/logger"
 	"comfreyroute/platform/translator"
 )
@@ -75,17 +77,19 @@
 }
 
 func startRelay(t *testing.T, h *History) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := acceptor.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
 		t.Fatal(err)
 	}
+	var memory bounder.Memory
+	l.Bounds.Memory = &memory
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- Serve(ctx, l, h, func(error) {}) }()
 	t.Cleanup(func() {
 		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
+		if err := <-done; err != nil || memory.Held() != 0 || l.Conns() != 0 {
+			t.Errorf("%v; %d bytes and %d connections remain", err, memory.Held(), l.Conns())
 		}
 	})
 	return netip.MustParseAddrPort(l.Addr().String())
@@ -207,8 +211,9 @@
 		time.Sleep(time.Millisecond)
 	}
 	rated := map[string]int{}
-	for _, self := range []elector.Member{members[1], members[0]} {
+	for n, self := range []elector.Member{members[1], members[1], members[0]} { // the second one follows the collecting VM, and has news
 		e := &Exchange{
+			TakeNews:  func() []reporter.Report { return []reporter.Report{{Service: "s", Upstream: "w"}} },
 			Collector: elector.Collector{Self: self, MinDomainSize: 1}, History: &histories[0], Log: logger.New(zapcore.AddSync(io.Discard), self.Name),
 			TakeReports: func() []reporter.Report { reports := slow; slow = nil; return reports },
 			OnRatings:   func(r []reporter.Rating) { rated[self.Name] += len(r) },
@@ -217,11 +222,18 @@
 		if e.Carry(time.Now(), "") || !e.Carry(time.Now(), "collector-a") || e.Carry(time.Now(), "cut-a") {
 			t.Error("only a request for changes to the collecting VM carries the reports")
 		}
+		if n == 1 {
+			e.Carry(time.Now(), "collector-a")
+			if _, ok := e.step(t.Context()); ok {
+				t.Error("news are sent while no rating is urgent")
+			}
+			e.SetRatings([]reporter.Rating{{Urgent: true}})
+		}
 		if pause, ok := e.step(t.Context()); !ok || pause != troubleInterval {
 			t.Errorf("%s: next step after %v, %t", self.Name, pause, ok)
 		}
 	}
-	if diff := cmp.Diff(map[string]int{"cut-a": 1, "collector-a": 1}, rated); diff != "" {
+	if diff := cmp.Diff(map[string]int{"cut-a": 2, "collector-a": 1}, rated); diff != "" {
 		t.Errorf("ratings (-want +got):\n%s", diff)
 	}
 	if r := <-woken; len(r.Ratings) != 1 || r.Ratings[0].Upstream != "u" {
--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -77,6 +77,7 @@
 	metrics      *metrics.Set
 	callers      *acceptor.Listener
 	probes       *acceptor.Listener
+	internal     internalPorts
 	callerServer http.Server
 	readyServer  http.Server
 	adminServer  http.Server
@@ -230,10 +231,11 @@
 		close(done)
 		return done, nil
 	}
-	l, err := net.Listen("tcp", self.Address.String())
+	l, err := g.listenInternal(self.Address, g.Settings.MaxSockets/followerShare)
 	if err != nil {
 		return nil, err
 	}
+	l.Bounds.Refusal = nil // the others do not speak HTTP here
 	go func() {
 		if err := relayer.Serve(servingCtx, l, &g.history, func(err error) {
 			g.log.InfoLimited("relayer: connection of a peer failed", zap.String("error", err.Error()))
@@ -285,8 +287,8 @@
 	s := g.Settings
 	onRatings := func(r []reporter.Rating) { g.driver.HandleEvent(forwarder.UpstreamsRated{Ratings: r}) }
 	exchange := &relayer.Exchange{
-		Collector: elector.Collector{Self: g.self(), MinDomainSize: g.FollowThreshold}, History: &g.history, TakeReports: g.takeReports, OnRatings: onRatings,
-		Log: g.log,
+		Collector: elector.Collector{Self: g.self(), MinDomainSize: g.FollowThreshold}, History: &g.history, TakeReports: g.takeReports, TakeNews: g.takeNews,
+		OnRatings: onRatings, Log: g.log,
 	}
 	w := &watcher.Watcher{
 		Store: &g.store, Peers: &relayer.Client{}, Elector: elector.Elector{Self: g.self(), MinDomainSize: g.FollowThreshold}, History: &g.history,
@@ -455,6 +457,13 @@
 	return all
 }
 
+// takeNews is takeReports if one of them is of an upstream that fails or is slow.
+func (g *Gateway) takeNews() []reporter.Report {
+	var all []reporter.Report
+	g.driver.WithMachine(func(m *forwarder.Machine) { all = m.TakeNews(time.Now()) })
+	return all
+}
+
 // registerMetrics exports the counters of the components.
 func (g *Gateway) registerMetrics() {
 	count := func(name string, f func() uint64) {
