Cancel the attempts of failed searches twice in a row at most

Change: a failed search cancels its attempts as before, but no more than two in a row at an upstream that does not reply between.

TestRateIsLearnedFromFailedSearches answers the searches now, and a VM in touch: it fails with 80 sends, at most 36, if attempts are always cancelled.

--- a/core/coordination/forwarder/answer.go
+++ b/core/coordination/forwarder/answer.go
@@ -75,20 +75,22 @@
 		o = Refused{Reason: r.firstFailureReason(), RetryAfter: m.retryAfter(r)}
 	}
 	for index := range r.subs {
-		m.cancelHeard(&r.subs[index])
+		m.cancelHeard(r, &r.subs[index])
 	}
 	m.answer(now, r, o)
 }
 
-// cancelHeard cancels the attempts of a sub-request that has failed, but for those at upstreams which have not replied to this VM since they were sent: if
-// other shards have no upstreams, all searches fail at once, and no reply would tell that an upstream declares a rate or has withdrawn it.
-func (m *Machine) cancelHeard(sub *subRequest) {
+// cancelHeard cancels the attempts of a sub-request that has failed, but for those at upstreams which this VM has never heard from, or not for several
+// searches: if other shards have no upstreams, all searches fail at once, and no reply would tell that an upstream declares a rate or has withdrawn it.
+func (m *Machine) cancelHeard(r *request, sub *subRequest) {
 	for _, id := range sub.inFlight {
 		a := m.attempts[id]
 		if a == nil {
 			continue
 		}
-		if i, ok := a.service.set.Index(a.upstream); !ok || a.service.set.HasRepliedSince(i, a.sent) {
+		set := &a.service.set
+		i, ok := set.Index(a.upstream)
+		if !ok || set.HasReplied(i) && (r.gather == nil || set.MissReply(i, a.sent)) {
 			m.cancel(a)
 		}
 	}
--- a/core/coordination/forwarder/rate_test.go
+++ b/core/coordination/forwarder/rate_test.go
@@ -381,19 +381,25 @@
 			}
 			h.advance(time.Second)
 		}
-		left := search()
-		if h.cancelled > 0 || len(left) == 0 {
-			t.Fatalf("heard before %v: %d attempts of %d are cancelled before a reply of their upstreams", heard, h.cancelled, len(left))
-		}
-		h.advance(rateLatency)
-		for _, s := range left {
-			reply := successReply(s)
-			reply.Rate = limiter.Declaration{Kind: limiter.Limited, Rate: 1}
-			h.endAttempt(s, Replied{Reply: reply})
-		}
 		sends := 0
-		for range 20 {
-			sends += len(search())
+		for k := range 40 {
+			h.request("/one/x", 0)
+			h.reply("point") // shows that this VM is not cut off
+			cancelled := h.cancelled
+			left := search()
+			if sends += len(left); k == 0 && !heard && (h.cancelled > 0 || sends == 0) {
+				t.Fatalf("%d attempts of %d are cancelled before the first reply of their upstreams", h.cancelled, sends)
+			}
+			h.advance(rateLatency)
+			for n, s := range left {
+				if n < h.cancelled-cancelled {
+					h.endAttempt(s, Failed{Failure: Cancelled, Written: true})
+					continue
+				}
+				reply := successReply(s)
+				reply.Rate = limiter.Declaration{Kind: limiter.Limited, Rate: 1}
+				h.endAttempt(s, Replied{Reply: reply})
+			}
 		}
 		if most := 2 * 3 * (1 + rateSlack); sends > most { // two shards of three upstreams
 			t.Errorf("heard before %v: %d sends to upstreams that declare 1/s in no time, want at most %d", heard, sends, most)
--- a/core/coordination/selector/set.go
+++ b/core/coordination/selector/set.go
@@ -202,8 +202,23 @@
 	u.domain.recordStart(now, u.serial)
 }
 
-// HasRepliedSince reports whether this VM has had a reply from the upstream at a position after a time, and so knows what the upstream has declared by then.
-func (s *Set) HasRepliedSince(i int, at time.Time) bool { return s.upstreams[i].lastReply.After(at) }
+// HasReplied reports whether this VM has had a reply from an upstream. Before the first one it does not know what the upstream declares.
+func (s *Set) HasReplied(i int) bool { return !s.upstreams[i].lastReply.IsZero() }
+
+// MissReply reports whether the reply of the upstream at a position to a request sent at a time need not be awaited: this VM has heard from the
+// upstream since, or has missed only few replies since it last did. Else what the upstream declares would remain unknown.
+func (s *Set) MissReply(i int, sent time.Time) bool {
+	u := &s.upstreams[i]
+	switch {
+	case u.lastReply.After(sent):
+		return true
+	case u.unheard >= maxUnheard:
+		return false
+	default:
+		u.unheard++
+		return true
+	}
+}
 
 // RecordResult records the end of a sub-request to the upstream at a position.
 func (s *Set) RecordResult(now time.Time, i int, r Result) {
--- a/core/coordination/selector/upstream.go
+++ b/core/coordination/selector/upstream.go
@@ -22,6 +22,8 @@
 	// minShedPause and maxShedPause bound how long other upstreams are preferred to one that shed load.
 	minShedPause = 5 * time.Millisecond
 	maxShedPause = time.Second
+	// maxUnheard is how many replies in a row need not be awaited. A VM may then send an upstream that begins to declare a rate so many requests more.
+	maxUnheard = 2
 )
 
 // Upstream is the state of one upstream as seen by this VM.
@@ -51,6 +53,7 @@
 	reportedLatency    time.Duration
 	reportedAt         time.Time
 	lastReply          time.Time
+	unheard            int // replies that were not awaited since lastReply
 	shedUntil          time.Time
 	pausedUntil        time.Time // the upstream wants no requests of this VM until then
 	missed             int       // sub-requests that ended late and without a reply since lastReply
@@ -91,7 +94,7 @@
 		u.extendCold(now.Add(coldTime))
 	}
 	u.lastReply = now
-	u.failed, u.refused, u.missed, u.trialDelay = false, false, 0, 0
+	u.failed, u.refused, u.missed, u.unheard, u.trialDelay = false, false, 0, 0, 0
 }
 
 // recordFailure records a failure and sets the time of the next trial.
--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -102,7 +102,7 @@
 relisted|core/coordination/forwarder/service.go|/m.resolveOrphans(now, s, upstreams)/d|core/coordination/forwarder|TestOrphanEvidence
 answeredby|core/coordination/quarantiner/watchlist.go|s/if alone .. !w.answeredElsewhere.*{$/if alone {/|core/coordination/quarantiner|TestWatchlist
 rivals|core/coordination/quarantiner/watchlist.go|s/now.Before(settled)/false/|core/coordination/quarantiner|TestRivalAtAnotherVM
-untold|core/coordination/forwarder/answer.go|s/HasRepliedSince(i, a.sent)/HasRepliedSince(i, time.Time{})/|core/coordination/forwarder|TestRateIsLearnedFromFailedSearches
+untold|core/coordination/selector/set.go|s/case u.unheard >= maxUnheard/case u.unheard < 0/|core/coordination/forwarder|TestRateIsLearnedFromFailedSearches
 news|core/coordination/forwarder/service.go|s/if r.Rate != nil {/if false {/|core/coordination/forwarder|TestRateNews
 hearsay|core/coordination/selector/quota.go|s/hearsayMargin = 500/hearsayMargin = 0/|core/coordination/selector|TestQuotaOutlivesEntry
 overrun|core/transport/requester/conn.go|s/response.Reply.Overrun, response.KeepAlive = true, false/response.KeepAlive = false/|platform/translator|TestBytesAfterReply
