--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -19,13 +19,13 @@
 snapshot|core/coordination/router/search.go|s/reply.Version != x.version .. reply.Layout != x.layout/false/|core/coordination/router|TestFaultMatrix
 coverage|core/coordination/router/search.go|s/!m.shardSet.matches(expected, reply.Results, total)/len(expected) < 0/|core/coordination/router|TestFaultMatrix
 budget|core/coordination/budgeter/budget.go|s/if b.tokens-tokenUnit < .*{$/if false {/|core/coordination/budgeter|TestBudgetHoldsInEveryWindow
-window|core/coordination/budgeter/window.go|s/if w.level < tokenUnit .. .*{$/if false {/|core/coordination/budgeter|TestWindowHoldsInEverySpan
-slack|core/coordination/budgeter/window.go|s/if w.level < tokenUnit .. .*{$/if w.level < tokenUnit {/|core/coordination/budgeter|TestWindowGrantsSlackAgain
+window|core/coordination/budgeter/window.go|s/if w.available(now) < tokenUnit {/if false {/|core/coordination/budgeter|TestWindowHoldsInEverySpan
+slack|core/coordination/budgeter/window.go|s/if w.available(now) < tokenUnit {/if w.level < tokenUnit {/|core/coordination/budgeter|TestWindowGrantsSlackAgain
 endless|core/transport/bounder/reader.go|s/if s.left <= 0 {/if s.left < -1<<60 {/|core/transport/bounder|TestReader
 copies|core/transport/requester/conn.go|s/n.identified .. !response.Identified/false/|core/transport/requester|TestLateCopies
 early|core/transport/requester/conn.go|s/err == nil .. !j.writeBegun.Load()/false/|core/transport/requester|TestCopyBeforeWrite
 promise|core/coordination/forwarder/answer.go|s/ .. !sub.failedReply.PromisesNoRun//|core/coordination/forwarder|TestOutcomes
-screen|core/coordination/forwarder/request.go|s/r.gather != nil .. !m.screen(now, r)/false/|core/coordination/forwarder|TestUnservableIsRefusedAtOnce
+screen|core/coordination/forwarder/request.go|s/if (r.gather != nil .*m.screen(now, r) {/if false {/|core/coordination/forwarder|TestUnservableIsRefusedAtOnce
 rate|core/coordination/selector/pick.go|s/!u.hasRoom(now)/u.InFlight >= u.Limit()/|core/coordination/forwarder|TestFleetKeepsDeclaredRate
 lapse|core/coordination/limiter/quota.go|s/minGrantLifetime = time.Second/minGrantLifetime = time.Hour/|core/coordination/forwarder|TestFleetKeepsDeclaredRate
 overtaken|core/coordination/limiter/quota.go|s/ .. sent.After(q.declaredAt)//|core/coordination/limiter|TestQuotaChanges
@@ -41,7 +41,7 @@
 attempts|core/coordination/forwarder/request.go|s/n = min(n, r.detoured.Attempts)/_ = n/|core/coordination/forwarder|TestHostKeepsTheLimitsOfBothVMs
 route|core/coordination/forwarder/detour.go|s/r.detoured.Route != r.fingerprint/false/|core/coordination/forwarder|TestHostKeepsTheLimitsOfBothVMs
 beside|core/coordination/forwarder/dispatch.go|s/if r.detour != nil { .*/if false {/;s/if r.detour != nil .. /if /|core/coordination/forwarder|TestFleetKeepsPromisesOverTwoVMs
-own|core/coordination/forwarder/schedule.go|s/if own := r.detoured == nil; own != .*{$/if own := true; !own {/|core/coordination/forwarder|TestHostedRequestsComeAfterOwnOnes
+own|core/coordination/ranker/order.go|s/if r.Detoured != o.Detoured {/if false {/|core/coordination/forwarder|TestHostedRequestsComeAfterOwnOnes
 admit|core/coordination/navigator/admit.go|s/ .. !l.Waiting//|core/coordination/navigator|TestAdmit
 reserve|core/coordination/navigator/peers.go|s/if now.Sub(s.goneAt) < goneLifetime {/if false {/|core/coordination/navigator|TestPeersInReserve
 refusing|core/coordination/forwarder/dispatch.go|s/if !sub.service.unreachable(now) { .*/if true {/|core/coordination/forwarder|TestRefusingUpstreamsKeepTheBudget
