--- a/core/state/configloader/settings.go
+++ b/core/state/configloader/settings.go
@@ -42,7 +42,7 @@
 	TraceRecords   int           // records kept in the decision trace
 	BodyBytes      int
 	Callers        int   // connections of callers; 0 for what fits into the memory and the descriptors
-	Memory         int64 // soft memory limit of the process
+	Memory         int64 // of the process, in bytes; the collector and the bounds on callers keep to parts of it
 }
 
 // Shutdown is the section [shutdown].
