--- /dev/null
+++ b/review/kit-2/main.go
@@ -0,0 +1,19 @@
+// Package main plays the cases of the review against the programs of the deploy file. All addresses are loopback addresses.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	cases := map[string]func(){
+		"lost-answers":   lostAnswers,
+		"broken-answers": brokenAnswers,
+	}
+	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: kit CASE")
+		os.Exit(exitUnable)
+	}
+	cases[os.Args[1]]()
+}
