review: case 8, changes of a large manifest fill the memory of all gateways

Tried: three big_configs of 1400 routes (767,344 bytes) and config_storms of 4 s with 0.33 s between changes, at two gateways with 184 MB.

--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -10,6 +10,7 @@
 	cases := map[string]func(){
 		"lost-answers":   lostAnswers,
 		"broken-answers": brokenAnswers,
+		"config-storms":  configStorms,
 	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: kit CASE")
--- a/review/kit-2/store.go
+++ b/review/kit-2/store.go
@@ -19,12 +19,18 @@
 	revision uint64
 	lease    uint64
 	deleted  bool
+	at       time.Time
 }
 
-// store is a stand-in for the platform's store. It keeps all history and answers at once.
+// historyTime is how long the store keeps its history, history-s in the settings.
+const historyTime = 20 * time.Second
+
+// store is a stand-in for the platform's store. It answers at once.
 type store struct {
 	mu       sync.Mutex
 	entries  map[string]entry
+	history  []entry // all writes of the last historyTime
+	forgot   uint64  // revision of the last write that is not in history any more
 	revision uint64
 	leases   map[uint64]*time.Timer
 	last     uint64
@@ -52,6 +58,13 @@
 	s.write(entry{key: key, value: data})
 }
 
+// value returns the value of a key.
+func (s *store) value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[key].value
+}
+
 func (s *store) remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -61,8 +74,13 @@
 // write stores an entry and wakes the watches. The caller holds s.mu.
 func (s *store) write(e entry) {
 	s.revision++
-	e.revision = s.revision
+	e.revision, e.at = s.revision, time.Now()
 	s.entries[e.key] = e
+	s.history = append(s.history, e)
+	for time.Since(s.history[0].at) > historyTime {
+		s.forgot = s.history[0].revision
+		s.history = s.history[1:]
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -86,18 +104,25 @@
 	}
 }
 
-// since returns the entries under a prefix after a revision, in the order of the writes. The caller holds s.mu.
-func (s *store) since(prefix string, revision uint64) []map[string]any {
-	var found []entry
+// items returns the entries under a prefix. The caller holds s.mu.
+func (s *store) items(prefix string) []map[string]any {
+	out := []map[string]any{}
 	for key, e := range s.entries {
-		if strings.HasPrefix(key, prefix) && e.revision > revision {
-			found = append(found, e)
+		if strings.HasPrefix(key, prefix) && !e.deleted {
+			out = append(out, s.encode(e))
 		}
 	}
-	sort.Slice(found, func(i, j int) bool { return found[i].revision < found[j].revision })
+	sort.Slice(out, func(i, j int) bool { return out[i]["key"].(string) < out[j]["key"].(string) })
+	return out
+}
+
+// events returns the writes under a prefix after a revision, in their order. The caller holds s.mu.
+func (s *store) events(prefix string, after uint64) []map[string]any {
 	out := []map[string]any{}
-	for _, e := range found {
-		out = append(out, s.encode(e))
+	for _, e := range s.history {
+		if strings.HasPrefix(e.key, prefix) && e.revision > after {
+			out = append(out, s.encode(e))
+		}
 	}
 	return out
 }
@@ -111,14 +136,7 @@
 	end, isEnd := strings.CutPrefix(r.URL.Path, "/kv-lease-end/")
 	switch {
 	case r.URL.Path == "/kv-range":
-		items := []map[string]any{}
-		for _, item := range s.since(q.Get("prefix"), 0) {
-			if item["tombstone"] == nil {
-				items = append(items, item)
-			}
-		}
-		sort.Slice(items, func(i, j int) bool { return items[i]["key"].(string) < items[j]["key"].(string) })
-		answer["items"], answer["has-more"] = items, false
+		answer["items"], answer["has-more"] = s.items(q.Get("prefix")), false
 	case r.URL.Path == "/kv-key":
 		e, ok := s.entries[q.Get("key")]
 		if !ok || e.deleted {
@@ -129,8 +147,12 @@
 	case r.URL.Path == "/kv-watch":
 		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(q.Get("wait-ms"))
+		if after < s.forgot || after > s.revision {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		s.await(r, after, time.Duration(wait)*time.Millisecond)
-		answer["events"] = s.since(q.Get("prefix"), after)
+		answer["events"] = s.events(q.Get("prefix"), after)
 	case r.URL.Path == "/kv-lease":
 		var in struct {
 			TTL float64 `json:"ttl-ms"`
