--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -11,6 +11,8 @@
 		"lost-answers":   lostAnswers,
 		"broken-answers": brokenAnswers,
 		"config-storms":  configStorms,
+		"bursts":         bursts,
+		"unrouted":       unroutedRequests,
 	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: kit CASE")
--- a/review/kit-2/storm.go
+++ b/review/kit-2/storm.go
@@ -100,10 +100,17 @@
 				case <-time.After(askInterval):
 				}
 				text := "GET /card/1 HTTP/1.1\r\nHost: leno12.example\r\nRequest-Id: " + newID() + "\r\nDeadline-Ms: 4000\r\nConnection: close\r\n\r\n"
-				if a, err := send(g.front, text, 5*time.Second); err == nil && a.status == 200 {
-					served[n]++
-				} else {
+				a, err := send(g.front, text, 5*time.Second)
+				switch {
+				case err != nil:
+					failed[n]++
+					r.note("%s: no answer: %v", g.name, err)
+				case a.status != 200:
 					failed[n]++
+					r.note("%s: answered %d", g.name, a.status)
+				default:
+					served[n]++
+					r.note("%s: answered 200 by %s", g.name, a.header.Get("Server-Stamp"))
 				}
 			}
 		})
@@ -111,6 +118,7 @@
 	change := func() {
 		version++
 		publish(s, version, manifestRoutes(version, grown), services)
+		r.note("manifest %d written", version)
 	}
 	changes := 0
 	if r.trouble {
