review: try other ports when a gateway of a case cannot listen

Two cases that were started together took the same ports: one of them ended with 2, "frontend-shreveport-1 is not ready". The stand-ins now draw the ports at random and try again.

--- a/review/kit-2/system.go
+++ b/review/kit-2/system.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -136,10 +137,12 @@
 	done               chan struct{}
 }
 
-// freePorts returns the first of several consecutive free ports, below those that the system gives to outgoing connections.
+// freePorts returns the first of several consecutive free ports, below those that the system gives to outgoing connections. Another run may take them
+// at the same time, so the caller tries others if a process cannot listen.
 func freePorts(count int) int {
-	for first := 21000 + os.Getpid()%7000; first < 31000; first += count {
-		free := true
+	const firstPort, ports, tries = 20_000, 12_000, 200
+	for range tries {
+		first, free := firstPort+rand.IntN(ports), true
 		for n := range count {
 			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+n))
 			if err != nil {
@@ -148,8 +151,7 @@
 			}
 			_ = l.Close()
 		}
-		if free && !given[first] {
-			given[first] = true
+		if free {
 			return first
 		}
 	}
@@ -157,8 +159,6 @@
 	return 0
 }
 
-var given = map[int]bool{}
-
 // runCommand returns the words that start the gateway, from the deploy file.
 func runCommand() []string {
 	data, err := os.ReadFile("deploy/system.toml")
@@ -176,6 +176,18 @@
 
 // startGateway starts a gateway with the settings of a small deployment and waits until it is ready. More replaces settings.
 func (r *run) startGateway(s *store, name, zone string, more func(settings map[string]any)) *gateway {
+	const tries = 5
+	for range tries {
+		if g := r.tryGateway(s, name, zone, more); g != nil {
+			return g
+		}
+	}
+	fail("%s is not ready", name)
+	return nil
+}
+
+// tryGateway is startGateway with one set of ports. It returns nil if the gateway ends, as it does if another process has taken one of them.
+func (r *run) tryGateway(s *store, name, zone string, more func(settings map[string]any)) *gateway {
 	ports := freePorts(6)
 	at := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", ports+n) }
 	g := &gateway{name: name, front: at(0), ready: at(1), internal: ports + 2, settings: filepath.Join(r.dir, name+".json")}
@@ -206,7 +218,9 @@
 		fail("settings: %v", err)
 	}
 	r.launch(g)
-	r.awaitReady(g)
+	if !r.awaitReady(g) {
+		return nil
+	}
 	return g
 }
 
@@ -236,15 +250,15 @@
 	r.note("%s starts as process %d", g.name, g.cmd.Process.Pid)
 }
 
-// awaitReady waits until a gateway says that it is ready.
-func (r *run) awaitReady(g *gateway) {
-	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+// awaitReady waits until a gateway says that it is ready. It returns false if the process ends.
+func (r *run) awaitReady(g *gateway) bool {
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end) && !g.ended(); time.Sleep(20 * time.Millisecond) {
 		a, err := send(g.ready, "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", time.Second)
 		if err == nil && a.status == 200 {
-			return
+			return true
 		}
 	}
-	fail("%s is not ready", g.name)
+	return false
 }
 
 // ended reports whether the process of a gateway has ended.
