requester: report what was written only when it is final

Cause: while a goroutine wrote the rest of a request, its job still said that the kernel had accepted none of it. An attempt that ended in that time, by a close, a reset, a late or spoiled early answer, a cancel or its deadline, was reported as unwritten, and the forwarder counted it neither as a run nor as a send.

On the code before, TestBegunRequestIsWritten fails in 8 of its 12 cases, among them long/closed_in_order: result "reset", want a failure of a request that was written.

Fix: an attempt without a reply is reported after its connection is closed and its write has returned; then the number of accepted bytes is final, and no byte can follow.

--- a/core/transport/requester/client.go
+++ b/core/transport/requester/client.go
@@ -100,7 +100,7 @@
 	watch     *time.Timer // ends the wait for a connection; guarded by the client's lock
 	conn      *conn       // nil while the connection is being opened
 	cancelled bool
-	unwritten bool // the kernel accepted no byte of the request
+	accepted  int // bytes of the request that the kernel has accepted; final after conn.endWrites
 
 	writeBegun atomic.Bool // the first byte may have been written
 }
@@ -342,15 +342,17 @@
 		written, err = n.tryWrite(b)
 	}
 	n.long = n.long || len(b) > maxInlineBytes
-	n.writing = err == nil && written < len(b)
-	j.unwritten = written == 0
-	writing := n.writing
+	j.accepted = written
+	n.writing = nil
+	if err == nil && written < len(b) {
+		n.writing = make(chan struct{})
+		go n.writeBytes(j, b, n.writing)
+	}
+	writing := n.writing != nil
 	c.mu.Unlock()
 	if !writing {
 		n.endWrite(b, err)
-		return
 	}
-	go n.writeBytes(j, b, written)
 }
 
 func (c *Client) cancelAttempt(a forwarder.AttemptID) {
--- a/core/transport/requester/conn.go
+++ b/core/transport/requester/conn.go
@@ -28,9 +28,9 @@
 
 	// Guarded by the client's lock.
 	job         *job
-	removed     bool // closed and no longer counted in the pool
-	writing     bool // the rest of a request is still being written, so no other request may follow
-	long        bool // it carried a long request, which the upstream may have answered without reading all of it
+	removed     bool          // closed and no longer counted in the pool
+	writing     chan struct{} // closed once the rest of the last request is written; nil if the kernel took it at once
+	long        bool          // it carried a long request, which the upstream may have answered without reading all of it
 	idleSince   time.Time
 	idleTimeout time.Duration
 	opened      time.Time
@@ -92,17 +92,42 @@
 	}
 }
 
-// writeBytes writes the rest of an encoded request, from a position on.
-func (n *conn) writeBytes(j *job, b []byte, from int) {
+// writeBytes writes the rest of an encoded request, and closes done once it is known what the kernel accepted.
+func (n *conn) writeBytes(j *job, b []byte, done chan struct{}) {
 	_ = n.nc.SetWriteDeadline(j.send.Deadline)
-	written, err := n.nc.Write(b[from:])
+	written, err := n.nc.Write(b[j.accepted:])
 	n.client.mu.Lock()
-	n.writing = false
-	j.unwritten = from+written == 0
+	j.accepted += written
+	close(done)
 	n.client.mu.Unlock()
 	n.endWrite(b, err)
 }
 
+// isWriting reports whether the rest of a request is still being written, so that no other request may follow. The caller holds the client's lock.
+func (n *conn) isWriting() bool {
+	if n.writing == nil {
+		return false
+	}
+	select {
+	case <-n.writing:
+		return false
+	default:
+		return true
+	}
+}
+
+// endWrites closes the connection and waits for the end of a write in progress. From then on the accepted bytes of its job are final: if there are
+// any, the upstream may have begun to work on the request, and if there are none, it never will.
+func (n *conn) endWrites() {
+	_ = n.nc.Close()
+	n.client.mu.Lock()
+	writing := n.writing
+	n.client.mu.Unlock()
+	if writing != nil {
+		<-writing // Close has interrupted it
+	}
+}
+
 // endWrite releases the buffer of a request. After an error it closes the connection.
 func (n *conn) endWrite(b []byte, err error) {
 	if cap(b) <= maxInlineBytes {
@@ -150,13 +175,16 @@
 			response.Reply.Overrun, response.KeepAlive = true, false
 		}
 	}
+	if err != nil {
+		n.endWrites()
+	}
 	c.mu.Lock()
 	delete(c.attempts, j.send.Attempt)
 	if err == nil {
 		c.recordProgress(j)
 	}
 	n.job, n.used = nil, true
-	keep := err == nil && response.KeepAlive && !n.writing && !n.long && !j.cancelled && n.reader.Buffered() == 0 && n.poolActive()
+	keep := err == nil && response.KeepAlive && !n.isWriting() && !n.long && !j.cancelled && n.reader.Buffered() == 0 && n.poolActive()
 	if keep {
 		if response.IdleTimeout > idleMargin {
 			n.idleTimeout = response.IdleTimeout - idleMargin
@@ -165,10 +193,9 @@
 	} else {
 		n.removeFromPool()
 	}
-	cancelled, written := j.cancelled, !j.unwritten
+	cancelled, written := j.cancelled, j.accepted > 0
 	c.mu.Unlock()
 	if err != nil {
-		_ = n.nc.Close()
 		failure := c.classifyFailure(err, cancelled)
 		if rejected && failure == forwarder.Reset {
 			failure = forwarder.ConnectionRejected
--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -23,6 +23,7 @@
 slack|core/coordination/budgeter/window.go|s/if w.available(now) < tokenUnit {/if w.level < tokenUnit {/|core/coordination/budgeter|TestWindowGrantsSlackAgain
 endless|core/transport/bounder/reader.go|s/if s.left <= 0 {/if s.left < -1<<60 {/|core/transport/bounder|TestReader
 copies|core/transport/requester/conn.go|s/n.identified .. !response.Identified/false/|core/transport/requester|TestLateCopies
+begun|core/transport/requester/conn.go|s/<-writing .. Close has.*/_ = writing/|core/transport/requester|TestBegunRequestIsWritten
 early|core/transport/requester/conn.go|s/err == nil .. !j.writeBegun.Load()/false/|core/transport/requester|TestCopyBeforeWrite
 promise|core/coordination/forwarder/answer.go|s/ .. !sub.failedReply.PromisesNoRun//|core/coordination/forwarder|TestOutcomes
 screen|core/coordination/forwarder/request.go|s/if (r.gather != nil .*m.screen(now, r) {/if false {/|core/coordination/forwarder|TestUnservableIsRefusedAtOnce
