requester: take the end of a connection for that of a reply only if it was orderly

Cause: the kernel reports a reset to one call. While a goroutine writes the rest of a long request, that call may be its write, and the reader of the same socket gets a regular end, which ends a reply without a length.

Fix: at the end of a connection, the reader stops the write in progress, waits for it, and takes its error in place of the end. A write that was stopped or got EPIPE proves nothing against the reply: the kernel reports a reset before the orderly end as ECONNRESET. An upstream that replies early, closes in order and reads on, or does not, is still served without delay.

--- a/core/transport/requester/client.go
+++ b/core/transport/requester/client.go
@@ -296,10 +296,8 @@
 func (c *Client) newConn(p *pool, nc net.Conn, began time.Time) *conn {
 	c.Counts.Opened.Add(1)
 	opened := time.Now()
-	n := &conn{
-		client: c, pool: p, nc: nc, reader: bounder.NewReader(nc, connBufferBytes), idleTimeout: defaultIdleTimeout,
-		opened: opened, roundTrip: opened.Sub(began),
-	}
+	n := &conn{client: c, pool: p, nc: nc, idleTimeout: defaultIdleTimeout, opened: opened, roundTrip: opened.Sub(began)}
+	n.reader = bounder.NewReader(n, connBufferBytes)
 	n.openRaw()
 	return n
 }
@@ -342,10 +340,11 @@
 		written, err = n.tryWrite(b)
 	}
 	n.long = n.long || len(b) > maxInlineBytes
-	j.accepted = written
+	j.accepted, n.writeErr = written, err
 	n.writing = nil
 	if err == nil && written < len(b) {
 		n.writing = make(chan struct{})
+		_ = n.nc.SetWriteDeadline(j.send.Deadline) // under the lock, so that it does not replace that of stopWrite
 		go n.writeBytes(j, b, n.writing)
 	}
 	writing := n.writing != nil
--- a/core/transport/requester/conn.go
+++ b/core/transport/requester/conn.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"strings"
@@ -17,6 +18,9 @@
 // buffers holds buffers for the encoded bytes of requests.
 var buffers = sync.Pool{New: func() any { return make([]byte, 0, connBufferBytes) }}
 
+// pastDeadline is a deadline that has passed. It ends a write in progress.
+var pastDeadline = time.Unix(1, 0)
+
 // conn is one connection. Its goroutine reads it even while it is idle, so that a close by the upstream and unexpected bytes are
 // noticed at once.
 type conn struct {
@@ -30,6 +34,7 @@
 	job         *job
 	removed     bool          // closed and no longer counted in the pool
 	writing     chan struct{} // closed once the rest of the last request is written; nil if the kernel took it at once
+	writeErr    error         // of the last write that has ended
 	long        bool          // it carried a long request, which the upstream may have answered without reading all of it
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -94,10 +99,10 @@
 
 // writeBytes writes the rest of an encoded request, and closes done once it is known what the kernel accepted.
 func (n *conn) writeBytes(j *job, b []byte, done chan struct{}) {
-	_ = n.nc.SetWriteDeadline(j.send.Deadline)
 	written, err := n.nc.Write(b[j.accepted:])
 	n.client.mu.Lock()
 	j.accepted += written
+	n.writeErr = err
 	close(done)
 	n.client.mu.Unlock()
 	n.endWrite(b, err)
@@ -128,6 +133,42 @@
 	}
 }
 
+// Read implements io.Reader for the reader of the connection. It returns io.EOF only if the upstream has closed the connection in order, because
+// that may be the end of a reply without a length.
+//
+// The kernel reports a reset to one call. If that is a write, the read that follows gets a regular end. So the end is not trusted before the write in
+// progress has returned without the error.
+func (n *conn) Read(p []byte) (int, error) {
+	count, err := n.nc.Read(p)
+	if err == io.EOF {
+		err = cmp.Or(n.stopWrite(), err)
+	}
+	return count, err
+}
+
+// stopWrite ends the write in progress and returns the error by which a write has found the connection broken, nil for none.
+func (n *conn) stopWrite() error {
+	n.client.mu.Lock()
+	writing := n.writing
+	if n.isWriting() {
+		_ = n.nc.SetWriteDeadline(pastDeadline) // the upstream has ended its side, so that the rest of the request has no use
+	}
+	n.client.mu.Unlock()
+	if writing != nil {
+		<-writing
+	}
+	n.client.mu.Lock()
+	defer n.client.mu.Unlock()
+	err := n.writeErr
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) {
+		return nil // not an error of the connection
+	}
+	if errors.Is(err, syscall.EPIPE) {
+		return nil // of a reset after an orderly end; the kernel reports one before it as ECONNRESET
+	}
+	return err
+}
+
 // endWrite releases the buffer of a request. After an error it closes the connection.
 func (n *conn) endWrite(b []byte, err error) {
 	if cap(b) <= maxInlineBytes {
--- a/core/transport/requester/written_test.go
+++ b/core/transport/requester/written_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,12 +23,13 @@
 	begunBytes = 500     // of a request with which an upstream begins to work
 )
 
-// partialConn accepts the first bytes of what is written, and then blocks until it is closed. It offers no writes that do not wait.
+// partialConn accepts the first bytes of what is written, and then blocks until it is closed or its deadline is set to a time that has passed. It offers no
+// writes that do not wait.
 type partialConn struct {
 	net.Conn
 	accepts int
 	once    sync.Once
-	closed  chan struct{}
+	ended   chan error
 }
 
 func (c *partialConn) Write(b []byte) (int, error) {
@@ -35,20 +37,28 @@
 	if err != nil || n == len(b) {
 		return n, err
 	}
-	<-c.closed
-	return n, net.ErrClosed
+	return n, <-c.ended
 }
 
+func (c *partialConn) end(err error) { c.once.Do(func() { c.ended <- err }) }
+
 func (c *partialConn) Close() error {
-	c.once.Do(func() { close(c.closed) })
+	c.end(net.ErrClosed)
 	return c.Conn.Close()
 }
 
+func (c *partialConn) SetWriteDeadline(t time.Time) error {
+	if time.Until(t) < 0 {
+		c.end(os.ErrDeadlineExceeded)
+	}
+	return nil
+}
+
 // dialPartial returns a Dial whose connections accept a number of bytes.
 func dialPartial(accepts int) func(context.Context, netip.AddrPort) (net.Conn, error) {
 	return func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 		nc, err := dialSmall(ctx, address)
-		return &partialConn{Conn: nc, accepts: accepts, closed: make(chan struct{})}, err
+		return &partialConn{Conn: nc, accepts: accepts, ended: make(chan error, 1)}, err
 	}
 }
 
--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -24,6 +24,7 @@
 endless|core/transport/bounder/reader.go|s/if s.left <= 0 {/if s.left < -1<<60 {/|core/transport/bounder|TestReader
 copies|core/transport/requester/conn.go|s/n.identified .. !response.Identified/false/|core/transport/requester|TestLateCopies
 begun|core/transport/requester/conn.go|s/<-writing .. Close has.*/_ = writing/|core/transport/requester|TestBegunRequestIsWritten
+half|core/transport/requester/conn.go|s/err = cmp.Or(n.stopWrite(), err)/_ = cmp.Or(n.stopWrite(), err)/|core/transport/requester|TestReplyUntilClose
 early|core/transport/requester/conn.go|s/err == nil .. !j.writeBegun.Load()/false/|core/transport/requester|TestCopyBeforeWrite
 promise|core/coordination/forwarder/answer.go|s/ .. !sub.failedReply.PromisesNoRun//|core/coordination/forwarder|TestOutcomes
 screen|core/coordination/forwarder/request.go|s/if (r.gather != nil .*m.screen(now, r) {/if false {/|core/coordination/forwarder|TestUnservableIsRefusedAtOnce
