requester: clear the deadline of a write that has succeeded

What callers saw: nothing but a little delay. A request that did not fit into the socket left its deadline on the connection. After that time the next request on the same connection failed as "reset" before it was written, the connection was closed, and the reset counted against its upstream.

Cause: RawConn.Write checks the write deadline too, and only the goroutine that writes a rest sets one.

Fix: the goroutine clears the deadline after a write without an error.

--- a/core/transport/requester/conn.go
+++ b/core/transport/requester/conn.go
@@ -103,6 +103,9 @@
 	n.client.mu.Lock()
 	j.accepted += written
 	n.writeErr = err
+	if err == nil {
+		_ = n.nc.SetWriteDeadline(time.Time{}) // one that has passed would fail the next request
+	}
 	close(done)
 	n.client.mu.Unlock()
 	n.endWrite(b, err)
--- a/core/transport/requester/stall_test.go
+++ b/core/transport/requester/stall_test.go
@@ -114,3 +114,49 @@
 	}
 	t.Errorf("the connection never was full: %d connections", len(u.accepted))
 }
+
+// TestRequestAfterSlowWrite guards against a connection that takes no further request because the deadline of an earlier one, which had to wait for the upstream
+// to read, has passed.
+func TestRequestAfterSlowWrite(t *testing.T) {
+	h, full, answered := newHarness(t), make(chan struct{}), make(chan struct{})
+	u := newBegunUpstream(t, 1, func(nc *net.TCPConn) {
+		<-full
+		r := bufio.NewReader(nc)
+		for {
+			if _, err := r.ReadString('\n'); err != nil {
+				return
+			}
+			if _, err := nc.Write([]byte("x\n")); err != nil {
+				return
+			}
+			<-answered
+		}
+	})
+	h.client.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+		nc, err := dialSmall(ctx, address)
+		if err == nil {
+			err = nc.(*net.TCPConn).SetWriteBuffer(2 << 10) // less than a request
+		}
+		return nc, err
+	}
+	const patience = 300 * time.Millisecond
+	deadline := time.Now().Add(patience)
+	body := []byte(strings.Repeat("x", maxInlineBytes-100))
+	h.send(u, "/first", func(s *forwarder.Send) { s.Message.Body, s.Deadline = body, deadline })
+	for end := time.Now().Add(patience / 3); !h.isWriting(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the connection is not full")
+		}
+	}
+	close(full)
+	if got := h.result(); got != "x" {
+		t.Fatalf("result %q of the first request", got)
+	}
+	answered <- struct{}{}
+	time.Sleep(time.Until(deadline.Add(20 * time.Millisecond)))
+	h.send(u, "/second", nil)
+	if got := h.result(); got != "x" || h.client.Counts.Opened.Load() != 1 {
+		t.Errorf("result %q over %d connections, want that of the first one", got, h.client.Counts.Opened.Load())
+	}
+	close(answered)
+}
--- a/core/transport/requester/written_test.go
+++ b/core/transport/requester/written_test.go
@@ -62,6 +62,19 @@
 	}
 }
 
+// shrinkWindow makes the connections of a listener hold few bytes that are not read.
+func shrinkWindow(t *testing.T, l *net.TCPListener) {
+	t.Helper()
+	raw, err := l.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var set error
+	if err := raw.Control(func(fd uintptr) { set = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) }); err != nil || set != nil {
+		t.Fatal(err, set)
+	}
+}
+
 // newBegunUpstream returns an upstream that reads the first bytes of a connection and then calls a function, while the rest stays unread.
 func newBegunUpstream(t *testing.T, bytes int, begun func(*net.TCPConn)) *fakeUpstream {
 	t.Helper()
@@ -71,6 +84,7 @@
 	}
 	u := &fakeUpstream{address: netip.MustParseAddrPort(l.Addr().String()), listener: l}
 	t.Cleanup(func() { _ = l.Close() })
+	shrinkWindow(t, l.(*net.TCPListener))
 	go func() {
 		for {
 			nc, err := l.Accept()
@@ -79,7 +93,6 @@
 			}
 			t.Cleanup(func() { _ = nc.Close() })
 			go func() {
-				_ = nc.(*net.TCPConn).SetReadBuffer(4 << 10)
 				if _, err := io.ReadFull(nc, make([]byte, bytes)); err == nil {
 					begun(nc.(*net.TCPConn))
 				}
