requester: let the reader end a connection whose write has failed

What callers saw: a complete early reply was lost, and its request repeated or failed with 502, when its upstream closed the connection in order and then reset it because the rest of the request was unread. And an upstream was suspected to have crashed when the deadline of a long request passed in the midst of its write.

Cause: the goroutine that writes the rest of a request closed the connection after any error, before the reader had read what had arrived. The reader then reported the closed connection as a reset.

Evidence: on the code before, in 3 of 3 runs, TestReplyUntilClose/closed_in_order,_then_reset: result "reset written", want "early", within five tries; TestDeadlineDuringWrite: result "reset written", want "timed_out written".

Fix: after a reset or the deadline only the reader closes the connection: it finds both by itself, after the replies that have arrived. A connection whose write has failed carries no further request.

Measured: go test -race -count=10 of the package passes.

--- a/core/transport/requester/conn.go
+++ b/core/transport/requester/conn.go
@@ -172,12 +172,15 @@
 	return err
 }
 
-// endWrite releases the buffer of a request. After an error it closes the connection.
+// endWrite releases the buffer of a request. After an error that the reader of the connection does not find by itself it closes the connection. A
+// reader that finds a reset or the deadline still gets the reply that has arrived before.
 func (n *conn) endWrite(b []byte, err error) {
 	if cap(b) <= maxInlineBytes {
 		buffers.Put(b[:0]) //nolint:staticcheck // a slice header is small next to the request that it saves
 	}
-	if err != nil {
+	switch {
+	case err == nil, errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, os.ErrDeadlineExceeded):
+	default:
 		_ = n.nc.Close()
 	}
 }
@@ -228,7 +231,7 @@
 		c.recordProgress(j)
 	}
 	n.job, n.used = nil, true
-	keep := err == nil && response.KeepAlive && !n.isWriting() && !n.long && !j.cancelled && n.reader.Buffered() == 0 && n.poolActive()
+	keep := err == nil && response.KeepAlive && !n.isWriting() && n.writeErr == nil && !n.long && !j.cancelled && n.reader.Buffered() == 0 && n.poolActive()
 	if keep {
 		if response.IdleTimeout > idleMargin {
 			n.idleTimeout = response.IdleTimeout - idleMargin
--- a/core/transport/requester/ending_test.go
+++ b/core/transport/requester/ending_test.go
@@ -20,7 +20,8 @@
 }
 
 // TestReplyUntilClose guards against half of a reply that ends with its connection and counts as a whole one: a reset is reported to one call, which may be the write of
-// the rest of the request. It also guards against the loss of early replies whose connection ends in order.
+// the rest of the request. It also guards against the loss of early replies whose connection ends in order, also if it
+// is reset then because the rest of the request was not read.
 func TestReplyUntilClose(t *testing.T) {
 	const tries = 50 // which call gets the reset is a race
 	cases := []struct {
@@ -47,6 +48,10 @@
 			_ = nc.CloseWrite()
 			_, _ = io.Copy(io.Discard, nc)
 		}, "early"},
+		{"closed in order, then reset", longBytes, func(nc *net.TCPConn, _ <-chan struct{}) {
+			_ = nc.CloseWrite()
+			_ = nc.Close()
+		}, "early"},
 		{"closed in order after the write", shortBytes, func(nc *net.TCPConn, _ <-chan struct{}) {
 			_, _ = io.ReadFull(nc, make([]byte, shortBytes+len("/\n")-begunBytes))
 			_ = nc.Close()
--- a/core/transport/requester/stall_test.go
+++ b/core/transport/requester/stall_test.go
@@ -160,3 +160,17 @@
 	}
 	close(answered)
 }
+
+// TestDeadlineDuringWrite guards against an upstream that is taken for one that resets connections, as a crash does, because the deadline of a request has passed while it
+// was being written.
+func TestDeadlineDuringWrite(t *testing.T) {
+	h := newHarness(t)
+	u := newBegunUpstream(t, 1, func(*net.TCPConn) {})
+	h.client.Dial = dialSmall
+	h.send(u, "/", func(s *forwarder.Send) {
+		s.Message.Body, s.Deadline = make([]byte, longBytes), time.Now().Add(50*time.Millisecond)
+	})
+	if got := h.result(); got != "timed_out written" {
+		t.Errorf("result %q, want timed_out written", got)
+	}
+}
