connector: count the replies of upstreams in the memory of an entry daemon

Upstreams that send bodies without an end take 4 to 8 MB of an entry daemon for each connection, so that its process runs out of memory and all requests on it end.

Cause: a body was bounded by 4 MiB alone, read into a pooled buffer that doubles, and counted for nothing.

Fix: heads and bodies of replies are read with the bounder's Memory, as in the gateway, and count in that of the daemon until they are decoded.

--- a/core/transport/connector/conn.go
+++ b/core/transport/connector/conn.go
@@ -87,6 +87,7 @@
 func newConn(p *pool, nc net.Conn) *conn {
 	c := &conn{pool: p, nc: nc, id: prober.Connection(p.owner.counts.numbers.Add(1)), writer: countingWriter{nc: nc}}
 	c.br = bounder.NewReader(nc, connBufferBytes)
+	c.br.CountHeads(p.owner.options.Memory)
 	c.bw = bufio.NewWriterSize(&c.writer, connBufferBytes)
 	c.message.init(nc.RemoteAddr().String(), p.owner.options.FailureDomain)
 	return c
--- a/core/transport/connector/connector.go
+++ b/core/transport/connector/connector.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"comfreyroute/core/coordination/router"
+	"comfreyroute/core/transport/bounder"
 )
 
 // Bounds of the transport.
@@ -41,6 +42,8 @@
 	Events        chan<- router.Event // bounded; a connection waits while it is full
 	// Dial opens a connection. The default is TCP.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	// Memory counts the heads and bodies of replies while they are read; nil counts nothing.
+	Memory *bounder.Memory
 }
 
 // Counts are totals since the start of the connector.
--- a/core/transport/connector/message.go
+++ b/core/transport/connector/message.go
@@ -3,11 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -26,8 +26,6 @@
 // framingFactor bounds the bytes of a body in chunks on the wire: the chunk sizes may take as many bytes as the data.
 const framingFactor = 2
 
-var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
-
 func requestPrefix(vm string, incarnation uint64) string {
 	return vm + "-" + strconv.FormatUint(incarnation, 36) + "-"
 }
@@ -108,6 +106,7 @@
 
 // readReply reads the reply to the prepared request. keep reports whether the connection can carry another request.
 func (c *conn) readReply(id string) (reply *encoder.SubReply, keep bool, err error) {
+	defer c.br.Release()
 	response, err := http.ReadResponse(c.br.Reader, &c.message.request)
 	if c.br.Exceeded() != nil {
 		return nil, false, errInvalid
@@ -120,20 +119,20 @@
 		return nil, false, errInvalid
 	}
 	c.br.Expect(bounder.Body, framingFactor*encoder.MaxReplyBytes+maxHeadBytes)
-	b := buffers.Get().(*bytes.Buffer)
-	defer buffers.Put(b)
-	b.Reset()
-	if _, err := b.ReadFrom(io.LimitReader(response.Body, encoder.MaxReplyBytes+1)); err != nil {
-		if c.br.Exceeded() != nil {
-			err = errInvalid
-		}
+	memory := c.pool.owner.options.Memory
+	body, held, err := memory.ReadBody(response.Body, response.ContentLength, encoder.MaxReplyBytes)
+	if _, tooLarge := errors.AsType[*bounder.ExceededError](err); tooLarge || c.br.Exceeded() != nil {
+		return nil, false, errInvalid
+	}
+	if err != nil {
 		return nil, false, err
 	}
+	defer memory.Release(held)
 	if h := response.Header.Get(encoder.HeaderRequestID); h != "" && h != id {
 		return nil, false, errMismatched
 	}
 	reply = &encoder.SubReply{}
-	if err := encoder.DecodeBytes(b.Bytes(), encoder.MaxReplyBytes, reply); err != nil {
+	if err := encoder.DecodeBytes(body, encoder.MaxReplyBytes, reply); err != nil {
 		return nil, false, errInvalid
 	}
 	if reply.RequestID != id {
--- a/entry/internal/runner/daemon.go
+++ b/entry/internal/runner/daemon.go
@@ -58,7 +58,7 @@
 	collector       measurer.Collector
 	receiver        receiver.Receiver
 	server          http.Server
-	memory          bounder.Memory // of callers' heads and bodies and the answers to them
+	memory          bounder.Memory // of callers' heads and bodies and the answers to them, and of upstreams' replies while they are read
 	callers         *acceptor.Listener
 	callerAddress   netip.AddrPort // bound by the HTTP listener; differs from the setting when that has port 0
 	actionCounter   measurer.ActionCounter
@@ -108,6 +108,7 @@
 	events := make(chan router.Event, looper.EventCapacity)
 	d.connector = connector.New(connector.Options{
 		VM: s.VM.ID, Incarnation: d.incarnation, FailureDomain: s.VM.FailureDomain, LocalAddress: s.VM.ConnectAddress, Events: events,
+		Memory: &d.memory,
 	})
 	h := d.traceHeader()
 	d.routerMachine.Configure(h.Config())
