forwarder: bound the hedge delay from below

On a route without a latency target, a request whose caller has some nanoseconds left (Deadline-Ms: 0.000001) makes the gateway loop without an end and answer nobody any more.

Cause: the hedge delay is then a part of the time left and rounds to 0. A hedge that finds no upstream or no token is due again at the same moment, and Step carries out what is due.

Evidence: on the code before, TestTinyBudgets fails: no other upstream, 1ns left: the steps do not end.

Fix: the delay is at least 1 ms.

Measured: go test ./coordination/forwarder passes.

--- a/core/coordination/forwarder/config.go
+++ b/core/coordination/forwarder/config.go
@@ -83,6 +83,9 @@
 	maxHedgeShare = 0.35
 	// minHedgeSamples is the fewest latencies from which the hedge delay is computed; with fewer it is set by maxHedgeShare.
 	minHedgeSamples = 50
+	// minHedgeDelay is the shortest hedge delay. With a shorter one a hedge that has to wait is due again before the clock has moved. The shortest work
+	// of the platform's services takes 3.8 ms on average.
+	minHedgeDelay = time.Millisecond
 	// hedgeDelayLifetime is how long a computed hedge delay is reused.
 	hedgeDelayLifetime = 50 * time.Millisecond
 
--- a/core/coordination/forwarder/forwarder_test.go
+++ b/core/coordination/forwarder/forwarder_test.go
@@ -589,3 +589,38 @@
 		t.Errorf("%d requests are answered, want %d", total, arrivals)
 	}
 }
+
+// TestTinyBudgets guards against a VM that hangs: with a hedge delay of zero, the steps of a request are due again at once, without an end. A route without a latency target
+// takes the delay from the time that a caller has left.
+func TestTinyBudgets(t *testing.T) {
+	cases := []struct {
+		name      string
+		upstreams int
+		config    Config
+	}{
+		{"no other upstream", 1, Config{ExtraSendRatio: 1, ExtraSendSlack: 100}},
+		{"no tokens", 3, Config{}},
+		{"tokens", 3, Config{ExtraSendRatio: 1, ExtraSendSlack: 100}},
+	}
+	for _, c := range cases {
+		for budget := time.Nanosecond; budget < time.Second; budget *= 3 {
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				h := newHarness(t, c.config)
+				h.step(ManifestAdopted{Manifest: NewManifest(1, []Route{
+					{Name: "one", Host: "h.example", Prefix: "/one/", Idempotent: true, MaxAttempts: 3, Destination: Split{Services: []WeightedService{{Service: "point", Weight: 1}}}},
+				}, []Service{{Name: "point", MaxConnections: 100}}, Limits{})})
+				h.step(UpstreamsListed{Upstreams: upstreams("point")[:c.upstreams]})
+				h.request("/one/x", budget)
+				h.request("/one/x", time.Second)
+				h.advance(2 * time.Second)
+			}()
+			select {
+			case <-done:
+			case <-time.After(10 * time.Second):
+				t.Fatalf("%s, %v left: the steps do not end", c.name, budget)
+			}
+		}
+	}
+}
--- a/core/coordination/forwarder/routestate.go
+++ b/core/coordination/forwarder/routestate.go
@@ -59,6 +59,7 @@
 		least := time.Duration(float64(target) * minHedgeShare)
 		s.delay = min(max(s.latencies.Quantile(hedgeQuantile), least), most)
 	}
+	s.delay = max(s.delay, minHedgeDelay)
 	return s.delay
 }
 
