relayer: bound the history of changes in bytes

Cause: each VM keeps the last 512 writes of the store with their values, whatever their size, for followers that it may not have.

Evidence: without the two changes below, TestHistoryBytes fails (scripts/without.sh replaced, history: both fail without them).

--- a/gateway/internal/relayer/history.go
+++ b/gateway/internal/relayer/history.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,10 @@
 const (
 	// maxItems bounds the history. A follower that is further behind must read the store itself.
 	maxItems = 512
+	// maxBytes bounds the history too. In base64 it fits into a response, and it takes a small part of the memory of the smallest VMs.
+	maxBytes = maxMessageBytes / 2
+	// recordBytes is what a record takes beside its key and its value.
+	recordBytes = 128
 	// followerTimeout is how long after its last request a VM counts as a follower.
 	followerTimeout = 5 * time.Second
 	// alertInterval is the shortest time between two checks for new ratings. It is below the time that a slow upstream takes for a reply, and
@@ -31,8 +36,9 @@
 type History struct {
 	mu            sync.Mutex
 	records       []storedRecord // in the order of the writes
+	bytes         int            // of the records
 	era           uint64         // of the store's history to which the revisions belong
-	startRevision uint64         // records has every change after this revision
+	startRevision uint64         // records has the last write of each key after this revision
 	revision      uint64
 	confirmedAt   time.Time // when revision was last known to be the newest; zero before the first Reset
 	changed       chan struct{}
@@ -50,7 +56,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.era = era
-	h.records, h.startRevision, h.revision, h.confirmedAt = nil, revision, revision, confirmed
+	h.records, h.bytes, h.startRevision, h.revision, h.confirmedAt = nil, 0, revision, revision, confirmed
 	h.notifyFollowers()
 }
 
@@ -59,12 +65,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, i := range items {
-		h.records = append(h.records, storedRecord{Record: Record{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed}})
-	}
-	if n := len(h.records) - maxItems; n > 0 {
-		h.startRevision = h.records[n-1].Revision
-		h.records = append([]storedRecord(nil), h.records[n:]...)
+		h.dropReplaced(i)
+		s := storedRecord{Record: Record{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed}}
+		h.records, h.bytes = append(h.records, s), h.bytes+s.size()
 	}
+	h.dropOldest()
 	h.confirmedAt = confirmed
 	if revision > h.revision {
 		h.revision = revision
@@ -72,6 +77,36 @@
 	}
 }
 
+// size returns the bytes that the record takes.
+func (s *storedRecord) size() int { return recordBytes + len(s.Key) + len(s.Value) }
+
+// dropReplaced drops earlier writes of the key of an item if they are large, as those of the manifest: a follower needs the last one only. The caller
+// holds h.mu.
+func (h *History) dropReplaced(i translator.Item) {
+	if len(i.Value) < minPackedBytes {
+		return
+	}
+	h.records = slices.DeleteFunc(h.records, func(s storedRecord) bool {
+		replaced := s.Key == i.Key
+		if replaced {
+			h.bytes -= s.size()
+		}
+		return replaced
+	})
+}
+
+// dropOldest drops the oldest records until the history is within its bounds. The caller holds h.mu.
+func (h *History) dropOldest() {
+	n := 0
+	for ; n < len(h.records) && (len(h.records)-n > maxItems || h.bytes > maxBytes); n++ {
+		h.startRevision = h.records[n].Revision
+		h.bytes -= h.records[n].size()
+	}
+	if n > 0 {
+		h.records = append([]storedRecord(nil), h.records[n:]...)
+	}
+}
+
 // notifyFollowers wakes the waiting followers. The caller holds h.mu.
 func (h *History) notifyFollowers() {
 	if h.changed != nil {
@@ -194,6 +229,7 @@
 		if !s.final {
 			// All followers get the same bytes. A VM without followers never compresses a value.
 			if packed, ok := pack(s.Value); ok {
+				h.bytes += len(packed) - len(s.Value)
 				s.Value, s.Packed = packed, true
 			}
 			s.final = true
--- a/gateway/internal/relayer/relayer_test.go
+++ b/gateway/internal/relayer/relayer_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"strings"
@@ -76,6 +78,68 @@
 	}
 }
 
+// TestHistoryBytes guards against a history of large values that fills the memory of all VMs, with or without followers, and against followers that miss the last write of a key because an earlier one
+// was dropped.
+func TestHistoryBytes(t *testing.T) {
+	const changes, size = 600, 700 << 10
+	manifest := func(n int) translator.Item { // does not compress
+		value := make([]byte, size)
+		_, _ = rand.NewChaCha8([32]byte{byte(n), byte(n >> 8)}).Read(value)
+		return translator.Item{Key: "manifest", Value: value, Revision: uint64(3 * n)}
+	}
+	other := func(n int) translator.Item {
+		return translator.Item{Key: fmt.Sprint("entry", n%4), Value: []byte("v"), Revision: uint64(3*n + 1)}
+	}
+	large := func(n int) translator.Item {
+		return translator.Item{Key: fmt.Sprint("large", n), Value: make([]byte, size), Revision: uint64(3*n + 1)}
+	}
+	cases := []struct {
+		name string
+		next func(n int) translator.Item
+		// incomplete is whether a follower that is 20 changes behind has to read the store.
+		incomplete bool
+	}{{"manifests", manifest, false}, {"many large values", large, true}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var h History
+			now := time.Now()
+			h.Reset(now, 0, 2)
+			for n := 1; n <= changes; n++ {
+				h.AddChanges(now, []translator.Item{c.next(n), other(n)}, uint64(3*n+1))
+				if n%100 == 0 {
+					h.ChangesSince(context.Background(), ChangesRequest{After: uint64(3*n - 1), MaxAge: time.Hour}) // compresses values
+				}
+			}
+			held := 0
+			for i := range h.records {
+				held += h.records[i].size()
+			}
+			if held > maxBytes || held != h.bytes {
+				t.Errorf("the history holds %d bytes and counts %d, want at most %d", held, h.bytes, maxBytes)
+			}
+			behind := 3*(changes-20) + 1
+			got := h.ChangesSince(context.Background(), ChangesRequest{After: uint64(behind), MaxAge: time.Hour})
+			if got.Incomplete != c.incomplete {
+				t.Errorf("the response to a follower 20 changes behind is incomplete: %t, want %t", got.Incomplete, c.incomplete)
+			}
+			if c.incomplete {
+				return
+			}
+			revisions := map[string]uint64{}
+			for _, r := range got.Records {
+				revisions[r.Key] = r.Revision
+			}
+			want := map[string]uint64{"manifest": 3 * changes}
+			for n := changes - 3; n <= changes; n++ {
+				want[other(n).Key] = other(n).Revision
+			}
+			if diff := cmp.Diff(want, revisions); diff != "" {
+				t.Errorf("last writes that a follower gets (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func startRelay(t *testing.T, h *History) netip.AddrPort {
 	l, err := acceptor.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
--- a/scripts/without.sh
+++ b/scripts/without.sh
@@ -24,6 +24,9 @@
 endless|core/transport/bounder/reader.go|s/if s.left <= 0 {/if s.left < -1<<60 {/|core/transport/bounder|TestReader
 heads|core/transport/bounder/reader.go|s/if !s.memory.TryTake(due) {/if false {/|core/transport/bounder|TestHeadsAreCounted
 lines|core/transport/bounder/reader.go|s/s.left -= int64(lines) . fieldBytes/_ = lines/|core/transport/bounder|TestHeadsAfterInterimReplies
+replaced|gateway/internal/relayer/history.go|s/if len(i.Value) < minPackedBytes {/if true {/;s/h.bytes > maxBytes/false/|gateway/internal/relayer|TestHistoryBytes
+history|gateway/internal/relayer/history.go|s/h.bytes > maxBytes/false/|gateway/internal/relayer|TestHistoryBytes
+hang|core/coordination/forwarder/routestate.go|s/s.delay = max(s.delay, minHedgeDelay)/_ = minHedgeDelay/|core/coordination/forwarder|TestTinyBudgets
 copies|core/transport/requester/conn.go|s/n.identified .. !response.Identified/false/|core/transport/requester|TestLateCopies
 begun|core/transport/requester/conn.go|s/<-writing .. Close has.*/_ = writing/|core/transport/requester|TestBegunRequestIsWritten
 half|core/transport/requester/conn.go|s/err = cmp.Or(n.stopWrite(), err)/_ = cmp.Or(n.stopWrite(), err)/|core/transport/requester|TestReplyUntilClose
