acceptor: let a drained listener be closed again

What was seen: TestDrainWhileCallersConnect failed in 1 of 30 runs with -race: close tcp: use of closed network connection. A gateway whose planned stop meets the same moment logs "shutdown timed out, abandoning requests in flight" although all were answered.

Cause: Accept closes a drained listener and tells Drain before http.Server knows that the listener has ended. A Shutdown in between closes it once more and returns that error.

Fix: Close of a drained listener returns no error for that.

Measured: go test -race -count=40 -run TestDrain passes.

--- a/core/transport/acceptor/acceptor.go
+++ b/core/transport/acceptor/acceptor.go
@@ -84,6 +84,18 @@
 	}
 }
 
+// Close implements net.Listener. It returns no error for a listener that has been drained and closed itself: http.Server closes it again if it is shut
+// down at that moment.
+func (l *Listener) Close() error {
+	err := l.TCPListener.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.draining && errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
 // extendDrain reports whether the listener is drained, and gives the next connection time to arrive then.
 func (l *Listener) extendDrain() bool {
 	l.mu.Lock()
