--- a/gateway/internal/runner/gateway.go
+++ b/gateway/internal/runner/gateway.go
@@ -189,22 +189,23 @@
 func (g *Gateway) startServers() error {
 	s := g.Settings
 	errorLog := zap.NewStdLog(g.log.Logger)
+	// Without DisableGeneralOptionsHandler, net/http answers OPTIONS * itself, with a 200 that no upstream gave.
 	g.callerServer = http.Server{
 		Handler: &g.receiver, ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
-		ConnState: g.receiver.ObserveConnection, ConnContext: acceptor.WithConn,
+		ConnState: g.receiver.ObserveConnection, ConnContext: acceptor.WithConn, DisableGeneralOptionsHandler: true,
 	}
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("/ready", g.receiver.ServeReady)
 	g.readyServer = http.Server{
 		Handler: readiness, ReadTimeout: maxProbeTime, WriteTimeout: maxProbeTime, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxProbeHeaderBytes,
-		ErrorLog: errorLog, ConnState: acceptor.Observe,
+		ErrorLog: errorLog, ConnState: acceptor.Observe, DisableGeneralOptionsHandler: true,
 	}
 	admin := http.NewServeMux()
 	admin.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { g.metrics.WritePrometheus(w) })
 	admin.HandleFunc("/profile", pprof.Profile)
 	g.adminServer = http.Server{
 		Handler: admin, ReadHeaderTimeout: maxProbeTime, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxProbeHeaderBytes, ErrorLog: errorLog,
-		ConnState: acceptor.Observe,
+		ConnState: acceptor.Observe, DisableGeneralOptionsHandler: true,
 	}
 	var err error
 	if g.callers, err = acceptor.Listen(s.CallerAddress); err != nil {
@@ -246,7 +247,7 @@
 	if self.DetourAddress.IsValid() {
 		g.detourServer = http.Server{
 			Handler: &g.host, ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxDetourHeaderBytes, ErrorLog: zap.NewStdLog(g.log.Logger),
-			ConnState: acceptor.Observe, ConnContext: acceptor.WithConn,
+			ConnState: acceptor.Observe, ConnContext: acceptor.WithConn, DisableGeneralOptionsHandler: true,
 		}
 		if err := g.serveInternal(&g.detourServer, self.DetourAddress, g.Settings.MaxSockets/peerShare); err != nil {
 			return nil, err
