--- a/core/transport/acceptor/body_test.go
+++ b/core/transport/acceptor/body_test.go
@@ -73,9 +73,11 @@
 					t.Fatal(err)
 				}
 			}
-			if _, err := http.ReadResponse(bufio.NewReader(nc), nil); err != nil {
+			response, err := http.ReadResponse(bufio.NewReader(nc), nil)
+			if err != nil {
 				t.Fatal(err)
 			}
+			_ = response.Body.Close()
 			if diff := cmp.Diff(c.held, <-idle); diff != "" {
 				t.Errorf("bytes of an idle connection (-want +got):\n%s", diff)
 			}
