--- a/review/kit-3/case_cold.go
+++ b/review/kit-3/case_cold.go
@@ -154,26 +154,45 @@
 	statuses := map[int]int{}
 	for _, q := range c.clients.results() {
 		statuses[q.status]++
-		if q.status != http.StatusOK && q.status != http.StatusServiceUnavailable {
-			c.noteAt(q.ended, "request %s, sent at %.3f, ended with %d %s", q.id, c.since(q.sent), q.status, q.err)
+		if c.aroundSpan(q.sent) || q.status != http.StatusOK && q.status != http.StatusServiceUnavailable {
+			c.noteAt(q.sent, "request %s is sent; at %.3f it is answered %d %s", q.id, c.since(q.ended), q.status, q.err)
+		}
+	}
+	for _, s := range c.servers {
+		for _, a := range s.arrived() {
+			if c.aroundSpan(a.at) {
+				c.noteAt(a.at, "request %s reaches %s, runs: %v", a.id, s.id, a.run)
+			}
 		}
 	}
 	c.note("answers by status (0: none): %v", statuses)
 	bound, ok := warmupPerS*coldOverage+coldSlack, true
 	for _, s := range c.servers {
 		for n, span := range c.spans[s] {
-			most, at, all := s.busiestSecond(span)
+			most, from, until, all := s.busiestSecond(span)
 			over := cold[n] && float64(most) > bound
 			ok = ok && !over
-			c.noteAt(at, "%s, %.3f to %.3f, cold: %v: %d requests, at most %d in a second; allowed while cold: %.1f; broken: %v", s.id,
-				c.since(span.from), c.since(span.until), cold[n], all, most, bound, over)
+			c.note("%s, %.3f to %.3f, cold: %v: %d requests, at most %d in a second (%.3f to %.3f); allowed while cold: %.1f; broken: %v", s.id,
+				c.since(span.from), c.since(span.until), cold[n], all, most, c.since(from), c.since(until), bound, over)
 		}
 	}
 	return ok
 }
 
-// busiestSecond returns the most arrivals in a second of a span, its begin and the number of all arrivals.
-func (s *server) busiestSecond(span coldSpan) (most int, at time.Time, all int) {
+// aroundSpan reports whether a time is in a span or up to a second before one. What happens then is written down request by request.
+func (c *coldRun) aroundSpan(at time.Time) bool {
+	for _, spans := range c.spans {
+		for _, span := range spans {
+			if at.After(span.from.Add(-time.Second)) && at.Before(span.until) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// busiestSecond returns the most arrivals in a second of a span, the first and the last of them, and the number of all arrivals.
+func (s *server) busiestSecond(span coldSpan) (most int, from, until time.Time, all int) {
 	var times []time.Time
 	for _, a := range s.arrived() {
 		if !a.at.Before(span.from) && a.at.Before(span.until) {
@@ -181,16 +200,16 @@
 		}
 	}
 	slices.SortFunc(times, time.Time.Compare)
-	at = span.from
+	from, until = span.from, span.from
 	for first, last := 0, 0; last < len(times); last++ {
 		for times[last].Sub(times[first]) >= time.Second {
 			first++
 		}
 		if last-first+1 > most {
-			most, at = last-first+1, times[first]
+			most, from, until = last-first+1, times[first], times[last]
 		}
 	}
-	return most, at, len(times)
+	return most, from, until, len(times)
 }
 
 // playColdReturn evacuates a zone while the others have just enough room. Its server is cold when the evacuation is taken back.
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -1,10 +1,13 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"os"
+	"os/signal"
+	"slices"
+	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -22,21 +25,35 @@
 	start   time.Time
 
 	mu     sync.Mutex
-	record *bufio.Writer
+	record []line
 }
 
-// note writes a line with the time since the start to the record.
-func (r *run) note(format string, args ...any) {
+// line is a line of the record.
+type line struct {
+	at   time.Time
+	text string
+}
+
+// note adds a line with the time of now to the record.
+func (r *run) note(format string, args ...any) { r.noteAt(time.Now(), format, args...) }
+
+// noteAt adds a line with another time to the record.
+func (r *run) noteAt(at time.Time, format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, _ = fmt.Fprintf(r.record, "%8.3f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+	r.record = append(r.record, line{at, fmt.Sprintf(format, args...)})
 }
 
-// noteAt writes a line with another time to the record.
-func (r *run) noteAt(at time.Time, format string, args ...any) {
+// writeRecord writes the record in the order of time.
+func (r *run) writeRecord(path string) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, _ = fmt.Fprintf(r.record, "%8.3f %s\n", at.Sub(r.start).Seconds(), fmt.Sprintf(format, args...))
+	slices.SortStableFunc(r.record, func(a, b line) int { return a.at.Compare(b.at) })
+	var out strings.Builder
+	for _, l := range r.record {
+		_, _ = fmt.Fprintf(&out, "%8.3f %s\n", r.since(l.at), strings.TrimSpace(l.text)) // a builder takes every write
+	}
+	return os.WriteFile(path, []byte(out.String()), 0o644)
 }
 
 // since returns the time since the start of the run.
@@ -49,7 +66,7 @@
 
 func main() { os.Exit(play()) }
 
-func play() int {
+func play() (code int) {
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: kit3 CASE")
 		return failed
@@ -64,18 +81,22 @@
 	} else {
 		fmt.Println("logs are kept in", folder)
 	}
-	f, err := os.Create(os.Getenv("RECORD"))
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return failed
-	}
-	r := &run{trouble: os.Getenv("TROUBLE") != "0", fleet: fleet{binary: os.Getenv("GATEWAY"), folder: folder}, start: time.Now(), record: bufio.NewWriter(f)}
-	defer func() {
-		_ = r.record.Flush()
-		_ = f.Close()
-	}()
+	r := &run{trouble: os.Getenv("TROUBLE") != "0", fleet: fleet{binary: os.Getenv("GATEWAY"), folder: folder}, start: time.Now()}
 	r.note("case %s, trouble: %v", os.Args[1], r.trouble)
 	defer r.fleet.stop()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stop
+		r.fleet.stop()
+		os.Exit(failed)
+	}()
+	defer func() {
+		if err := r.writeRecord(os.Getenv("RECORD")); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			code = failed
+		}
+	}()
 	ok, err := cases[os.Args[1]](r)
 	switch {
 	case err != nil:
--- a/review/kit-3/process.go
+++ b/review/kit-3/process.go
@@ -137,18 +137,6 @@
 	}
 }
 
-// alive reports whether the process of a gateway runs.
-func (g *gateway) alive() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	select {
-	case <-g.ended:
-		return false
-	default:
-		return g.command != nil
-	}
-}
-
 // isReady asks the readiness port.
 func (g *gateway) isReady() bool {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/kit-3/server.go
+++ b/review/kit-3/server.go
@@ -36,7 +36,6 @@
 	mu        sync.Mutex
 	conns     map[net.Conn]bool
 	running   map[string]bool // by Request-Id
-	crashes   int
 	seq       int
 	coldUntil time.Time
 	state     string
@@ -83,7 +82,6 @@
 
 // crash ends the server as a process that dies, and starts it again after downTime. The caller holds s.mu.
 func (s *server) crash() {
-	s.crashes++
 	_ = s.listener.Close()
 	var lost []string
 	for id := range s.running {
@@ -138,11 +136,10 @@
 	if text == s.last {
 		return
 	}
-	if s.store.put("servers/"+s.id, map[string]any{
+	s.store.put("servers/"+s.id, map[string]any{
 		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": s.slots, "state": s.state, "cold-ms": cold, "seq": s.seq, "born": s.born,
-	}) {
-		s.last = text
-	}
+	})
+	s.last = text
 }
 
 // becomeCold makes the server cold for a time, and says so in its entry at once.
--- a/review/kit-3/store.go
+++ b/review/kit-3/store.go
@@ -43,7 +43,6 @@
 	history  []item          // all writes, in order
 	leases   map[uint64]*lease
 	lastID   uint64
-	down     bool
 	changed  chan struct{}
 }
 
@@ -83,43 +82,22 @@
 	s.notify()
 }
 
-// put writes a value as the operator or a server does. It returns false while the store is down.
-func (s *store) put(key string, value any) bool {
+// put writes a value as the operator or a server does.
+func (s *store) put(key string, value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
-		return false
-	}
 	s.write(key, data, 0)
-	return true
 }
 
-// del deletes a key as the operator or a server does. It returns false while the store is down.
-func (s *store) del(key string) bool {
+// del deletes a key as the operator or a server does.
+func (s *store) del(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
-		return false
-	}
 	s.remove(key)
-	return true
-}
-
-// setDown makes the store answer 503 to all calls. With lapse, all leases run out meanwhile.
-func (s *store) setDown(down, lapse bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-	if lapse {
-		for id := range s.leases {
-			s.endLease(id)
-		}
-	}
-	s.notify()
 }
 
 // endLease removes a lease and its keys. The caller holds s.mu.
@@ -135,39 +113,19 @@
 func (s *store) expireLeases() {
 	for range time.Tick(leaseCheck) {
 		s.mu.Lock()
-		if !s.down { // leases pause while the store is down, unless they lapse
-			for id, l := range s.leases {
-				if time.Now().After(l.until) {
-					s.endLease(id)
-				}
+		for id, l := range s.leases {
+			if time.Now().After(l.until) {
+				s.endLease(id)
 			}
 		}
 		s.mu.Unlock()
 	}
 }
 
-// keys returns the live keys with a prefix.
-func (s *store) keys(prefix string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var all []string
-	for key := range s.items {
-		if strings.HasPrefix(key, prefix) {
-			all = append(all, key)
-		}
-	}
-	sort.Strings(all)
-	return all
-}
-
 // ServeHTTP implements the calls of the store.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	w.Header().Set("Store-Era", "1")
 	query := r.URL.Query()
 	switch path := r.URL.Path; {
@@ -258,10 +216,7 @@
 			over = true
 		}
 		s.mu.Lock()
-		switch {
-		case s.down:
-			panic(http.ErrAbortHandler) // an outage breaks the waiting watches off
-		case over:
+		if over {
 			s.reply(w, map[string]any{"events": events, "store-revision": s.revision})
 			return
 		}
